--- /dev/null
+++ b/lines/counter/window.py
@@ -0,0 +1,105 @@
+"""A listener for HTTP/1.1: heads and bodies as they came, one writer for all answers."""
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+from aiohttp.http import HttpVersion11
+
+from ..frame import Result, fault_result
+
+
+class Window:
+    """Serves handler(request, body) -> Result | None on an address; None means that it wrote the answer itself.
+
+    >>> # win = Window(handler, log, ctr); await win.open("10.0.0.1:8144"); await win.close(grace_s=6)
+    """
+
+    def __init__(self, handler, log, ctr, limits=None):
+        self.handler, self.log, self.ctr = handler, log, ctr
+        self.limits = limits or {}
+        self.leaving = False
+        self.under_way = 0
+        self._srv = self._site = None
+
+    def _factory(self, message, payload, protocol, writer, task):
+        cap = int(self.limits.get("MaxBodyBytes", 32 << 20))
+        return web.BaseRequest(message, payload, protocol, writer, task, asyncio.get_running_loop(),
+                               client_max_size=cap)
+
+    async def open(self, addr: str) -> None:
+        host, port = addr.rsplit(":", 1)
+        self._srv = web.Server(
+            self._serve, request_factory=self._factory, auto_decompress=False, access_log=None, logger=_Quiet(self),
+            keepalive_timeout=self.limits.get("IdleTimeoutMs", 15000) / 1000, tcp_keepalive=False,
+            max_line_size=int(self.limits.get("MaxHeaderBytes", 16384)),
+            max_field_size=int(self.limits.get("MaxHeaderBytes", 16384)), lingering_time=1.0)
+        self._site = await asyncio.get_running_loop().create_server(self._srv, host, int(port), backlog=1024,
+                                                                    reuse_address=True)
+
+    def port(self) -> int:
+        return self._site.sockets[0].getsockname()[1]
+
+    async def _serve(self, req: web.BaseRequest):
+        self.under_way += 1
+        try:
+            try:
+                if req.headers.get("Expect", "").lower() == "100-continue" and req.version >= HttpVersion11:
+                    await req.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                body = await self._body(req)
+                res = await self.handler(req, body)
+            except web.HTTPRequestEntityTooLarge:
+                res = fault_result(2012)
+                res.close = True
+            if res is None:
+                return self._done(req)
+            return await self._write(req, res)
+        finally:
+            self.under_way -= 1
+
+    async def _body(self, req) -> bytes:
+        if not req.body_exists:
+            return b""
+        cap = int(self.limits.get("MaxBodyBytes", 32 << 20))
+        if req.content_length is not None and req.content_length > cap:
+            raise web.HTTPRequestEntityTooLarge(cap, req.content_length)
+        return await req.read()
+
+    async def _write(self, req, res: Result):
+        out = web.Response(status=res.status, body=res.body, headers=res.head)
+        if self.leaving or res.close:
+            out.force_close()
+            out.headers["Connection"] = "close"
+        return out
+
+    def _done(self, req):
+        return req["answer"]
+
+    async def close(self, grace_s: float) -> None:
+        """Stop accepting, let what is under way finish, then end."""
+        end = asyncio.get_running_loop().time() + grace_s
+        while self.under_way and asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(0.05)
+        self._site.close()
+        await self._srv.shutdown(0.2)
+
+
+class _Quiet:
+    """aiohttp's own complaints become counters."""
+
+    def __init__(self, win: Window):
+        self.win = win
+
+    def debug(self, *a, **k):
+        pass
+
+    info = debug
+
+    def error(self, msg, *a, **k):
+        self.win.ctr.add("http.error")
+
+    def exception(self, msg, *a, exc_info=None, **k):
+        self.win.ctr.add("http.fault")
+        self.win.log.opt(exception=exc_info or True).error("http: {}", msg % a if a else msg)
+
+    warning = error
--- /dev/null
+++ b/lines/directory/__init__.py
@@ -0,0 +1,11 @@
+"""Who is there: the system's nodes, the services' replicas, and who watches whom."""
+from .rendezvous import pick, rank
+from .roll import Roll
+from .neighbours import Neighbours
+from .fitness import Fitness
+
+__all__ = ["pick", "rank", "Roll", "Neighbours", "Fitness"]
+from .newsreader import Newsreader
+from .rendezvous import part_of
+
+__all__ += ["Newsreader", "part_of"]
--- /dev/null
+++ b/lines/directory/rendezvous.py
@@ -0,0 +1,31 @@
+"""Rendezvous hashing: the same few names for the same key, whoever asks."""
+from __future__ import annotations
+
+import hashlib
+
+
+def rank(key: str, names) -> list:
+    """All names, the one that suits the key best first.
+
+    >>> rank("k", ["b", "a"]) == rank("k", ["a", "b"])
+    True
+    """
+    return sorted(names, key=lambda n: hashlib.blake2b(f"{key}|{n}".encode(), digest_size=8).digest())
+
+
+def pick(key: str, names, count: int = 1) -> list:
+    """The count names that suit the key best.
+
+    >>> len(pick("k", ["a", "b", "c"], 2))
+    2
+    """
+    return rank(key, names)[:count]
+
+
+def part_of(service: str, parts: list) -> str:
+    """The part that holds a service's state.
+
+    >>> part_of("svc", ["p0"])
+    'p0'
+    """
+    return pick(service, parts)[0]
--- /dev/null
+++ b/lines/exchange/__init__.py
@@ -0,0 +1,1 @@
+"""The exchange: control nodes and stores."""
--- /dev/null
+++ b/lines/exchange/calls.py
@@ -0,0 +1,157 @@
+"""Calls of replicas and operators, decoded into small commands that are run elsewhere."""
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from urllib.parse import unquote
+
+import orjson
+
+
+class BadCall(Exception):
+    """A call that cannot be read; carries its numbered code."""
+
+    def __init__(self, code: int, why: str = ""):
+        super().__init__(why)
+        self.code, self.why = code, why
+
+
+@dataclass(slots=True)
+class Beat:
+    entry: dict
+
+
+@dataclass(slots=True)
+class Leave:
+    iid: str
+
+
+@dataclass(slots=True)
+class PutPlan:
+    kind: str
+    doc: dict
+    match: int
+
+
+@dataclass(slots=True)
+class GetPlan:
+    pass
+
+
+@dataclass(slots=True)
+class PutVersion:
+    model: str
+    rev: int
+
+
+@dataclass(slots=True)
+class Retire:
+    node: str
+    ask: bool
+
+
+DECODERS: list = []
+
+
+def call(method: str, pattern: str):
+    """Register a decoder for a method and a path pattern."""
+    def put(fn):
+        DECODERS.append((method, re.compile(pattern + r"\Z"), fn))
+        return fn
+    return put
+
+
+def _doc(body: bytes, code: int = 2001) -> dict:
+    try:
+        doc = orjson.loads(body)
+    except orjson.JSONDecodeError as e:
+        raise BadCall(code, str(e)) from e
+    if not isinstance(doc, dict):
+        raise BadCall(code, "must be one JSON object")
+    return doc
+
+
+def decode(method: str, path: str, heads, body: bytes):
+    """The command that a call asks for; BadCall if it cannot be read.
+
+    >>> decode("GET", "/api/config", {}, b"")
+    GetPlan()
+    """
+    path, other = path.split("?", 1)[0], False
+    for meth, pat, fn in DECODERS:
+        hit = pat.match(path)
+        if hit:
+            if meth == method:
+                return fn(*(unquote(g) for g in hit.groups()), heads, body)
+            other = True
+    raise BadCall(2010 if other else 2009)
+
+
+@call("PUT", r"/api/instances/([^/]+)")
+def _beat(iid, heads, body):
+    doc = _doc(body, 2004)
+    try:
+        seq, slots, state = doc.get("Sequence", 0), doc.get("SlotCount", 1), doc["OperState"]
+        addr, svc = doc["Address"], doc["Service"]
+    except KeyError as e:
+        raise BadCall(2004, f"{e.args[0]} is missing") from e
+    if state not in ("up", "draining") or not isinstance(addr, str) or ":" not in addr or not isinstance(svc, str):
+        raise BadCall(2004, "OperState, Address or Service is wrong")
+    if any(isinstance(n, bool) or not isinstance(n, int) or n < 0 for n in (seq, slots)):
+        raise BadCall(2004, "Sequence or SlotCount is wrong")
+    models = {}
+    for m in doc.get("ModelList") or []:
+        if not isinstance(m, dict) or not isinstance(m.get("Name"), str) or not isinstance(m.get("Revision", 1), int):
+            raise BadCall(2004, "ModelList is wrong")
+        models[m["Name"]] = m.get("Revision", 1)
+    return Beat({"id": iid, "service": svc, "addr": addr, "zone": str(doc.get("Zone", "")), "slots": max(1, slots),
+                 "state": state, "seq": seq, "models": models, "rev": str(doc.get("Revision", ""))})
+
+
+@call("DELETE", r"/api/instances/([^/]+)")
+def _leave(iid, heads, body):
+    return Leave(iid)
+
+
+@call("PUT", r"/api/config")
+def _put(heads, body):
+    return _plan("put", heads, body)
+
+
+@call("PATCH", r"/api/config")
+def _patch(heads, body):
+    return _plan("patch", heads, body)
+
+
+def _plan(kind, heads, body):
+    doc = _doc(body, 2002)
+    try:
+        match = int(heads.get("If-Match", "").strip().strip('"'))
+    except ValueError as e:
+        raise BadCall(2015) from e
+    if isinstance(doc.get("Revision"), bool) or not isinstance(doc.get("Revision"), int):
+        raise BadCall(2002, "Revision: is missing or no number")
+    return PutPlan(kind, doc, match)
+
+
+@call("GET", r"/api/config")
+def _get(heads, body):
+    return GetPlan()
+
+
+@call("POST", r"/api/version-put")
+def _version(heads, body):
+    doc = _doc(body)
+    if not isinstance(doc.get("Model"), str) or not isinstance(doc.get("Revision"), int) or doc["Revision"] < 1:
+        raise BadCall(2001, "Model or Revision is wrong")
+    return PutVersion(doc["Model"], doc["Revision"])
+
+
+@call("POST", r"/api/retire/([^/]+)")
+def _retire(node, heads, body):
+    return Retire(node, False)
+
+
+@call("GET", r"/api/retire/([^/]+)")
+def _retired(node, heads, body):
+    return Retire(node, True)
--- /dev/null
+++ b/lines/exchange/parts.py
@@ -0,0 +1,214 @@
+"""Commands on the parts. 'plan' holds the configuration and the stores; the others versions and tenures by service."""
+from __future__ import annotations
+
+import hashlib
+
+import orjson
+
+from ..dialplan import PlanFault, check_plan, merge
+from ..partyline import Commands
+
+PLAN = "plan"
+OTHERS = ["p0", "p1", "p2"]
+PARTS = [PLAN] + OTHERS
+KEEP_TAKEN = 64
+COPIES = 2
+
+commands = Commands()
+
+
+def digest(kind: str, doc: object) -> str:
+    """A short name of a change's content.
+
+    >>> digest("put", {"b": 1, "a": 2}) == digest("put", {"a": 2, "b": 1})
+    True
+    """
+    raw = orjson.dumps([kind, doc], option=orjson.OPT_SORT_KEYS)
+    return hashlib.blake2b(raw, digest_size=12).hexdigest()
+
+
+def _take(val: dict, kind: str, args: dict, build):
+    now = val.get("plan", {}).get("Revision", 0)
+    rev, mark = str(args["doc"].get("Revision")), digest(kind, args["doc"])
+    if val.get("taken", {}).get(rev) == mark:
+        return 1000, {"Revision": now}, False
+    if args["match"] != now:
+        return 2011, {"Revision": now}, False
+    try:
+        doc = check_plan(build())
+    except PlanFault as e:
+        return 2002, str(e), False
+    if doc["Revision"] <= now:
+        return 2005, {"Revision": now}, False
+    val["plan"] = doc
+    taken = val.setdefault("taken", {})
+    taken[rev] = mark
+    while len(taken) > KEEP_TAKEN:
+        del taken[next(iter(taken))]
+    return 1000, {"Revision": doc["Revision"]}, True
+
+
+@commands.on("plan.put")
+def plan_put(val, args):
+    """A whole configuration: {"doc": ..., "match": 5}."""
+    return _take(val, "put", args, lambda: args["doc"])
+
+
+@commands.on("plan.patch")
+def plan_patch(val, args):
+    """Named items: {"doc": {"Revision": 9, "Upsert": ...}, "match": 7}."""
+    return _take(val, "patch", args, lambda: merge(val.get("plan", {}), args["doc"]))
+
+
+@commands.on("plan.get")
+def plan_get(val, args):
+    """The configuration in force, sure to be the newest."""
+    return (1000, val["plan"], False) if "plan" in val else (3001, None, False)
+
+
+@commands.on("noop")
+def noop(val, args):
+    """Nothing but proof of a majority."""
+    return 1000, None, False
+
+
+@commands.on("store.list")
+def store_list(val, args):
+    """The stores and the runs, sure to be the newest."""
+    return 1000, {"stores": val.get("stores", {}), "runs": val.get("runs", {})}, False
+
+
+@commands.on("store.join")
+def store_join(val, args):
+    """A store with a disk of its own: {"id", "name", "ip", "zone"}. One that stood at its place before is to leave."""
+    stores = val.setdefault("stores", {})
+    if args["id"] in stores:
+        return 1000, None, False
+    if args["id"] in val.get("dropped", {}):
+        return 2008, "dropped", False
+    for sid, s in list(stores.items()):
+        if s["name"] == args["name"] or s["ip"] == args["ip"]:
+            s["state"] = "leaving"
+            _drop_cleared(val, sid)
+    val["count"] = val.get("count", 0) + 1
+    stores[args["id"]] = {"name": args["name"], "ip": args["ip"], "zone": args["zone"], "state": "active",
+                          "no": val["count"], "clear": {}}
+    return 1000, None, True
+
+
+def _active(val) -> int:
+    return sum(1 for s in val.get("stores", {}).values() if s["state"] == "active")
+
+
+def _drop_cleared(val, sid: str) -> None:
+    s = val["stores"][sid]
+    if s["state"] == "leaving" and all(run in s["clear"] for run in val.get("runs", {})):
+        del val["stores"][sid]
+        dropped = val.setdefault("dropped", {})
+        dropped[sid] = 1
+        while len(dropped) > KEEP_TAKEN:
+            del dropped[next(iter(dropped))]
+        if s.get("retire"):
+            val.setdefault("retired", {})[s["name"]] = "complete"
+
+
+@commands.on("store.leave")
+def store_leave(val, args):
+    """A store is to hold nothing any more: {"id"}."""
+    s = val.get("stores", {}).get(args["id"])
+    if s is None or s["state"] == "leaving":
+        return 1000, None, False
+    if _active(val) <= COPIES:
+        return 2013, None, False
+    s["state"] = "leaving"
+    _drop_cleared(val, args["id"])
+    return 1000, None, True
+
+
+@commands.on("store.clear")
+def store_clear(val, args):
+    """A run's holder says that a leaving store is not needed for it: {"id", "run", "term"}."""
+    s = val.get("stores", {}).get(args["id"])
+    if s is None or s["state"] != "leaving" or s["clear"].get(args["run"]):
+        return 1000, None, False
+    s["clear"][args["run"]] = args["term"]
+    _drop_cleared(val, args["id"])
+    return 1000, None, True
+
+
+@commands.on("run.open")
+def run_open(val, args):
+    """A run is to have tenures from now on: {"run", "service"}. The service it began with names its part for good."""
+    runs = val.setdefault("runs", {})
+    if args["run"] in runs:
+        return 1000, {"service": runs[args["run"]]}, False
+    runs[args["run"]] = args["service"]
+    for s in val.get("stores", {}).values():
+        s["clear"].pop(args["run"], None)
+    return 1000, {"service": args["service"]}, True
+
+
+@commands.on("retire.start")
+def retire_start(val, args):
+    """The operator wants a machine emptied: {"node"}."""
+    if args["node"] in val.get("retired", {}):
+        return 1000, {"OperState": val["retired"][args["node"]]}, False
+    for sid, s in val.get("stores", {}).items():
+        if s["name"] == args["node"] and s["state"] == "active":
+            if _active(val) - 1 <= COPIES:
+                return 2013, None, False
+            s["state"], s["retire"] = "leaving", True
+            _drop_cleared(val, sid)
+            return 1000, {"OperState": "active"}, True
+    for s in val.get("stores", {}).values():
+        if s["name"] == args["node"]:
+            did = not s.get("retire")
+            s["retire"] = True
+            return 1000, {"OperState": "active"}, did
+    return 2008, None, False
+
+
+@commands.on("retire.get")
+def retire_get(val, args):
+    """How far a machine's emptying is: {"node"}."""
+    if args["node"] in val.get("retired", {}):
+        return 1000, {"OperState": val["retired"][args["node"]]}, False
+    if any(s["name"] == args["node"] and s.get("retire") for s in val.get("stores", {}).values()):
+        return 1000, {"OperState": "active"}, False
+    return 2008, None, False
+
+
+@commands.on("named.put")
+def named_put(val, args):
+    """A trainer names a version: {"model", "rev"}. Naming it again is no fault."""
+    named = val.setdefault("named", {})
+    if args["rev"] <= named.get(args["model"], 1):
+        return 1000, {"Revision": named.get(args["model"], 1)}, False
+    named[args["model"]] = args["rev"]
+    return 1000, {"Revision": args["rev"]}, True
+
+
+@commands.on("tenure.claim")
+def tenure_claim(val, args):
+    """Take a run's tenure, if its term is still the one seen: {"run", "holder", "life", "seen"}."""
+    ten = val.setdefault("tenures", {})
+    cur = ten.get(args["run"])
+    if cur and cur["holder"] == args["holder"] and cur["life"] == args["life"] and cur["term"] > args["seen"]:
+        return 1000, cur, False
+    if (cur["term"] if cur else 0) != args["seen"]:
+        return 2011, cur, False
+    ten[args["run"]] = {"holder": args["holder"], "life": args["life"], "term": args["seen"] + 1}
+    return 1000, ten[args["run"]], True
+
+
+@commands.on("tenure.list")
+def tenure_list(val, args):
+    """All tenures of the part, sure to be the newest."""
+    return 1000, val.get("tenures", {}), False
+
+def news_view(part: str, val: dict) -> dict:
+    """What of a part's value other nodes need."""
+    if part == PLAN:
+        return {"plan": val.get("plan"), "stores": val.get("stores", {}), "runs": val.get("runs", {}),
+                "dropped": val.get("dropped", {})}
+    return val
--- /dev/null
+++ b/lines/frame/board.py
@@ -0,0 +1,50 @@
+"""The blackboard: named values that controllers read and write, and can wait on."""
+from __future__ import annotations
+
+import asyncio
+
+
+class Board:
+    """Values by name, each with a count of its changes.
+
+    >>> b = Board(); b.post("plan", 7); b.read("plan"), b.turn("plan")
+    (7, 1)
+    """
+
+    def __init__(self):
+        self._vals: dict = {}
+        self._turns: dict = {}
+        self._waits: dict = {}
+
+    def post(self, name: str, val) -> None:
+        self._vals[name] = val
+        self.touch(name)
+
+    def touch(self, name: str) -> None:
+        """Say that the value under name changed in place."""
+        self._turns[name] = self._turns.get(name, 0) + 1
+        for fut in self._waits.pop(name, ()):
+            if not fut.done():
+                fut.set_result(None)
+
+    def read(self, name: str, dflt=None):
+        return self._vals.get(name, dflt)
+
+    def turn(self, name: str) -> int:
+        return self._turns.get(name, 0)
+
+    async def news(self, name: str, turn: int, secs: float | None = None) -> int:
+        """Wait until the value under name changed after turn, or secs have passed; the turn now."""
+        if self.turn(name) != turn:
+            return self.turn(name)
+        fut = asyncio.get_running_loop().create_future()
+        self._waits.setdefault(name, []).append(fut)
+        try:
+            await asyncio.wait_for(fut, secs)
+        except (asyncio.TimeoutError, TimeoutError):
+            pass
+        finally:
+            waits = self._waits.get(name)
+            if waits and fut in waits:
+                waits.remove(fut)
+        return self.turn(name)
--- /dev/null
+++ b/lines/frame/boot.py
@@ -0,0 +1,133 @@
+"""Boot settings: the JSON file a process is told at its start, checked field by field."""
+from __future__ import annotations
+
+import json
+import os
+from dataclasses import dataclass, field
+
+DEFAULT_PATH = "/etc/archhatch/settings.json"
+
+# Bounds that a settings file may leave out; the values are the gentlest that still work.
+BOUNDS = {"SeedLagS": 3, "ReuseHoldS": 2, "ContactMs": 3000, "AckTimeoutMs": 4000, "SyncS": 5, "DrainMs": 2000,
+          "GraceS": 8, "LossSlackMs": 200, "ConvergeMs": 2000, "RollbackSlackMs": 250, "StretchMaxMs": 5000,
+          "RecoveryS": 12, "PassMs": 120, "FinishS": 10, "StatusS": 120, "CancelMs": 3000, "SettleMs": 1000,
+          "QuotaOvershoot": 0.1, "Fencing": False, "LeaseMs": 3000, "ThawMs": 300}
+
+
+class BootFault(Exception):
+    """A settings file that cannot be used; names the field.
+
+    >>> str(BootFault("NodeName", "is missing"))
+    'settings: NodeName: is missing'
+    """
+
+    def __init__(self, name: str, why: str):
+        super().__init__(f"settings: {name}: {why}")
+        self.field = name
+
+
+@dataclass(frozen=True)
+class Boot:
+    node: str
+    role: str
+    klass: str
+    ip: str
+    zone: str
+    zones: dict
+    listen: dict
+    ports: tuple
+    seeds: tuple
+    first: bool
+    data_dir: str | None
+    beat_ms: float
+    memory_mb: int
+    fds: int
+    disk_mb: int
+    tolerate: int
+    bounds: dict = field(default_factory=dict)
+
+    def secs(self, name: str, ratio: float = 1.0) -> float:
+        """A bound in seconds, scaled.
+
+        >>> # Boot with ContactMs 3000: boot.secs("ContactMs", 0.5) == 1.5
+        """
+        val = self.bounds[name]
+        return (val / 1000.0 if name.endswith("Ms") else float(val)) * ratio
+
+
+def _want(doc: dict, name: str, kind, dflt=None, must: bool = True):
+    if name not in doc:
+        if must:
+            raise BootFault(name, "is missing")
+        return dflt
+    val = doc[name]
+    if val is None and not must:
+        return dflt
+    if kind is float and isinstance(val, int) and not isinstance(val, bool):
+        val = float(val)
+    if not isinstance(val, kind) or (kind is int and isinstance(val, bool)):
+        raise BootFault(name, f"must be {kind.__name__}, not {type(val).__name__}")
+    return val
+
+
+def _addr(name: str, val) -> str:
+    if not isinstance(val, str) or val.count(":") != 1 or not val.rsplit(":", 1)[1].isdigit():
+        raise BootFault(name, f"must be IP:PORT, not {val!r}")
+    return val
+
+
+def _bounds(doc: dict) -> dict:
+    out = dict(BOUNDS)
+    for name, val in _want(doc, "Bounds", dict, {}, must=False).items():
+        known = BOUNDS.get(name)
+        if known is None:
+            continue
+        if isinstance(known, bool):
+            if not isinstance(val, bool):
+                raise BootFault(f"Bounds.{name}", "must be true or false")
+        elif isinstance(val, bool) or not isinstance(val, (int, float)) or val < 0:
+            raise BootFault(f"Bounds.{name}", "must be a number that is not negative")
+        out[name] = val
+    return out
+
+
+def check_boot(doc: object) -> Boot:
+    """Turn a decoded settings document into a Boot, or raise a BootFault that names the field.
+
+    >>> try: check_boot({})
+    ... except BootFault as e: print(e)
+    settings: NodeName: is missing
+    """
+    if not isinstance(doc, dict):
+        raise BootFault("(file)", "must hold one JSON object")
+    lim = _want(doc, "Limits", dict, {}, must=False)
+    ports = _want(doc, "InternalPorts", list)
+    if len(ports) != 2 or not all(isinstance(p, int) and 0 < p < 65536 for p in ports) or ports[1] < ports[0] + 1:
+        raise BootFault("InternalPorts", "must be two rising port numbers")
+    seeds = tuple(_addr("SeedPeers", s) for s in _want(doc, "SeedPeers", list, [], must=False))
+    listen = {k: _addr(f"Bindings.{k}", v) for k, v in _want(doc, "Bindings", dict, {}, must=False).items()}
+    tol = _want(doc, "FaultTolerance", dict, {}, must=False)
+    beat = _want(doc, "KeepaliveMs", float, 1200.0, must=False)
+    if beat <= 0:
+        raise BootFault("KeepaliveMs", "must be above 0")
+    return Boot(
+        node=_want(doc, "NodeName", str), role=_want(doc, "Role", str, "", must=False),
+        klass=_want(doc, "MachineClass", str, "", must=False), ip=_want(doc, "IpAddress", str),
+        zone=_want(doc, "Zone", str, "", must=False), zones=_want(doc, "Zones", dict, {}, must=False),
+        listen=listen, ports=tuple(ports), seeds=seeds, first=_want(doc, "Bootstrap", bool, False, must=False),
+        data_dir=_want(doc, "DataDir", str, None, must=False), beat_ms=beat,
+        memory_mb=int(lim.get("MemoryMb", 256)), fds=int(lim.get("MaxFds", 1024)), disk_mb=int(lim.get("DiskMb", 0)),
+        tolerate=int(tol.get("Machines", 1)), bounds=_bounds(doc))
+
+
+def read_boot(path: str | None = None) -> Boot:
+    """Read and check the settings file at path, at $ARCHHATCH_CONFIG, or at its usual place."""
+    path = path or os.environ.get("ARCHHATCH_CONFIG") or DEFAULT_PATH
+    try:
+        with open(path, "rb") as f:
+            doc = json.loads(f.read())
+    except OSError as e:
+        raise BootFault("(file)", f"cannot be read: {e.strerror}: {path}") from e
+    except ValueError as e:
+        raise BootFault("(file)", f"is not JSON: {e}") from e
+    return check_boot(doc)
--- /dev/null
+++ b/lines/frame/codes.py
@@ -0,0 +1,70 @@
+"""Numbered result codes, and the small value that describes an answer."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import orjson
+
+# number: (HTTP status, what it says). The table in docs/codes.md is made from this one.
+CODES = {
+    1000: (200, "done"),
+    1001: (202, "taken"),
+    2001: (400, "the call cannot be read"),
+    2002: (400, "the configuration is invalid"),
+    2003: (400, "the lot is malformed"),
+    2004: (400, "the beat is malformed"),
+    2005: (400, "the stamp is not higher than the current one"),
+    2006: (404, "no lane leads there"),
+    2007: (404, "no such lot or item"),
+    2008: (404, "no such machine"),
+    2009: (404, "no such call"),
+    2010: (405, "this call wants another method"),
+    2011: (412, "another stamp is current"),
+    2012: (413, "the body is too large"),
+    2013: (409, "too few machines would be left"),
+    2014: (409, "the version is not the next one"),
+    2015: (428, "If-Match is missing or no number"),
+    2016: (408, "the request came too slowly"),
+    3001: (503, "this node has no configuration yet"),
+    3002: (503, "no replica is free; it has not run"),
+    3003: (503, "no majority can be reached"),
+    3004: (503, "not sure; ask again"),
+    3005: (503, "no store holds the run at the moment; not taken"),
+    3006: (429, "too many at once; it has not run"),
+    4001: (502, "the replica broke off"),
+    4002: (504, "the time is up; it may have run"),
+    4003: (504, "the outcome is unclear; send again"),
+    5001: (500, "a fault in this node"),
+}
+
+
+@dataclass(slots=True)
+class Result:
+    """An answer before it is written; one place writes it.
+
+    >>> Result(200, b"ok").status
+    200
+    """
+    status: int
+    body: bytes = b""
+    head: list = field(default_factory=list)
+    close: bool = False
+
+
+def json_result(code: int, doc: object, head: list | None = None) -> Result:
+    """A Result with a JSON body and the status of a numbered code.
+
+    >>> json_result(1000, {"a": 1}).body
+    b'{"a":1}'
+    """
+    return Result(CODES[code][0], orjson.dumps(doc), [("Content-Type", "application/json")] + (head or []))
+
+
+def fault_result(code: int, why: str = "", after_s: float | None = None) -> Result:
+    """A Result for a fault: its number, its words and, where it promises, when to come back.
+
+    >>> fault_result(2006).status
+    404
+    """
+    head = [] if after_s is None else [("Retry-After", f"{after_s:.3f}")]
+    return json_result(code, {"Error": code, "Says": CODES[code][1], "Why": why}, head)
--- /dev/null
+++ b/lines/frame/commands.py
@@ -0,0 +1,117 @@
+"""The command line: one program for each role, and the tools beside them."""
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import sys
+
+from absl import flags
+
+from .boot import BootFault, read_boot
+from .logs import open_logs
+
+FLAGS = flags.FLAGS
+flags.DEFINE_string("settings", None, "settings file; else $ARCHHATCH_CONFIG, else its usual place")
+flags.DEFINE_enum("log", "INFO", ["DEBUG", "INFO", "WARNING", "ERROR"], "least level of a log line")
+flags.DEFINE_float("counters_s", 10.0, "seconds between lines of counters; 0 for none", lower_bound=0)
+
+COMMANDS: dict = {}
+USE = {
+    "switchboard": "take clients' requests (data plane; role of edge machines)",
+    "exchange": "exchange core | exchange store: hold control, or keep lots and run rollouts (control plane)",
+    "doctor": "look for common faults of a settings file and of the node that it describes",
+}
+
+
+def command(name: str):
+    """Register a command.
+
+    >>> # @command("doctor")
+    ... # def _doctor(args): return 0
+    """
+    def put(fn):
+        COMMANDS[name] = fn
+        return fn
+    return put
+
+
+def usage() -> str:
+    """What --help prints."""
+    rows = "\n".join(f"  {n:<12} {w}" for n, w in USE.items())
+    return f"archhatch.py COMMAND [--flag=value ...]\n\n{rows}\n\nFlags of all commands:\n{FLAGS.main_module_help()}" \
+           f"\n{FLAGS.module_help('lines.frame.commands')}"
+
+
+async def _live(node, boot, log) -> None:
+    loop = asyncio.get_running_loop()
+    stop, hup = asyncio.Event(), asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, hup.set)
+    await node.start()
+    gc.collect()
+    gc.freeze()
+    wait = asyncio.ensure_future(stop.wait())
+    while not stop.is_set():
+        await asyncio.wait([wait], timeout=FLAGS.counters_s or None)
+        log.info("counters {}", node.ctr.line())
+        if hup.is_set():
+            hup.clear()
+            try:
+                read_boot(FLAGS.settings)
+                log.info("settings read again; what binds and where data lies changes at the next start")
+            except BootFault as e:
+                log.error("code 2001 {}; the old settings stay", e)
+    await node.leave()
+
+
+def _run(make) -> int:
+    try:
+        boot = read_boot(FLAGS.settings)
+    except BootFault as e:
+        print(f"archhatch: {e}", file=sys.stderr)
+        return 2
+    log = open_logs(boot.node, FLAGS.log)
+    try:
+        asyncio.run(_live(make(boot, log), boot, log))
+    except OSError as e:
+        print(f"archhatch: {e}", file=sys.stderr)
+        return 1
+    return 0
+
+
+@command("switchboard")
+def _switchboard(args) -> int:
+    from ..switchboard.edge import Edge
+    return _run(Edge)
+
+
+@command("exchange")
+def _exchange(args) -> int:
+    if args[:1] == ["core"]:
+        from ..exchange.core import Core
+        return _run(Core)
+    if args[:1] == ["store"]:
+        from ..exchange.store import Store
+        return _run(Store)
+    print("archhatch: exchange: say core or store", file=sys.stderr)
+    return 2
+
+
+def main(argv: list) -> None:
+    """Parse the command line and run a command; ends the process with its status."""
+    if "--help" in argv or "-h" in argv or len(argv) < 2:
+        FLAGS.mark_as_parsed()
+        print(usage())
+        sys.exit(0 if len(argv) > 1 else 2)
+    try:
+        rest = FLAGS(argv)
+    except flags.Error as e:
+        print(f"archhatch: {e}", file=sys.stderr)
+        sys.exit(2)
+    fn = COMMANDS.get(rest[1] if len(rest) > 1 else "")
+    if fn is None:
+        print(f"archhatch: no such command: {' '.join(rest[1:2])}\n\n{usage()}", file=sys.stderr)
+        sys.exit(2)
+    sys.exit(fn(rest[2:]))
--- /dev/null
+++ b/lines/sends/caller.py
@@ -0,0 +1,111 @@
+"""One send to one replica over kept connections."""
+from __future__ import annotations
+
+import asyncio
+import enum
+import socket
+from dataclasses import dataclass, field
+
+import aiohttp
+from multidict import CIMultiDict
+from yarl import URL
+
+from .heads import DEADLINE, ECHO, EXPECT_ID, NOT_RUN, SEAL, pass_on
+
+_QUIET = frozenset({"Accept", "Accept-Encoding", "User-Agent", "Content-Type"})
+
+
+class Ran(enum.Enum):
+    NO = "no"        # it has not run and never will
+    YES = "yes"      # it ran: the answer is whole
+    MAYBE = "maybe"  # nobody can say
+
+
+@dataclass(slots=True)
+class Answer:
+    """What one send brought back.
+
+    >>> Answer(Ran.YES, 200).good
+    True
+    """
+    ran: Ran
+    status: int = 0
+    heads: list = field(default_factory=list)
+    body: bytes = b""
+    why: str = ""
+    silent: bool = False
+
+    @property
+    def good(self) -> bool:
+        return self.ran is Ran.YES and 200 <= self.status < 300
+
+
+def _socket(info) -> socket.socket:
+    fam, kind, proto, _, _ = info
+    sock = socket.socket(fam, kind, proto)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3000)
+    return sock
+
+
+class Caller:
+    """Holds the connections to replicas; sends requests as they are, byte for byte.
+
+    >>> # ans = await caller.send("10.0.0.9:8080", "i-1", "POST", "/a/b", heads, body, rid="r", secs=1.0)
+    """
+
+    def __init__(self, per_host: int = 0):
+        conn = aiohttp.TCPConnector(limit=0, limit_per_host=per_host, keepalive_timeout=30, enable_cleanup_closed=False,
+                                    use_dns_cache=False, force_close=False, socket_factory=_socket)
+        self.session = aiohttp.ClientSession(
+            connector=conn, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar(), trust_env=False,
+            skip_auto_headers=_QUIET, timeout=aiohttp.ClientTimeout(total=None), read_bufsize=1 << 18)
+        self.session._retry_connection = False  # a send that failed is ours to judge, never repeated unseen
+
+    async def close(self) -> None:
+        await self.session.close()
+
+    def ask(self, addr: str, iid: str, method: str, target: str, heads, body: bytes, secs: float):
+        """A request in the making: an async context that gives the raw response."""
+        out = CIMultiDict(pass_on(heads))
+        out[EXPECT_ID] = iid
+        if secs > 0:
+            out[DEADLINE] = str(max(1, int(secs * 1000)))
+        return self.session.request(
+            method, URL(f"http://{addr}{target}", encoded=True), headers=out, data=body if body else None,
+            allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(total=secs if secs > 0 else None, sock_connect=min(1.0, secs or 1.0)))
+
+    async def send(self, addr: str, iid: str, method: str, target: str, heads, body: bytes, rid: str,
+                   secs: float) -> Answer:
+        """Send and read the whole answer; says what is certain about it."""
+        try:
+            async with self.ask(addr, iid, method, target, heads, body, secs) as resp:
+                if resp.headers.get(ECHO, rid) != rid or (ECHO not in resp.headers and resp.status < 300):
+                    resp.close()
+                    return Answer(Ran.MAYBE, why="answer of another request")
+                data = await resp.read()
+                return judge(resp.status, list(resp.headers.items()), data)
+        except aiohttp.ClientConnectorError as e:
+            return Answer(Ran.NO, why=repr(e), silent=True)
+        except (asyncio.TimeoutError, TimeoutError) as e:
+            return Answer(Ran.MAYBE, why=repr(e), silent=True)
+        except (aiohttp.ClientError, OSError, ValueError) as e:
+            return Answer(Ran.MAYBE, why=repr(e))
+
+
+def judge(status: int, heads: list, body: bytes) -> Answer:
+    """What a whole answer proves.
+
+    >>> judge(503, [(NOT_RUN, "1")], b"").ran, judge(200, [], b"").ran
+    (<Ran.NO: 'no'>, <Ran.MAYBE: 'maybe'>)
+    """
+    names = {k.lower() for k, _ in heads}
+    if NOT_RUN.lower() in names or status == 421:
+        return Answer(Ran.NO, status, heads, body, "turned away")
+    if 200 <= status < 300 and SEAL.lower() not in names:
+        return Answer(Ran.MAYBE, status, why="no seal")
+    if "content-encoding" in names:
+        return Answer(Ran.MAYBE, status, why="encoded")
+    return Answer(Ran.YES, status, heads, body)
--- /dev/null
+++ b/lines/sends/events.py
@@ -0,0 +1,51 @@
+"""Events of a stream, cut out of its bytes."""
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Event:
+    id: str
+    data: str
+    version: str
+    raw: bytes
+
+
+class EventReader:
+    """Feed it bytes as they come; it gives the events that are whole.
+
+    >>> [e.data for e in EventReader().feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")]
+    ['a']
+    """
+
+    def __init__(self):
+        self.rest = b""
+
+    def feed(self, data: bytes) -> list[Event]:
+        buf = self.rest + data
+        out = []
+        while True:
+            at = buf.find(b"\n\n")
+            if at < 0:
+                break
+            out.append(_event(buf[:at + 2]))
+            buf = buf[at + 2:]
+        self.rest = buf
+        return out
+
+
+def _event(raw: bytes) -> Event:
+    eid, data, version = "", [], ""
+    for row in raw.decode("utf-8", "surrogateescape").split("\n"):
+        name, sep, val = row.partition(":")
+        if not sep:
+            continue
+        val = val[1:] if val.startswith(" ") else val
+        if name == "id":
+            eid = val
+        elif name == "data":
+            data.append(val)
+        elif name == "x-archhatch-weight-versions":
+            version = val
+    return Event(eid, "\n".join(data), version, raw)
--- /dev/null
+++ b/lines/sends/heads.py
@@ -0,0 +1,26 @@
+"""The heads that the system reads and writes, and those it keeps from passing on."""
+
+ECHO = "X-Archhatch-Request-Id"
+DEADLINE = "X-Archhatch-Deadline-Ms"
+EXPECT_ID = "X-Archhatch-Expect-Instance"
+EXPECT_REV = "X-Archhatch-Expect-Revision"
+SEAL = "X-Archhatch-Reply-Seal"
+NOT_RUN = "X-Archhatch-Not-Executed"
+LOAD = "X-Archhatch-Instance-Load"
+VERSIONS = "X-Archhatch-Weight-Versions"
+HOLD = "X-Archhatch-Hold-Ms"
+LAST_ID = "Last-Event-Id"
+
+_ONE_HOP = {"connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "proxy-connection",
+            "proxy-authenticate", "proxy-authorization", "content-length", "expect"}
+
+
+def pass_on(heads) -> list:
+    """Heads that concern more than one connection, in their order.
+
+    >>> pass_on([("Host", "a"), ("Connection", "close, X-One"), ("X-One", "1"), ("X-Two", "2")])
+    [('Host', 'a'), ('X-Two', '2')]
+    """
+    heads = list(heads)
+    named = {w.strip().lower() for k, v in heads if k.lower() == "connection" for w in v.split(",")}
+    return [(k, v) for k, v in heads if k.lower() not in _ONE_HOP and k.lower() not in named]
--- /dev/null
+++ b/lines/supervisor/reign.py
@@ -0,0 +1,290 @@
+"""One store's hold on one run: its lots, what is listed of them, and the proof that nobody else holds it."""
+from __future__ import annotations
+
+import asyncio
+import base64
+
+import orjson
+from transitions import Machine
+
+from ..tickets import Deposed, Lot, Rec, read_lot
+from ..tickets.copier import COPIES
+from ..tickets.rec import unpack_many
+from ..trunk import LineFault
+
+MOVES = [
+    {"trigger": "gathered", "source": "reading", "dest": "holding"},
+    {"trigger": "deposed", "source": "*", "dest": "over"},
+]
+
+
+class Reign:
+    """Begins by reading what all stores but one hold of the run, then serves it until another's term is higher.
+
+    >>> # reign = Reign(store, "model", "service", term); await reign.begin()
+    """
+
+    def __init__(self, store, run: str, service: str, term: int):
+        self.st, self.run, self.service, self.term = store, run, service, term
+        self.lots: dict[str, Lot] = {}
+        self.order_from = float("inf")
+        self.began = store.clock.now()
+        Machine(self, states=["reading", "holding", "over"], initial="reading", transitions=MOVES,
+                auto_transitions=False)
+        self._putting: dict[str, asyncio.Future] = {}
+
+    # -- taking over
+
+    async def begin(self) -> None:
+        st = self.st
+        while self.state == "reading":
+            try:
+                if await self._gather():
+                    break
+            except Deposed:
+                self.over()
+                return
+            await asyncio.sleep(st.beat_s)
+        if self.state != "reading":
+            return
+        lease = st.boot.secs("LeaseMs")
+        self.order_from = st.clock.now() + (lease * 4 / 3 if self.term > 1 else 0.0)
+        self.gathered()
+        st.log.info("run {}: held under term {} with {} lots", self.run, self.term, len(self.lots))
+        st.ctr.add("reign.begun")
+        for lot in list(self.lots.values()):
+            st.board.touch(("lot", lot.lid))
+        st.board.touch("work")
+
+    def over(self) -> None:
+        if self.state != "over":
+            self.deposed()
+            self.st.ctr.add("reign.over")
+            self.st.log.info("run {}: term {} is over", self.run, self.term)
+            for lid in self.lots:
+                self.st.board.touch(("lot", lid))
+            self.st.board.touch("work")
+
+    async def _gather(self) -> bool:
+        st = self.st
+        code, doc = await st.news.do("plan", "store.list", {})
+        if code != 1000:
+            return False
+        addrs = {sid: st.addr_of(m) for sid, m in doc["stores"].items()}
+        got = {}
+        tasks = {asyncio.ensure_future(st.ask_store(sid, addr, "shelf.prepare", {"run": self.run, "term": self.term})):
+                 sid for sid, addr in addrs.items()}
+        need = max(1, len(addrs) - 1)
+        wait, ok = set(tasks), True
+        while wait and (len(got) < need):
+            done, wait = await asyncio.wait(wait, return_when=asyncio.FIRST_COMPLETED)
+            for t in done:
+                out = t.result()
+                if out is None:
+                    continue
+                if not out["ok"]:
+                    raise Deposed(self.run)
+                got[tasks[t]] = out["lots"]
+        for t in wait:
+            t.cancel()
+        if len(got) < need or st.id not in addrs or not ok:
+            return False
+        if st.id not in got:
+            got[st.id] = (await st.shelf.prepare(self.run, self.term))["lots"]
+        lids = {lid for lots in got.values() for lid in lots}
+        for lid in sorted(lids):
+            if not await self._adopt(lid, {sid: lots[lid] for sid, lots in got.items() if lid in lots}, addrs):
+                return False
+        return True
+
+    async def _adopt(self, lid: str, seen: dict, addrs: dict) -> bool:
+        """Take up one lot from what the stores said; positions with one copy are written anew under this term."""
+        st = self.st
+        if not any(s["lot"] for s in seen.values()):
+            return True   # only an end or results without the lot: it was never accepted
+        best: dict[int, tuple] = {}
+        for s in seen.values():
+            for pos, term, item in s["results"]:
+                if pos not in best or term > best[pos][0]:
+                    best[pos] = (term, item)
+        chosen, items = [], set()
+        while len(chosen) in best and best[len(chosen)][1] not in items:
+            items.add(best[len(chosen)][1])
+            chosen.append(best[len(chosen)])
+        mine = st.shelf.lots.get(lid) or {"lot": None, "results": {}, "end": None}
+        lack = [p for p, (term, _) in enumerate(chosen)
+                if p not in mine["results"] or mine["results"][p].head["term"] != term]
+        have = {p: mine["results"][p] for p in range(len(chosen)) if p not in lack}
+        lot_rec, end = mine["lot"], mine["end"]
+        for sid, s in seen.items():
+            if sid == st.id:
+                continue
+            want = [p for p in lack if p not in have and any(
+                p == q and term == chosen[p][0] for q, term, _ in s["results"])]
+            need_lot = lot_rec is None and s["lot"]
+            if not want and not need_lot and not (s["end"] and end is None):
+                continue
+            recs = await st.fetch(sid, addrs[sid], lid, want, need_lot)
+            if recs is None:
+                return False
+            for r in recs:
+                if r.head["k"] == "L":
+                    lot_rec = lot_rec or r
+                elif r.head["k"] == "E":
+                    end = end or r
+                elif r.head["term"] == chosen[r.head["pos"]][0]:
+                    have.setdefault(r.head["pos"], r)
+        if lot_rec is None or any(p not in have for p in range(len(chosen))):
+            return False
+        lot = read_lot(lot_rec.head, lot_rec.body, mine.get("at", st.clock.now()))
+        first = Rec(dict(lot_rec.head), lot_rec.body, {sid for sid, s in seen.items() if s["lot"]})
+        lot.recs.append(first)
+        again = [first] if len(first.held) < COPIES else []
+        for pos, (term, item) in enumerate(chosen):
+            held = {sid for sid, s in seen.items() if [pos, term, item] in s["results"]}
+            rec = Rec(dict(have[pos].head), have[pos].body, held)
+            if len(held) < COPIES:
+                rec = Rec({**rec.head, "term": self.term}, rec.body)
+                again.append(rec)
+            lot.results.append(rec)
+            lot.recs.append(rec)
+            lot.done.add(item)
+        if end is not None:
+            lot.ended, lot.ended_at = True, st.clock.now()
+            rec = Rec(dict(end.head), end.body, {sid for sid, s in seen.items() if s["end"]})
+            lot.recs.append(rec)
+            if len(rec.held) < COPIES:
+                again.append(rec)
+        if again:
+            st.ctr.add("adopt.again", len(again))
+            await st.copier.put(self.run, self.term, again)
+        lot.listed = len(lot.results)
+        self.lots[lid] = lot
+        return True
+
+    # -- serving
+
+    def fresh(self) -> bool:
+        """Whether another store said, not long ago, that it knows no higher term: then no other holder has listed."""
+        return self.state == "holding" and self.st.confirmed(self.run, self.term, self.st.boot.secs("SettleMs", 0.5))
+
+    def may_order(self) -> bool:
+        """Whether this node may order weights right now."""
+        return (self.state == "holding" and self.st.clock.now() >= self.order_from
+                and self.st.confirmed(self.run, self.term, self.st.boot.secs("LeaseMs", 1 / 3)))
+
+    async def put(self, head: dict, body: bytes) -> None:
+        """Take a lot, once; returns when two stores have it."""
+        lid = head["lot"]
+        if lid in self.lots:
+            return
+        if lid in self._putting:
+            return await asyncio.shield(self._putting[lid])
+        fut = self._putting[lid] = asyncio.ensure_future(self._put(head, body))
+        try:
+            await asyncio.shield(fut)
+        finally:
+            if fut.done():
+                self._putting.pop(lid, None)
+
+    async def _put(self, head: dict, body: bytes) -> None:
+        rec = Rec({"k": "L", "lot": head["lot"], "run": self.run, "host": head["host"], "path": head["path"]}, body)
+        lot = read_lot(rec.head, body, self.st.clock.now())
+        await self.st.copier.put(self.run, self.term, [rec])
+        lot.recs.append(rec)
+        self.lots.setdefault(head["lot"], lot)
+        self.st.ctr.add("lot.taken")
+        self.st.board.touch("work")
+
+    async def end(self, lid: str) -> None:
+        lot = self.lots[lid]
+        first = not lot.ended
+        lot.ended, lot.ended_at = True, lot.ended_at or self.st.clock.now()
+        self.st.board.touch("work")
+        rec = next((r for r in lot.recs if r.head["k"] == "E"), None)
+        if rec is None:
+            rec = Rec({"k": "E", "lot": lid, "run": self.run})
+            lot.recs.append(rec)
+        if first or len(rec.held) < COPIES:
+            await self.st.copier.put(self.run, self.term, [rec])
+        self.st.board.touch(("lot", lid))
+
+    async def list_result(self, lot: Lot, iid: str, doc: dict) -> None:
+        """Give an item its position; it is listed once two stores hold it and all before it are."""
+        if iid in lot.done or self.state != "holding" or lot.ended:
+            return
+        lot.done.add(iid)
+        rec = Rec({"k": "R", "lot": lot.lid, "run": self.run, "pos": len(lot.results), "term": self.term, "item": iid},
+                  orjson.dumps(doc))
+        lot.results.append(rec)
+        lot.recs.append(rec)
+        await self.st.copier.put(self.run, self.term, [rec])
+        while lot.listed < len(lot.results) and len(lot.results[lot.listed].held) >= COPIES:
+            lot.listed += 1
+        self.st.board.touch(("lot", lot.lid))
+
+    async def read(self, lid: str, after: int, hold: float) -> bytes | None:
+        """A page of results; None when this node cannot be sure."""
+        st = self.st
+        end = st.clock.now() + hold
+        while True:
+            if not self.fresh():
+                return None
+            lot = self.lots[lid]
+            turn = st.board.turn(("lot", lid))
+            left = end - st.clock.now()
+            if lot.listed > after or left <= 0 or lot.listed == lot.total:
+                rows, nxt = lot.page(after)
+                return b'{"Total":%d,"NextToken":%d,"ResultList":[%s]}' % (lot.total, nxt, b",".join(rows))
+            await st.board.news(("lot", lid), turn, left)
+
+    def item(self, lid: str, iid: str) -> bytes | None:
+        lot = self.lots[lid]
+        it = lot.items.get(iid)
+        return None if it is None or lot.ended else base64.b64decode(it.payload)
+
+    # -- repair
+
+    async def mend(self) -> None:
+        """Bring every record to the stores that should have it; say which leaving stores are not needed any more."""
+        st = self.st
+        members = st.members()
+        active = {s for s, m in members.items() if m["state"] == "active"}
+        whole = True
+        for lot in list(self.lots.values()):
+            want = [st.id] + [s for s in st.copier.targets(lot.lid) if st.alive(s)][:2]
+            for sid in want:
+                lack = [r for r in lot.recs if sid not in r.held and len(r.held) >= COPIES]
+                if not lack or sid not in active:
+                    continue
+                st.ctr.add("mend.records", len(lack))
+                if sid == st.id:
+                    await st.copier._here(self.term, lack)
+                else:
+                    await st.copier.send(sid, self.run, self.term, lack)
+            if any(len(r.held & active) < COPIES for r in lot.recs):
+                whole = False
+        if whole and self.state == "holding":
+            for sid, m in members.items():
+                if m["state"] == "leaving" and self.run not in m["clear"]:
+                    st.log.info("run {}: store {} is not needed any more", self.run, sid)
+                    await st.news.do("plan", "store.clear", {"id": sid, "run": self.run, "term": self.term})
+
+    def forget(self) -> list:
+        """Lots that are ended and older than StatusS."""
+        now, keep = self.st.clock.now(), self.st.boot.secs("StatusS")
+        old = [lid for lid, lot in self.lots.items() if lot.ended and now - lot.taken > keep
+               and now - lot.ended_at > keep]
+        for lid in old:
+            del self.lots[lid]
+        return old
+
+
+async def fetch_over(store, sid: str, addr: str, lid: str, poss: list, lot: bool):
+    """Records of a lot from another store, or None."""
+    try:
+        code, _, raw = await store.lines.to(addr).call("shelf.fetch", {"to": sid, "lot": lid, "poss": poss,
+                                                                       "want_lot": lot}, secs=store.quiet_s * 2)
+    except LineFault:
+        return None
+    return unpack_many(raw) if code == 1000 else None
--- /dev/null
+++ b/lines/switchboard/edge.py
@@ -0,0 +1,115 @@
+"""An edge node: its readiness, its news, and the way of a request through it."""
+from __future__ import annotations
+
+import asyncio
+
+from transitions import Machine
+
+from ..counter import Window
+from ..dialplan import Plan
+from ..directory import Newsreader
+from ..frame import Board, Clock, Counters, Crew, Result, fault_result
+from ..sends import Caller, Picker
+from ..trunk import Lines
+from .forward import Forward
+from .lotdesk import LotDesk
+from .relay import Relay
+
+MOVES = [
+    {"trigger": "learned", "source": "starting", "dest": "ready"},
+    {"trigger": "learned", "source": "ready", "dest": "ready"},
+    {"trigger": "learned", "source": "leaving", "dest": "leaving"},
+    {"trigger": "told_to_go", "source": "*", "dest": "leaving"},
+]
+
+
+class Edge:
+    """Everything an edge node does.
+
+    >>> # edge = Edge(boot, log); await edge.start(); await edge.leave()
+    """
+
+    def __init__(self, boot, log, clock=None):
+        self.boot, self.log = boot, log
+        self.clock = clock or Clock()
+        self.ctr = Counters()
+        self.crew = Crew(log, self.ctr)
+        self.board = Board()
+        self.lines = Lines()
+        self.plan: Plan | None = None
+        self.limits: dict = {}
+        card = {"id": boot.node, "klass": "edge", "name": boot.node, "ip": boot.ip, "zone": boot.zone}
+        self.news = Newsreader(boot, card, self.lines, self.board, self.clock, self.ctr)
+        self.picker = Picker(boot.zone, boot.zone, rest_s=boot.secs("ContactMs", 0.3))
+        self.life = Machine(self, states=["starting", "ready", "leaving"], initial="starting", transitions=MOVES,
+                            auto_transitions=False)
+        self.window = Window(self._front, log, self.ctr, self.limits)
+        self.door = Window(self._readiness, log, self.ctr)
+
+    async def start(self) -> None:
+        self.caller = Caller()
+        self.forward = Forward(self.caller, self.picker, self.clock, self.ctr)
+        self.relay = Relay(self.caller, self.picker, self.clock, self.ctr)
+        self.lots = LotDesk(self.boot, self.news, self.lines, self.ctr, self.clock)
+        await self.door.open(self.boot.listen["Readiness"])
+        await self.window.open(self.boot.listen["FrontHttp"])
+        self.crew.keep("news", self.news.run)
+        self.crew.keep("parts", self._parts_loop)
+        self.crew.keep("roll", self._roll_loop)
+
+    async def leave(self) -> None:
+        """Off the list at once; what comes meanwhile is served; then the end, before GraceS."""
+        self.told_to_go()
+        self.log.info("leaving; under way {}", self.window.under_way)
+        self.window.leaving = True
+        # the platform asks for readiness each second and wants two misses
+        await asyncio.sleep(self.boot.secs("GraceS", 0.32))
+        await self.window.close(self.boot.secs("GraceS", 0.5))
+        await self.door.close(0.0)
+        await self.crew.end()
+        await self.caller.close()
+        self.lines.end()
+        self.log.info("counters {}", self.ctr.line())
+
+    async def _parts_loop(self) -> None:
+        turn = 0
+        while True:
+            doc = (self.news.parts.get("plan") or {}).get("plan")
+            if doc is not None and (self.plan is None or doc["Revision"] > self.plan.stamp):
+                self.plan = Plan(doc)
+                self.limits.update(self.plan.limits)
+                self.log.info("configuration {} is in force", self.plan.stamp)
+                self.learned()
+            turn = await self.board.news("parts", turn)
+
+    async def _roll_loop(self) -> None:
+        turn = 0
+        while True:
+            self.picker.fold(self.news.take_roll())
+            turn = await self.board.news("roll", turn)
+
+    async def _readiness(self, req, body):
+        if req.raw_path.split("?")[0] != "/api/readiness":
+            return fault_result(2009)
+        return Result(200 if self.state == "ready" else 503)
+
+    async def _front(self, req, body):
+        plan = self.plan
+        if plan is None:
+            return fault_result(3001, after_s=0.3)
+        target = req.raw_path
+        path = target.split("?", 1)[0]
+        if path.startswith(("/api/lots/", "/api/items/")):
+            return await self.lots.read(req, path, target)
+        lane = plan.lane(req.headers.get("Host", ""), path)
+        if lane is None:
+            self.ctr.add("front.no_lane")
+            return fault_result(2006)
+        self.ctr.add("front." + lane.kind)
+        if lane.kind in ("rollout", "batch"):
+            if req.method != "POST":
+                return fault_result(2010)
+            return await self.lots.hand_in(req, lane, body)
+        if lane.kind == "streaming":
+            return await self.relay.run(req, lane, body)
+        return await self.forward.run(req, lane, body)
--- /dev/null
+++ b/lines/switchboard/forward.py
@@ -0,0 +1,132 @@
+"""The way of a request with one whole answer: sends, further sends, and what the client is told."""
+from __future__ import annotations
+
+import asyncio
+
+from ..frame import Result, fault_result
+from ..sends import DEADLINE, ECHO, LOAD, Ran, pass_on
+
+EARLY = 0.5      # of the aim: a repeatable request that is still out then goes to a second replica too
+SHORT = 0.9      # of the deadline: what a send may use, so that an answer gets back in time
+
+
+class Forward:
+    """Runs one request of an idempotent or a non-idempotent lane.
+
+    >>> # result = await forward.run(request, lane, body)
+    """
+
+    def __init__(self, caller, picker, clock, ctr):
+        self.caller, self.picker, self.clock, self.ctr = caller, picker, clock, ctr
+
+    async def run(self, req, lane, body: bytes) -> Result:
+        began = self.clock.now()
+        try:
+            allowed = float(req.headers.get(DEADLINE, "60000")) / 1000
+        except ValueError:
+            return fault_result(2001, DEADLINE)
+        end = began + min(allowed, lane.timeout_s)
+        rid = req.headers.get(ECHO, "")
+        if not rid:
+            return fault_result(2001, f"{ECHO} is missing")
+        job = _Job(self, req.method, req.raw_path, list(req.headers.items()), body, rid, lane, end)
+        return await job.run()
+
+
+class _Job:
+    def __init__(self, fwd, method, target, heads, body, rid, lane, end):
+        self.fwd, self.method, self.target = fwd, method, target
+        self.heads, self.body, self.rid, self.lane, self.end = heads, body, rid, lane, end
+        self.tried: set = set()
+        self.out: dict = {}
+        self.again = lane.kind == "idempotent"
+        self.may_have_run = False
+        self.last = None
+        self.service = lane.pick()
+
+    async def run(self) -> Result:
+        clock, lane = self.fwd.clock, self.lane
+        next_at = 0.0
+        while True:
+            now = clock.now()
+            if now >= self.end:
+                break
+            sent = len(self.tried)
+            if sent < lane.sends and now >= next_at and (not self.out or self.again):
+                line = self.fwd.picker.pick(self.service, self.tried, now)
+                if line is not None:
+                    self._send(line, now)
+                    next_at = now + max(0.02, EARLY * lane.aim_s)
+                elif not self.out:
+                    break
+                else:
+                    next_at = self.end
+            elif not self.out:
+                break
+            wait = min(self.end, next_at if len(self.tried) < lane.sends and self.again else self.end) - now
+            done, _ = await asyncio.wait(self.out, timeout=max(0.0, wait), return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                res = self._judge(task)
+                if res is not None:
+                    self._drop()
+                    return res
+                next_at = 0.0
+                if self.may_have_run and not self.again:
+                    self._drop()
+                    return fault_result(4001)
+        had = bool(self.out)
+        self._drop()
+        if self.last is not None and self.last.ran is Ran.YES:
+            return self._pass(self.last)
+        if had or self.may_have_run:
+            return fault_result(4002 if had else 4001)
+        self.fwd.ctr.add("front.refused")
+        return fault_result(3002, after_s=min(0.25, lane.aim_s * 0.5))
+
+    def _send(self, line, now) -> None:
+        self.tried.add(line.iid)
+        line.under_way += 1
+        self.fwd.ctr.add("send")
+        if self.out:
+            self.fwd.ctr.add("send.early")
+        task = asyncio.ensure_future(self.fwd.caller.send(
+            line.addr, line.iid, self.method, self.target, self.heads, self.body, self.rid, self.end - now))
+        self.out[task] = (line, now)
+
+    def _judge(self, task) -> Result | None:
+        line, at = self.out.pop(task)
+        line.under_way -= 1
+        now, ans, picker = self.fwd.clock.now(), task.result(), self.fwd.picker
+        for k, v in ans.heads:
+            if k.lower() == LOAD.lower():
+                picker.note_load(line, v, now)
+        if ans.ran is Ran.YES and ans.status < 500:
+            picker.note(line, "served", now, now - at, self.lane.aim_s * 0.3)
+            return self._pass(ans)
+        self.fwd.ctr.add(f"send.{ans.ran.value}.{ans.status}")
+        if ans.ran is Ran.NO and ans.status in (429, 503):
+            picker.note(line, "faulted", now, None)
+        elif ans.ran is Ran.NO and ans.status == 421:
+            picker.note(line, "vanished", now)
+        elif ans.ran is Ran.NO:
+            picker.note(line, "vanished", now)
+        elif ans.ran is Ran.MAYBE:
+            self.may_have_run = True
+            picker.note(line, "faulted", now)
+        else:
+            picker.note(line, "served", now)
+            self.may_have_run = True
+        if self.last is None or ans.ran is Ran.YES:
+            self.last = ans
+        return None
+
+    def _drop(self) -> None:
+        now = self.fwd.clock.now()
+        for task, (line, at) in self.out.items():
+            task.cancel()
+            line.under_way -= 1
+            self.fwd.picker.note(line, "faulted", now, now - at, self.lane.aim_s * 0.3)
+        self.out.clear()
+
+    def _pass(self, ans) -> Result:
+        return Result(ans.status, ans.body, pass_on(ans.heads))
--- /dev/null
+++ b/lines/switchboard/lotdesk.py
@@ -0,0 +1,130 @@
+"""Calls about lots: handed on to the store that holds the run."""
+from __future__ import annotations
+
+import asyncio
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+
+from ..frame import Result, fault_result
+from ..sends import ECHO
+from ..sends.heads import HOLD
+from ..tickets import BadLot, check_lot
+from ..trunk import LineFault
+
+
+class LotDesk:
+    """Hands lots in, reads them, ends them.
+
+    >>> # result = await desk.hand_in(request, lane, body)
+    """
+
+    def __init__(self, boot, news, lines, ctr, clock):
+        self.boot, self.news, self.lines, self.ctr, self.clock = boot, news, lines, ctr, clock
+        self.port = boot.ports[0] + 1
+        self.run_of: dict[str, str] = {}
+
+    def _stores(self) -> dict:
+        return (self.news.parts.get("plan") or {}).get("stores", {})
+
+    def _tenures(self) -> dict:
+        out: dict = {}
+        for val in self.news.parts.values():
+            for run, ten in (val.get("tenures") or {}).items():
+                if run not in out or ten["term"] > out[run]["term"]:
+                    out[run] = ten
+        return out
+
+    def _addr(self, sid: str | None) -> str | None:
+        s = self._stores().get(sid)
+        return f"{s['ip']}:{self.port}" if s else None
+
+    async def hand_in(self, req, lane, body: bytes) -> Result:
+        lid = req.headers.get(ECHO, "")
+        try:
+            run = check_lot(lid, body)
+        except BadLot as e:
+            self.ctr.add("lot.malformed")
+            return fault_result(2003, str(e))
+        head = {"lot": lid, "run": run, "host": req.headers.get("Host", ""), "path": req.raw_path}
+        end = self.clock.now() + max(0.4, self.boot.secs("ContactMs", 0.6))
+        sent = False
+        while self.clock.now() < end:
+            addr = self._addr(self._tenures().get(run, {}).get("holder"))
+            if addr is not None:
+                try:
+                    code, doc, _ = await self.lines.to(addr).call("lot.put", head, body,
+                                                                  secs=max(0.2, end - self.clock.now()))
+                    if code == 1000:
+                        self.run_of[lid] = run
+                        return Result(202)
+                    sent = sent or code not in (3005, 3001)
+                    if code == 2003:
+                        return fault_result(2003, str(doc))
+                except LineFault as e:
+                    sent = sent or e.sent
+            await asyncio.sleep(0.1)
+        self.ctr.add("lot.unclear" if sent else "lot.refused")
+        return fault_result(4003) if sent else fault_result(3005, after_s=0.3)
+
+    async def read(self, req, path: str, target: str) -> Result:
+        _, _, kind, lid = path.split("/", 3)
+        query = parse_qs(urlsplit(target).query)
+        if kind == "items":
+            if req.method != "GET" or "InstanceId" not in query:
+                return fault_result(2010 if req.method != "GET" else 2001)
+            return await self._ask("lot.item", {"lot": lid, "item": query["InstanceId"][0]}, 0.0)
+        if req.method == "DELETE":
+            return await self._ask("lot.end", {"lot": lid}, 0.0)
+        if req.method != "GET":
+            return fault_result(2010)
+        try:
+            after = int(query.get("StartAfter", ["0"])[0])
+            hold = float(req.headers.get(HOLD, "0")) / 1000
+        except ValueError:
+            return fault_result(2001, "StartAfter")
+        if after < 0:
+            return fault_result(2001, "StartAfter")
+        return await self._ask("lot.read", {"lot": lid, "after": after, "hold": min(hold, 5.0)}, min(hold, 5.0))
+
+    async def _ask(self, verb: str, doc: dict, hold: float) -> Result:
+        """Ask the holders; whoever holds the lot's run answers. 404 only when all but one store say so."""
+        tens = self._tenures()
+        end = self.clock.now() + hold + self.boot.secs("ContactMs", 0.25)
+        first = tens.get(self.run_of.get(doc["lot"], ""), {}).get("holder")
+        holders = ([first] if first else []) + sorted({t["holder"] for t in tens.values()} - {first})
+        unsure = False
+        for sid in holders:
+            addr = self._addr(sid)
+            if addr is None:
+                unsure = True
+                continue
+            try:
+                code, out, raw = await self.lines.to(addr).call(verb, doc, secs=max(0.3, end - self.clock.now()))
+            except LineFault:
+                unsure = True
+                continue
+            if code == 1000:
+                self.run_of[doc["lot"]] = out["run"]
+                kind = "application/json" if verb != "lot.item" else "application/octet-stream"
+                return Result(200, raw, [("Content-Type", kind)])
+            if code == 2007 and out == "item":
+                return fault_result(2007)
+            unsure = unsure or code != 2007
+        if unsure or not await self._nowhere(doc["lot"]):
+            self.ctr.add("lot.not_sure")
+            return fault_result(3004, after_s=0.2)
+        return fault_result(2007)
+
+    async def _nowhere(self, lid: str) -> bool:
+        """Whether so many stores lack the lot that it cannot have been accepted."""
+        stores = self._stores()
+        tasks = [asyncio.ensure_future(self._lacks(f"{s['ip']}:{self.port}", sid, lid)) for sid, s in stores.items()]
+        return bool(tasks) and sum(await asyncio.gather(*tasks)) >= max(1, len(tasks) - 1)
+
+    async def _lacks(self, addr: str, sid: str, lid: str) -> bool:
+        try:
+            code, out, _ = await self.lines.to(addr).call("shelf.lacks", {"lot": lid}, secs=0.4)
+        except LineFault:
+            return False
+        return code == 1000 and out["me"] == sid and out["lacks"]
--- /dev/null
+++ b/lines/switchboard/relay.py
@@ -0,0 +1,89 @@
+"""The way of a stream: events are passed on as they come; a resumable one goes on at another replica."""
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+from aiohttp import web
+
+from ..frame import fault_result
+from ..sends import DEADLINE, ECHO, NOT_RUN, SEAL, pass_on
+from ..sends.events import EventReader
+from ..sends.heads import LAST_ID
+
+
+class Relay:
+    """Runs one request of a streaming lane.
+
+    >>> # result = await relay.run(request, lane, body)
+    """
+
+    def __init__(self, caller, picker, clock, ctr):
+        self.caller, self.picker, self.clock, self.ctr = caller, picker, clock, ctr
+
+    async def run(self, req, lane, body: bytes):
+        try:
+            allowed = float(req.headers.get(DEADLINE, "60000")) / 1000
+        except ValueError:
+            return fault_result(2001, DEADLINE)
+        rid = req.headers.get(ECHO, "")
+        if not rid:
+            return fault_result(2001, f"{ECHO} is missing")
+        end = self.clock.now() + min(allowed, lane.timeout_s)
+        out, last, tried, service, ran = None, None, set(), lane.pick(), False
+        for _ in range(lane.sends):
+            line = self.picker.pick(service, tried, self.clock.now())
+            left = end - self.clock.now()
+            if line is None or left <= 0:
+                break
+            tried.add(line.iid)
+            line.under_way += 1
+            heads = [(k, v) for k, v in req.headers.items() if last is None or k.lower() != LAST_ID.lower()]
+            if last is not None:
+                heads.append((LAST_ID, last))
+            try:
+                async with self.caller.ask(line.addr, line.iid, req.method, req.raw_path, heads, body, left) as resp:
+                    if NOT_RUN in resp.headers or resp.status == 421:
+                        self.picker.note(line, "faulted", self.clock.now())
+                        continue
+                    ran = True
+                    if resp.headers.get(ECHO) != rid or (resp.status < 300 and SEAL not in resp.headers):
+                        resp.close()
+                        raise ValueError("answer of another request")
+                    if resp.status >= 300:
+                        data = await resp.read()
+                        if out is not None:
+                            break
+                        return web_answer(resp, data)
+                    if out is None:
+                        out = web.StreamResponse(status=resp.status, headers=pass_on(resp.headers.items()))
+                        out.enable_chunked_encoding()
+                        await out.prepare(req)
+                        req["answer"] = out
+                    rd = EventReader()
+                    async for raw in resp.content.iter_any():
+                        for ev in rd.feed(raw):
+                            last = ev.id or last
+                            await out.write(ev.raw)
+                    if rd.rest:
+                        raise ValueError("stream ended inside an event")
+                    self.picker.note(line, "served", self.clock.now())
+                    await out.write_eof()
+                    return None
+            except (aiohttp.ClientError, OSError, ValueError, asyncio.TimeoutError, TimeoutError) as e:
+                ran = ran or not isinstance(e, aiohttp.ClientConnectorError)
+                self.picker.note(line, "faulted", self.clock.now())
+                if ran and not lane.resumable:
+                    break
+            finally:
+                line.under_way -= 1
+        if out is not None:
+            req.transport.abort()
+            return None
+        return fault_result(4001) if ran else fault_result(3002, after_s=min(0.25, lane.aim_s * 0.5))
+
+
+def web_answer(resp, data: bytes):
+    """A whole answer as a Result."""
+    from ..frame import Result
+    return Result(resp.status, data, pass_on(resp.headers.items()))
--- /dev/null
+++ b/lines/tickets/shelf.py
@@ -0,0 +1,128 @@
+"""What one store keeps: records by lot and the terms that it promised to runs. Synced before it is answered."""
+from __future__ import annotations
+
+
+from .rec import Rec, pack, unpack
+
+
+class Shelf:
+    """All records on this store.
+
+    >>> # shelf = Shelf(book, clock, ctr); shelf.load(raws); ok = await shelf.append(term, recs)
+    """
+
+    def __init__(self, book, clock, ctr):
+        self.book, self.clock, self.ctr = book, clock, ctr
+        self.id = ""
+        self.promised: dict[str, int] = {}
+        self.lots: dict[str, dict] = {}
+
+    def load(self, raws: list) -> None:
+        for raw in raws:
+            rec = unpack(raw)
+            k = rec.head["k"]
+            if k == "I":
+                self.id = rec.head["id"]
+            elif k == "P":
+                self._promise(rec.head["run"], rec.head["term"])
+            else:
+                if "term" in rec.head:
+                    self._promise(rec.head["run"], rec.head["term"])
+                self._apply(rec)
+
+    def _promise(self, run: str, term: int) -> bool:
+        if term > self.promised.get(run, 0):
+            self.promised[run] = term
+            return True
+        return False
+
+    def _entry(self, lid: str, run: str) -> dict:
+        ent = self.lots.get(lid)
+        if ent is None:
+            ent = self.lots[lid] = {"run": run, "lot": None, "results": {}, "end": None, "at": self.clock.now()}
+        return ent
+
+    def _apply(self, rec: Rec) -> bool:
+        """Put a record in its place; False if one as good stands there."""
+        h = rec.head
+        ent = self._entry(h["lot"], h["run"])
+        if h["k"] == "L":
+            if ent["lot"] is not None:
+                return False
+            ent["lot"] = rec
+        elif h["k"] == "E":
+            if ent["end"] is not None:
+                return False
+            ent["end"] = rec
+        else:
+            old = ent["results"].get(h["pos"])
+            if old is not None and old.head["term"] >= h["term"]:
+                return False
+            ent["results"][h["pos"]] = rec
+        return True
+
+    async def prepare(self, run: str, term: int) -> dict:
+        """Promise a run's new holder to take nothing from older ones; tells what is here of the run."""
+        if term < self.promised.get(run, 0):
+            self.ctr.add("shelf.prepare_refused")
+            return {"ok": False, "promised": self.promised[run]}
+        if self._promise(run, term):
+            await self.book.append(pack(Rec({"k": "P", "run": run, "term": term})))
+            if self.promised[run] != term:
+                return {"ok": False, "promised": self.promised[run]}
+        lots = {}
+        for lid, ent in self.lots.items():
+            if ent["run"] == run:
+                lots[lid] = {"lot": ent["lot"] is not None, "end": ent["end"] is not None,
+                             "results": [[p, r.head["term"], r.head["item"]] for p, r in ent["results"].items()]}
+        return {"ok": True, "lots": lots}
+
+    async def append(self, recs: list) -> list:
+        """Take records, each under its run's term; the answer says for each whether it is here and synced."""
+        out, fresh = [], []
+        for rec in recs:
+            run, term = rec.head["run"], rec.head["by"]
+            if term < self.promised.get(run, 0):
+                self.ctr.add("shelf.stale_term")
+                out.append(False)
+                continue
+            if self._promise(run, term):
+                fresh.append(pack(Rec({"k": "P", "run": run, "term": term})))
+            kept = Rec({k: v for k, v in rec.head.items() if k != "by"}, rec.body)
+            if self._apply(kept):
+                fresh.append(pack(kept))
+            out.append(True)
+        # also when nothing is new: an earlier copy may still be on its way to the disk
+        await self.book.append(*fresh)
+        return out
+
+    def fetch(self, lid: str, poss: list, lot: bool) -> list:
+        """Records of a lot that are here."""
+        ent = self.lots.get(lid)
+        if ent is None:
+            return []
+        out = [ent["lot"]] if lot and ent["lot"] is not None else []
+        if ent["end"] is not None:
+            out.append(ent["end"])
+        return out + [ent["results"][p] for p in poss if p in ent["results"]]
+
+    def forget(self, lids) -> None:
+        """Lots that nobody may ask for any more."""
+        for lid in lids:
+            self.lots.pop(lid, None)
+
+    def snapshot(self) -> list[bytes]:
+        """All that is kept, for a rewritten book."""
+        out = [pack(Rec({"k": "I", "id": self.id}))]
+        out += [pack(Rec({"k": "P", "run": r, "term": t})) for r, t in self.promised.items()]
+        for ent in self.lots.values():
+            for rec in [ent["lot"], ent["end"], *ent["results"].values()]:
+                if rec is not None:
+                    out.append(pack(rec))
+        return out
+
+    def size(self) -> int:
+        return sum(len(r.body) + 200 for e in self.lots.values() for r in [e["lot"], *e["results"].values()]
+                   if r is not None)
+
+
