--- a/lines/exchange/core.py
+++ b/lines/exchange/core.py
@@ -247,7 +247,8 @@
 
     def _ping_doc(self, addr) -> dict:
         now = self.clock.now()
-        doc = {"card": self.card(), "stamps": {p: s["stamp"] for p, s in self.known.items()},
+        doc = {"card": self.card(), "stores": [[c, self.stores.silent(i, now)] for i, c in self.stores.cards.items()],
+               "stamps": {p: s["stamp"] for p, s in self.known.items()},
                "others": [c for i, c in self.cores.cards.items() if self.cores.silent(i, now) < self.quiet_s * 4]}
         if addr is not None:
             turn = self.acked.get(addr, ("", 0))[1]
@@ -273,6 +274,8 @@
                 self._watch(other["addr"])
         if doc.get("roll"):
             self._take_roll(doc["roll"])
+        for store, age in doc["stores"]:
+            self.stores.hear(store, now - age)
         for part, stamp in doc["stamps"].items():
             if stamp > self.known.get(part, {"stamp": 0})["stamp"]:
                 self.crew.once("hear", self._hear_part, card["addr"], part)
@@ -349,7 +352,11 @@
 
     async def _tend_loop(self) -> None:
         while True:
+            before = self.clock.now()
             await asyncio.sleep(self.beat_s * random.uniform(1.0, 1.6))
+            if self.clock.now() - before > self.quiet_s:
+                self.started = self.clock.now()   # this node stood still: what it heard long ago says nothing
+                self.ctr.add("woke")
             if not self.in_touch() or self.clock.now() - self.started < self.beat_s * 3:
                 continue
             for part in PARTS:
@@ -405,9 +412,7 @@
     async def _tend_gone(self, have: dict, now: float) -> None:
         """A silent store is to leave once another has come since."""
         for sid, s in have.items():
-            heard = self.board.read(("store", sid), self.started)
-            heard = max(heard, self.stores.heard.get(sid, heard))
-            self.board.post(("store", sid), heard)
+            heard = max(self.started, self.stores.heard.get(sid, self.started))
             quiet = now - heard
             newer = any(o["no"] > s["no"] and self.board.read(("joined", oid), now) > heard
                         for oid, o in have.items() if oid != sid and o["state"] == "active")
