--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,42 @@
+import asyncio
+import os
+import sys
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+for path in (os.path.join(ROOT, "target", "deps"), ROOT):
+    if path not in sys.path:
+        sys.path.insert(0, path)
+
+import pytest  # noqa: E402
+
+
+class HandClock:
+    """A steady clock moved by hand."""
+
+    def __init__(self, at: float = 100.0):
+        self.at = at
+
+    def now(self) -> float:
+        return self.at
+
+
+class MemBook:
+    """A tollbook in memory: what was synced, and what a loss of power leaves."""
+
+    def __init__(self):
+        self.raws: list = []
+
+    async def append(self, *raws: bytes) -> None:
+        self.raws.extend(raws)
+
+
+@pytest.fixture
+def clock():
+    return HandClock()
+
+
+@pytest.fixture
+def run():
+    def go(coro, secs: float = 90.0):
+        return asyncio.run(asyncio.wait_for(coro, secs))
+    return go
--- /dev/null
+++ b/tests/test_boot.py
@@ -0,0 +1,49 @@
+import json
+
+import pytest
+
+from lines.frame import BootFault, read_boot
+from lines.frame.boot import check_boot
+
+GOOD = {"NodeName": "n1", "IpAddress": "10.0.0.1", "InternalPorts": [7000, 7010], "SeedPeers": ["10.0.0.1:80"],
+        "Bounds": {"ContactMs": 3000, "Later": 5}, "SomethingNew": 1}
+
+
+def test_good_settings_and_unknown_fields():
+    boot = check_boot(GOOD)
+    assert boot.node == "n1" and boot.secs("ContactMs", 0.5) == 1.5 and boot.secs("GraceS") == 8.0
+
+
+@pytest.mark.parametrize("change, field", [
+    ({"NodeName": None}, "NodeName"), ({"NodeName": 5}, "NodeName"), ({"IpAddress": ...}, "IpAddress"),
+    ({"InternalPorts": [1]}, "InternalPorts"), ({"InternalPorts": [7010, 7000]}, "InternalPorts"),
+    ({"InternalPorts": "x"}, "InternalPorts"), ({"SeedPeers": ["nowhere"]}, "SeedPeers"),
+    ({"Bindings": {"FrontHttp": "10.0.0.1"}}, "Bindings.FrontHttp"), ({"Bounds": {"ContactMs": "3"}}, "Bounds.ContactMs"),
+    ({"Bounds": {"ContactMs": -1}}, "Bounds.ContactMs"), ({"Bounds": {"Fencing": 1}}, "Bounds.Fencing"),
+    ({"KeepaliveMs": 0}, "KeepaliveMs"), ({"Bootstrap": "yes"}, "Bootstrap")])
+def test_bad_settings_name_the_field(change, field):
+    doc = {k: v for k, v in {**GOOD, **change}.items() if v is not ...}
+    with pytest.raises(BootFault) as e:
+        check_boot(doc)
+    assert e.value.field == field and "\n" not in str(e.value)
+
+
+@pytest.mark.parametrize("raw", [b"", b"[1]", b"{", b"\xff"])
+def test_file_that_is_no_settings(tmp_path, raw):
+    path = tmp_path / "s.json"
+    path.write_bytes(raw)
+    with pytest.raises(BootFault) as e:
+        read_boot(str(path))
+    assert e.value.field == "(file)"
+
+
+def test_file_from_the_variable(tmp_path, monkeypatch):
+    path = tmp_path / "s.json"
+    path.write_text(json.dumps(GOOD))
+    monkeypatch.setenv("ARCHHATCH_CONFIG", str(path))
+    assert read_boot().ip == "10.0.0.1"
+
+
+def test_missing_file():
+    with pytest.raises(BootFault):
+        read_boot("/nowhere/at/all.json")
--- /dev/null
+++ b/tests/test_partyline.py
@@ -0,0 +1,264 @@
+"""The agreement of one part, over nodes that are cut off, wiped, lose power, or come late."""
+import asyncio
+
+import orjson
+import pytest
+from conftest import MemBook
+
+from lines.frame import Counters
+from lines.partyline import Commands, Keeper, Owner, Unclear, covers, majority
+
+commands = Commands()
+
+
+@commands.on("put")
+def put(val, args):
+    if val.get("v") == args["v"]:
+        return 1000, val["v"], False
+    if args.get("match", val.get("v")) != val.get("v"):
+        return 2011, val.get("v"), False
+    val["v"] = args["v"]
+    return 1000, args["v"], True
+
+
+@commands.on("get")
+def get(val, args):
+    return 1000, val.get("v"), False
+
+
+class Net:
+    """Nodes with a keeper and an owner each; cut holds those that do not answer."""
+
+    def __init__(self, founders):
+        self.founders = {n: n for n in founders}
+        self.nodes, self.cut, self.split = {}, set(), None
+        for n in founders:
+            self.add(n)
+
+    def add(self, n, addr=None, base=True):
+        ctr = Counters()
+        keeper = Keeper("p", MemBook(), ctr)
+        node = {"id": n, "addr": addr or n, "keeper": keeper, "known": None, "ctr": ctr, "founder": base}
+        self.nodes[n] = node
+        node["owner"] = Owner("p", n, commands, lambda a, v, d, n=n: self.ask(n, a, v, d), lambda n=n: self.base(n),
+                              lambda p, s, n=n: self.publish(n, s), ctr, secs=0.2)
+
+    def base(self, n):
+        node = self.nodes[n]
+        best = node["known"]
+        if node["keeper"].state and (not best or node["keeper"].state["stamp"] > best["stamp"]):
+            best = node["keeper"].state
+        if best is None and node["founder"]:
+            best = {"stamp": 0, "val": {}, "voters": self.founders, "prev": None}
+        return best
+
+    def publish(self, n, state):
+        self.nodes[n]["known"] = state
+
+    def reach(self, a, b):
+        return a not in self.cut and b not in self.cut and (self.split is None or (a in self.split) == (b in self.split))
+
+    async def ask(self, me, addr, verb, doc):
+        await asyncio.sleep(0)
+        node = next((x for x in self.nodes.values() if x["addr"] == addr), None)
+        if node is None or (node["id"] != me and not self.reach(me, node["id"])):
+            return None
+        doc = orjson.loads(orjson.dumps(doc))
+        k = node["keeper"]
+        if verb == "part.prepare":
+            out = await k.prepare(tuple(doc["ballot"]))
+        elif verb == "part.accept":
+            out = await k.accept(tuple(doc["ballot"]), doc["state"])
+        else:
+            out = await k.confirm(tuple(doc["ballot"]))
+        return orjson.loads(orjson.dumps({"me": node["id"], **out}))
+
+    def power_cycle(self, n):
+        """All that is left is what the book holds."""
+        book = self.nodes[n]["keeper"].book
+        founder = self.nodes[n]["founder"]
+        self.add(n, self.nodes[n]["addr"], founder)
+        self.nodes[n]["keeper"].book = book
+        for raw in book.raws:
+            self.nodes[n]["keeper"].adopt(orjson.loads(raw))
+
+    def wipe(self, n, new):
+        """The machine comes back at its address with an empty disk: another node."""
+        addr = self.nodes.pop(n)["addr"]
+        self.add(new, addr, base=False)
+
+    async def do(self, n, name, **args):
+        return await self.nodes[n]["owner"].do(name, args)
+
+
+@pytest.mark.parametrize("ids, voters, ok", [
+    ("ab", "abc", True), ("a", "abc", False), ("ad", "abc", False), ("abc", "abcde", True), ("ab", "abcd", False), ("a", "a", True)])
+def test_majority(ids, voters, ok):
+    assert majority(set(ids), dict.fromkeys(voters)) is ok
+
+
+@pytest.mark.parametrize("ids, voters, prev, ok", [
+    ("ab", "abc", None, True), ("ab", "abd", "abc", True), ("bd", "abd", "abc", False), ("ac", "abd", "abc", False)])
+def test_covers(ids, voters, prev, ok):
+    assert covers(set(ids), {"voters": dict.fromkeys(voters), "prev": dict.fromkeys(prev) if prev else None}) is ok
+
+
+def test_put_get_and_a_lost_node(run):
+    async def go():
+        net = Net("abc")
+        assert await net.do("a", "put", v=1) == (1000, 1)
+        net.cut = {"c"}
+        assert await net.do("a", "put", v=2, match=1) == (1000, 2)
+        net.cut = {"a"}
+        assert await net.do("b", "get") == (1000, 2)
+    run(go())
+
+
+def test_no_majority_is_unclear_never_refused(run):
+    async def go():
+        net = Net("abc")
+        await net.do("a", "put", v=1)
+        net.cut = {"b", "c"}
+        with pytest.raises(Unclear):
+            await net.do("a", "put", v=2, match=9)   # would be a 412 if this node alone were believed
+        with pytest.raises(Unclear):
+            await net.do("a", "get")
+    run(go())
+
+
+def test_two_race_one_prevails(run):
+    async def go():
+        net = Net("abc")
+        await net.do("a", "put", v=1)
+        out = await asyncio.gather(net.do("a", "put", v=2, match=1), net.do("b", "put", v=3, match=1),
+                                   return_exceptions=True)
+        codes = sorted(o[0] if isinstance(o, tuple) else 9999 for o in out)
+        assert codes.count(1000) <= 1
+        _, now = await net.do("c", "get")
+        won = [o[1] for o in out if isinstance(o, tuple) and o[0] == 1000]
+        assert now == won[0] if won else now in (1, 2, 3)
+    run(go())
+
+
+def test_old_owner_that_thaws_neither_writes_nor_reads(run):
+    async def go():
+        net = Net("abc")
+        await net.do("a", "put", v=1)
+        lead = net.nodes["a"]["owner"].lead
+        net.cut = {"a"}
+        await net.do("b", "put", v=2, match=1)
+        net.cut = set()
+        assert net.nodes["a"]["owner"].lead == lead
+        assert await net.do("a", "get") == (1000, 2)
+        assert (await net.do("a", "put", v=9, match=1))[0] == 2011
+    run(go())
+
+
+WIPES = [(a, b, c) for a, b, c in ("abc", "bca", "cab", "acb")]
+
+
+@pytest.mark.parametrize("ack1, ack2, stale", WIPES)
+def test_acked_on_two_one_wiped_all_lose_power(run, ack1, ack2, stale):
+    """Acknowledged on two, the third stale; one of the two loses its disk, then all lose power: the other alone has it."""
+    async def go():
+        net = Net("abc")
+        await net.do(ack1, "put", v=1)
+        net.cut = {stale}
+        assert (await net.do(ack1, "put", v=2, match=1))[0] == 1000
+        net.wipe(ack1, "n")
+        for n in (ack2, stale):
+            net.power_cycle(n)
+        net.cut = set()
+        assert net.base("n") is None and not await net.nodes["n"]["owner"]._prepare()   # it founds nothing
+        assert await net.do(stale, "get") == (1000, 2)
+    run(go())
+
+
+def test_wiped_node_and_stale_one_are_no_majority(run):
+    async def go():
+        net = Net("abc")
+        await net.do("a", "put", v=1)
+        net.cut = {"c"}
+        await net.do("a", "put", v=2, match=1)
+        net.wipe("a", "n")
+        net.cut = {"b"}
+        with pytest.raises(Unclear):
+            await net.do("c", "get")
+    run(go())
+
+
+def test_replaced_node_joins_and_votes(run):
+    async def go():
+        net = Net("abc")
+        await net.do("a", "put", v=1)
+        net.wipe("a", "n")
+        assert await net.nodes["b"]["owner"].regroup({"b": "b", "c": "c", "n": "a"})
+        net.cut = {"c"}
+        assert await net.do("b", "put", v=2, match=1) == (1000, 2)
+        assert net.nodes["n"]["keeper"].state["val"] == {"v": 2}
+        net.cut = {"b"}
+        assert await net.do("c", "get") == (1000, 2)
+    run(go())
+
+
+def test_stale_voter_follows_the_chain_of_groups(run):
+    """A node that slept through a change of the group still asks its way to the newest one."""
+    async def go():
+        net = Net("abc")
+        await net.do("a", "put", v=1)
+        net.cut = {"c"}
+        net.add("d", base=False)
+        assert await net.nodes["a"]["owner"].regroup({"a": "a", "b": "b", "d": "d"})
+        assert await net.do("a", "put", v=2, match=1) == (1000, 2)
+        net.cut = set()
+        net.nodes["c"]["known"] = None
+        assert await net.do("c", "get") == (1000, 2)
+    run(go())
+
+
+def test_half_made_change_of_group_is_finished_by_the_next_owner(run):
+    async def go():
+        net = Net("abc")
+        await net.do("a", "put", v=1)
+        net.add("d", base=False)
+        own = net.nodes["a"]["owner"]
+        state = {**own.state, "voters": {"a": "a", "b": "b", "d": "d"}, "prev": own.state["voters"],
+                 "stamp": own.state["stamp"] + 1}
+        assert await own._accept(state)
+        net.cut = {"a"}
+        assert await net.nodes["b"]["owner"].regroup({})
+        assert net.nodes["b"]["owner"].state["prev"] is None
+        assert await net.do("b", "put", v=5, match=1) == (1000, 5)
+    run(go())
+
+
+def test_repeated_command_is_taken_once(run):
+    async def go():
+        net = Net("abc")
+        assert await net.do("a", "put", v=1) == (1000, 1)
+        stamp = net.nodes["a"]["owner"].state["stamp"]
+        assert await net.do("b", "put", v=1) == (1000, 1)
+        assert net.nodes["b"]["owner"].state["stamp"] == stamp
+    run(go())
+
+
+@pytest.mark.parametrize("verb, ballot, ok", [
+    ("prepare", (1, "a"), False), ("prepare", (2, "a"), False), ("prepare", (2, "b"), True), ("prepare", (3, "a"), True),
+    ("accept", (1, "z"), False), ("accept", (2, "a"), False), ("accept", (2, "b"), True), ("confirm", (2, "b"), True),
+    ("confirm", (2, "a"), False)])
+def test_keeper_answers_by_ballot(run, verb, ballot, ok):
+    async def go():
+        k = Keeper("p", MemBook(), Counters())
+        await k.prepare((2, "b"))
+        args = (ballot, {"stamp": 1, "val": {}, "voters": {}, "prev": None}) if verb == "accept" else (ballot,)
+        assert (await getattr(k, verb)(*args))["ok"] is ok
+    run(go())
+
+
+def test_keeper_rejects_an_older_state_of_the_same_ballot(run):
+    async def go():
+        k = Keeper("p", MemBook(), Counters())
+        new, old = ({"stamp": s, "val": {}, "voters": {}, "prev": None} for s in (5, 4))
+        assert (await k.accept((2, "b"), new))["ok"] and not (await k.accept((2, "b"), old))["ok"]
+        assert k.ctr.all["part.accept_stale"] == 1
+    run(go())
--- /dev/null
+++ b/tests/test_tickets.py
@@ -0,0 +1,119 @@
+import base64
+import copy
+
+import orjson
+import pytest
+from conftest import MemBook
+
+from lines.frame import Counters
+from lines.tickets import BadLot, Rec, Shelf, check_lot, pack, read_lot, unpack
+from lines.tickets.rec import pack_many, unpack_many
+
+B64 = base64.b64encode(b"body").decode()
+LOT = {"TrainStep": 1, "Model": "m", "MinRevision": 2, "DesiredCount": 1, "Entries": [
+    {"InstanceId": "i1", "Path": "/p/1", "HeaderMap": {"A": "b"}, "Payload": B64, "TokenCount": 5, "GroupId": "g",
+     "ScorerUrl": {"InstanceId": "c1", "HostName": "h", "Path": "/s/1", "Payload": B64}},
+    {"InstanceId": "i2", "Path": "/p/2", "Payload": B64, "GroupId": "g"}]}
+
+
+def test_good_lot():
+    raw = orjson.dumps(LOT)
+    assert check_lot("l", raw) == "m"
+    lot = read_lot({"lot": "l", "run": "m", "host": "h", "path": "/p/"}, raw, 5.0)
+    assert lot.total == 2 and lot.least == 2 and lot.want == 1 and lot.items["i1"].heads == [("A", "b")]
+
+
+@pytest.mark.parametrize("change", [
+    lambda d: d.pop("Model"), lambda d: d.pop("Entries"), lambda d: d.update(Entries=[]), lambda d: d.update(Entries={}),
+    lambda d: d.update(MinRevision="1"), lambda d: d.update(TrainStep=-1), lambda d: d.update(DesiredCount=True),
+    lambda d: d["Entries"][0].pop("InstanceId"), lambda d: d["Entries"][1].update(InstanceId="i1"),
+    lambda d: d["Entries"][0].update(Path="x"), lambda d: d["Entries"][0].update(Payload="not base64!"),
+    lambda d: d["Entries"][0].update(Payload=5), lambda d: d["Entries"][0].update(HeaderMap={"A": "b\r\nC: d"}),
+    lambda d: d["Entries"][0].update(HeaderMap=[1]), lambda d: d["Entries"][0]["ScorerUrl"].pop("Path"),
+    lambda d: d["Entries"][0]["ScorerUrl"].update(Payload="?"), lambda d: d["Entries"].append(7)])
+def test_malformed_lots(change):
+    doc = copy.deepcopy(LOT)
+    change(doc)
+    with pytest.raises(BadLot):
+        check_lot("l", orjson.dumps(doc))
+
+
+@pytest.mark.parametrize("lid, raw", [("", orjson.dumps(LOT)), ("l", b""), ("l", b"[]"), ("l", orjson.dumps(LOT)[:-9])])
+def test_no_lot_at_all(lid, raw):
+    with pytest.raises(BadLot):
+        check_lot(lid, raw)
+
+
+def rec(kind="R", lot="l", pos=0, term=1, item="i", by=None, body=b"x"):
+    head = {"k": kind, "lot": lot, "run": "m"}
+    if kind == "R":
+        head.update(pos=pos, term=term, item=item)
+    return Rec({**head, "by": by or term}, body)
+
+
+def test_records_pack():
+    recs = [rec(body=b""), rec("L", body=b"\x00" * 9)]
+    assert [(r.head, r.body) for r in unpack_many(pack_many(recs))] == [(r.head, r.body) for r in recs]
+    assert unpack(pack(recs[1])).body == recs[1].body
+
+
+CASES = [  # promised before, record's term, taken, promised after
+    (0, 1, True, 1), (3, 3, True, 3), (3, 2, False, 3), (3, 4, True, 4)]
+
+
+@pytest.mark.parametrize("promised, by, taken, after", CASES)
+def test_shelf_takes_by_term(run, clock, promised, by, taken, after):
+    async def go():
+        shelf = Shelf(MemBook(), clock, Counters())
+        if promised:
+            await shelf.prepare("m", promised)
+        assert await shelf.append([rec("L", by=by)]) == [taken]
+        assert shelf.promised["m"] == after and ("l" in shelf.lots) is taken
+    run(go())
+
+
+@pytest.mark.parametrize("terms, item", [([1, 2], "i2"), ([2, 1], "i1"), ([1, 1], "i1")])
+def test_a_position_is_replaced_only_by_a_higher_term(run, clock, terms, item):
+    async def go():
+        shelf = Shelf(MemBook(), clock, Counters())
+        for n, t in enumerate(terms, 1):
+            await shelf.append([rec(term=t, by=9, item=f"i{n}")])
+        assert shelf.lots["l"]["results"][0].head["item"] == item
+    run(go())
+
+
+@pytest.mark.parametrize("first, second, ok", [(2, 1, False), (2, 2, True), (2, 3, True)])
+def test_prepare(run, clock, first, second, ok):
+    async def go():
+        shelf = Shelf(MemBook(), clock, Counters())
+        await shelf.append([rec("L"), rec(pos=0), rec("E")])
+        await shelf.prepare("m", first)
+        out = await shelf.prepare("m", second)
+        assert out["ok"] is ok
+        if ok:
+            assert out["lots"] == {"l": {"lot": True, "end": True, "results": [[0, 1, "i"]]}}
+    run(go())
+
+
+def test_shelf_after_a_loss_of_power(run, clock):
+    async def go():
+        book = MemBook()
+        shelf = Shelf(book, clock, Counters())
+        shelf.id = "s"
+        await shelf.append([rec("L", by=4), rec(pos=0, term=3, by=4)])
+        again = Shelf(book, clock, Counters())
+        again.load(book.raws)
+        assert again.promised == {"m": 4} and again.lots["l"]["results"][0].head["term"] == 3
+        third = Shelf(book, clock, Counters())
+        third.load(again.snapshot())
+        assert third.promised == again.promised and third.lots.keys() == again.lots.keys()
+    run(go())
+
+
+def test_page_gives_at_least_one_and_no_more_than_fits():
+    lot = read_lot({"lot": "l", "run": "m", "host": "h", "path": "/p/"}, orjson.dumps(LOT), 0.0)
+    lot.results = [rec(pos=n, body=b"y" * 600) for n in range(3)]
+    lot.listed = 2
+    assert lot.page(0, most=10) == ([b"y" * 600], 1)
+    assert lot.page(0) == ([b"y" * 600] * 2, 2)
+    assert lot.page(2) == ([], 2) and lot.page(7) == ([], 7)
--- /dev/null
+++ b/tests/test_tollbook.py
@@ -0,0 +1,69 @@
+import pytest
+
+from lines.tollbook import Tollbook, pack_record, read_records
+
+RECS = [b"one", b"", b"three" * 100]
+WHOLE = b"".join(pack_record(r) for r in RECS)
+
+
+@pytest.mark.parametrize("data, good, behind", [
+    (WHOLE, 3, False),
+    (WHOLE[:-1], 2, False),                                   # torn in the last record
+    (WHOLE + b"\0" * 40, 3, False),                           # zeros behind the end
+    (WHOLE + WHOLE[:7], 3, False),                            # torn in a head
+    (b"", 0, False),
+    (WHOLE[:14] + b"X" + WHOLE[15:], 0, True),                # damage before good records
+    (WHOLE + b"junk" + pack_record(b"later"), 3, True)])
+def test_read(data, good, behind):
+    recs, end, later = read_records(data)
+    assert recs == RECS[:good] and later is behind
+    assert data[:end] == b"".join(pack_record(r) for r in recs)
+
+
+def test_append_load_and_cut(run, tmp_path):
+    async def go():
+        book = Tollbook(str(tmp_path))
+        assert book.load() == []
+        book.start()
+        await book.append(b"a", b"b")
+        await book.append(b"c")
+        await book.close()
+        with open(book.path, "ab") as f:
+            f.write(pack_record(b"torn")[:-2])
+        again = Tollbook(str(tmp_path))
+        assert again.load() == [b"a", b"b", b"c"] and not again.damaged
+        again.start()
+        await again.append(b"d")
+        await again.close()
+        assert Tollbook(str(tmp_path)).load() == [b"a", b"b", b"c", b"d"]
+    run(go())
+
+
+def test_damage_is_reported_and_kept(tmp_path):
+    path = tmp_path / "tolls"
+    path.write_bytes(pack_record(b"a") + b"rot!" + pack_record(b"b"))
+    book = Tollbook(str(tmp_path))
+    assert book.load() == [b"a"] and book.damaged
+    assert (tmp_path / "tolls.damaged").exists()
+
+
+def test_rewrite_takes_what_waits_behind_it(run, tmp_path):
+    async def go():
+        import asyncio
+        book = Tollbook(str(tmp_path))
+        book.load()
+        book.start()
+        await book.append(*[b"x" * 100] * 50)
+        await asyncio.gather(book.rewrite([b"kept"]), book.append(b"new"))
+        size = book.size
+        await book.close()
+        assert size < 200
+        assert Tollbook(str(tmp_path)).load() == [b"kept", b"new"]
+    run(go())
+
+
+def test_half_written_rewrite_is_dropped(tmp_path):
+    (tmp_path / "tolls").write_bytes(pack_record(b"old"))
+    (tmp_path / "tolls.new").write_bytes(pack_record(b"half")[:5])
+    assert Tollbook(str(tmp_path)).load() == [b"old"]
+    assert not (tmp_path / "tolls.new").exists()
--- /dev/null
+++ b/tests/test_trunk.py
@@ -0,0 +1,118 @@
+import asyncio
+
+import pytest
+
+from lines.frame import Counters, open_logs
+from lines.trunk import Desk, Envelope, LineFault, Lines, Refusal, Slab, Verbs
+from lines.trunk.framing import FrameFault, pack, read_frame
+
+FRAME = pack(Envelope(call=7, verb="ping", head=b"{}"))
+
+
+def test_slab_keys_are_never_used_twice():
+    s = Slab()
+    a = s.put("a")
+    assert s.take(a) == "a" and s.take(a) is None
+    b = s.put("b")
+    assert b != a and s.take(a) is None and s.take(b) == "b"
+    assert s.take(12345 << 20 | 999) is None
+
+
+@pytest.mark.parametrize("data, fault", [
+    (FRAME[:5], asyncio.IncompleteReadError), (FRAME[:-1], asyncio.IncompleteReadError),
+    (FRAME[:-1] + b"\x00", FrameFault), (b"\xff" * 16, FrameFault), (b"GET / HTTP/1.1\r\n\r\n" * 3, FrameFault)])
+def test_damaged_frames(run, data, fault):
+    async def go():
+        rd = asyncio.StreamReader()
+        rd.feed_data(data)
+        rd.feed_eof()
+        with pytest.raises(fault):
+            await read_frame(rd)
+    run(go())
+
+
+def build():
+    verbs, ctr = Verbs(), Counters()
+
+    @verbs.on("echo")
+    async def echo(doc, body):
+        return doc, body
+
+    @verbs.on("no")
+    async def no(doc, body):
+        raise Refusal(3003, "why")
+
+    @verbs.on("bad")
+    async def bad(doc, body):
+        raise ZeroDivisionError("x")
+
+    @verbs.on("never")
+    async def never(doc, body):
+        await asyncio.get_running_loop().create_future()
+    return Desk(verbs, open_logs("t", "CRITICAL"), ctr), ctr
+
+
+def test_calls_and_answers(run):
+    async def go():
+        desk, ctr = build()
+        await desk.open("127.0.0.1:0")
+        lines = Lines()
+        line = lines.to(f"127.0.0.1:{desk.port()}")
+        outs = await asyncio.gather(*(line.call("echo", {"n": n}, b"%d" % n) for n in range(20)))
+        assert [(c, d["n"], b) for c, d, b in outs] == [(1000, n, b"%d" % n) for n in range(20)]
+        assert (await line.call("no"))[:2] == (3003, "why")
+        assert (await line.call("bad"))[0] == 5001
+        assert (await line.call("unheard"))[0] == 2009
+        with pytest.raises(LineFault) as e:
+            await line.call("never", secs=0.05)
+        assert e.value.sent
+        lines.end()
+        await desk.close()
+    run(go())
+
+
+def test_damaged_bytes_end_one_connection_only(run):
+    async def go():
+        desk, ctr = build()
+        await desk.open("127.0.0.1:0")
+        lines = Lines()
+        good = lines.to(f"127.0.0.1:{desk.port()}")
+        await good.call("echo", 1)
+        rd, wr = await asyncio.open_connection("127.0.0.1", desk.port())
+        wr.write(b"\x00\x00\x00\x02abcdXY")
+        assert await rd.read() == b""
+        assert (await good.call("echo", 2))[1] == 2 and ctr.all["trunk.bad_frame"] == 1
+        lines.end()
+        await desk.close()
+    run(go())
+
+
+def test_a_late_or_doubled_answer_finds_nobody(run):
+    async def serve(rd, wr):
+        env = await read_frame(rd)
+        ans = pack(Envelope(call=env.call, code=1000, head=b"1"))
+        wr.write(pack(Envelope(call=env.call + (1 << 20), code=1000, head=b"9")) + ans + ans)
+        env = await read_frame(rd)
+        wr.write(ans + pack(Envelope(call=env.call, code=1000, head=b"2")))
+
+    async def go():
+        srv = await asyncio.start_server(serve, "127.0.0.1", 0)
+        lines = Lines()
+        line = lines.to(f"127.0.0.1:{srv.sockets[0].getsockname()[1]}")
+        assert (await line.call("x"))[1] == 1
+        assert (await line.call("x"))[1] == 2
+        lines.end()
+        srv.close()
+    run(go())
+
+
+def test_dead_port_is_known_as_not_sent(run):
+    async def go():
+        srv = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        port = srv.sockets[0].getsockname()[1]
+        srv.close()
+        await srv.wait_closed()
+        with pytest.raises(LineFault) as e:
+            await Lines().to(f"127.0.0.1:{port}").call("x")
+        assert not e.value.sent
+    run(go())
