--- a/lines/dialplan/lanes.py
+++ b/lines/dialplan/lanes.py
@@ -69,6 +69,15 @@
                 return lane
         return None
 
+    def live_services(self) -> set:
+        """Services to which lanes of live requests lead.
+
+        >>> Plan({"Revision": 1, "RouteTable": [], "ServiceTable": []}).live_services()
+        set()
+        """
+        return {s for lanes in self._hosts.values() for lane in lanes if lane.kind not in ("rollout", "batch")
+                for s, _ in lane.split}
+
     def models(self) -> dict:
         """Each model's service.
 
--- a/lines/directory/__init__.py
+++ b/lines/directory/__init__.py
@@ -6,6 +6,7 @@
 
 __all__ = ["pick", "rank", "Roll", "Neighbours", "Fitness"]
 from .newsreader import Newsreader
+from .livebook import LiveBook
 from .rendezvous import part_of
 
-__all__ += ["Newsreader", "part_of"]
+__all__ += ["LiveBook", "Newsreader", "part_of"]
--- a/lines/directory/newsreader.py
+++ b/lines/directory/newsreader.py
@@ -28,6 +28,8 @@
         self.at = 0
         self.mine: list = []
         self.plan = None
+        self.live = None
+        self.busy: dict = {}
 
     def candidates(self) -> list:
         return self.addrs[self.at:] + self.addrs[:self.at]
@@ -37,7 +39,8 @@
             addr = self.addrs[self.at % len(self.addrs)]
             try:
                 code, doc, _ = await self.lines.to(addr).call(
-                    "news", {"who": self.card, "stamps": self.stamps, "life": self.life, "turn": self.turn,
+                    "news", {"live": self.live.tally() if self.live is not None else {},
+                             "busy": sorted(self.busy), "who": self.card, "stamps": self.stamps, "life": self.life, "turn": self.turn,
                              "hold": self.hold_s}, secs=self.hold_s + self.boot.secs("ContactMs", 0.2))
             except LineFault:
                 code, doc = 3003, None
@@ -62,6 +65,9 @@
             if got["stamp"] > self.stamps.get(part, 0):
                 self.stamps[part], self.parts[part] = got["stamp"], got["val"]
                 changed = True
+        if doc["busy"] != self.busy:
+            self.busy = doc["busy"]
+            self.board.touch("work")
         fresh = []
         for ent in doc["roll"]:
             old = self.roll.get(ent["id"])
--- a/lines/exchange/core.py
+++ b/lines/exchange/core.py
@@ -8,7 +8,7 @@
 import orjson
 
 from ..counter import Window
-from ..directory import Neighbours, Roll, part_of, rank
+from ..directory import LiveBook, Neighbours, Roll, part_of, rank
 from ..frame import Board, Clock, Counters, Crew, fault_result, json_result
 from ..partyline import Keeper, Owner, Unclear
 from ..tollbook import Tollbook
@@ -34,6 +34,7 @@
         self.lines = Lines()
         self.roll = Roll()
         self.cores = Neighbours()
+        self.live = LiveBook(boot.secs("ContactMs", 2 / 3))
         self.stores = Neighbours()
         self.life = f"{random.getrandbits(48):012x}"
         self.addr = f"{boot.ip}:{boot.ports[0]}"
@@ -239,6 +240,13 @@
             self._take_roll(doc["roll"])
             return {"me": self.id}
 
+        @on("live")
+        async def _live(doc, body):
+            self._heed_live([[doc["id"], s, n, 0.0] for s, n in doc["live"].items()])
+            if doc.get("spread", True):
+                for c in list(self.cores.cards.values()):
+                    self.crew.once("live", self._call, c["addr"], "live", {**doc, "spread": False})
+
         @on("news")
         async def _news(doc, body):
             return await self._news(doc)
@@ -248,7 +256,7 @@
     def _ping_doc(self, addr) -> dict:
         now = self.clock.now()
         doc = {"card": self.card(), "stores": [[c, self.stores.silent(i, now)] for i, c in self.stores.cards.items()],
-               "stamps": {p: s["stamp"] for p, s in self.known.items()},
+               "live": self.live.since(now), "stamps": {p: s["stamp"] for p, s in self.known.items()},
                "others": [c for i, c in self.cores.cards.items() if self.cores.silent(i, now) < self.quiet_s * 4]}
         if addr is not None:
             turn = self.acked.get(addr, ("", 0))[1]
@@ -274,12 +282,21 @@
                 self._watch(other["addr"])
         if doc.get("roll"):
             self._take_roll(doc["roll"])
+        self._heed_live(doc["live"])
         for store, age in doc["stores"]:
             self.stores.hear(store, now - age)
         for part, stamp in doc["stamps"].items():
             if stamp > self.known.get(part, {"stamp": 0})["stamp"]:
                 self.crew.once("hear", self._hear_part, card["addr"], part)
 
+    def _heed_live(self, words: list) -> None:
+        now = self.clock.now()
+        before = set(self.live.busy(now))
+        for edge, svc, n, age in words:
+            self.live.put(edge, {svc: n}, now - age)
+        if set(self.live.busy(now)) != before:
+            self.board.touch("news")
+
     def _watch(self, addr: str) -> None:
         watched = self.board.read("watched", set())
         if addr not in watched:
@@ -327,6 +344,7 @@
         who, now = doc["who"], self.clock.now()
         if who["klass"] == "store":
             self.stores.hear(who, now)
+        self._heed_live([[who["id"], s, n, 0.0] for s, n in doc["live"].items()])
         end = now + doc["hold"]
         while True:
             if self.leaving or not self.in_touch():
@@ -337,9 +355,11 @@
             same = doc["life"] == self.life
             roll = self.roll.since(doc["turn"] if same else 0)
             left = end - self.clock.now()
-            if parts or roll or left <= 0 or not same:
+            busy = self.live.busy(self.clock.now())
+            if parts or roll or left <= 0 or not same or sorted(busy) != doc["busy"]:
                 cores = [self.addr] + [c["addr"] for i, c in self.cores.cards.items() if self.alive(i)]
-                return {"parts": parts, "roll": roll, "life": self.life, "turn": self.roll.turn, "cores": cores}
+                return {"parts": parts, "roll": roll, "life": self.life, "turn": self.roll.turn, "cores": cores,
+                        "busy": busy}
             await self.board.news("news", turn, min(left, self.quiet_s))
 
     # -- duties
--- a/lines/exchange/store.py
+++ b/lines/exchange/store.py
@@ -40,6 +40,7 @@
         self.picker = Picker(boot.zone, boot.zone, rest_s=boot.secs("ContactMs", 0.2))
         self.plan: Plan | None = None
         self.reigns: dict[str, Reign] = {}
+        self.live_services: set = set()
         self.ready = False
         self.leaving = False
         self.verbs = Verbs()
@@ -254,6 +255,7 @@
             plan = (self.news.parts.get("plan") or {}).get("plan")
             if plan is not None and (self.plan is None or plan["Revision"] > self.plan.stamp):
                 self.plan = Plan(plan)
+                self.live_services = self.plan.live_services()
             if self.id in (self.news.parts.get("plan") or {}).get("dropped", {}):
                 await self._start_over()
             elif not self.ready and self.id in self.members():
--- a/lines/sends/heads.py
+++ b/lines/sends/heads.py
@@ -9,6 +9,7 @@
 LOAD = "X-Archhatch-Instance-Load"
 VERSIONS = "X-Archhatch-Weight-Versions"
 HOLD = "X-Archhatch-Hold-Ms"
+URGENCY = "X-Archhatch-Urgency-Level"
 LAST_ID = "Last-Event-Id"
 
 _ONE_HOP = {"connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "proxy-connection",
--- a/lines/supervisor/dispatch.py
+++ b/lines/supervisor/dispatch.py
@@ -8,8 +8,9 @@
 
 from ..sends import ECHO, EXPECT_REV, NOT_RUN, SEAL, VERSIONS, Ran
 from ..sends.events import EventReader
-from ..sends.heads import LAST_ID
+from ..sends.heads import LAST_ID, URGENCY
 from ..tickets import Deposed
+from .lull import Lull
 from .work import Work
 
 LOOK = 48   # waiting items of a lot that are looked at for one place
@@ -26,12 +27,14 @@
         self.works: dict[str, dict[str, Work]] = {}
         self.waiting: dict[str, list[Work]] = {}
         self.homes: dict[tuple, str] = {}
-        self.scores_out = 0
+        self.lull = Lull()
 
     async def run(self) -> None:
         st, turn = self.st, 0
         while True:
+            self.lull.heed(st.news.busy)
             self._sync()
+            self._give_back()
             while self._place_one():
                 pass
             turn = await st.board.news("work", turn, st.beat_s * 0.5)
@@ -81,7 +84,7 @@
         now = self.st.clock.now()
         free: dict[str, list] = {}
         for e in self.st.engines.all.values():
-            if not e.draining and e.pause_until <= now and e.busy() < e.slots and e.fitness.look(now) != "resting":
+            if not e.draining and e.pause_until <= now and e.busy() < self._places(e) and e.fitness.look(now) != "resting":
                 free.setdefault(e.service, []).append(e)
         if not free:
             return False
@@ -105,6 +108,25 @@
                     return True
         return False
 
+    def _places(self, e) -> int:
+        return self.lull.places(e.service, e.slots, len(self.st.engines.of(e.service)))
+
+    def _give_back(self) -> None:
+        """Live requests are back: break off the newest items over the places that are left. What is made of their
+        texts is kept, and they go on where it ends."""
+        if not self.lull.busy:
+            return
+        for e in self.st.engines.all.values():
+            over = e.busy() - self._places(e)
+            if over <= 0:
+                continue
+            here = [w for works in self.works.values() for w in works.values() if w.engine is e and not w.recalled]
+            over -= sum(1 for works in self.works.values() for w in works.values() if w.engine is e and w.recalled)
+            for w in sorted(here, key=lambda w: len(w.texts))[:max(0, over)]:
+                w.recalled = True
+                w.task.cancel()
+                self.st.ctr.add("item.recalled")
+
     def _match(self, lid, lot, lane, engines, surplus, now):
         byid = {e.iid: e for e in engines}
         spare = min(engines, key=lambda e: (e.busy() / e.slots, e.pace))
@@ -137,6 +159,7 @@
         finally:
             e.running[model] -= 1
             w.engine = None
+            w.recalled = False
             if w.state == "running":
                 w.state = "waiting"
                 w.not_before = st.clock.now() + (again or 0.0)
@@ -156,6 +179,8 @@
             w.drop_text()
         heads = [("Host", lot.host), (ECHO, w.item.iid), (EXPECT_REV, str(rev))] + [
             (k, v) for k, v in w.item.heads if k.lower() not in ("host", ECHO.lower(), EXPECT_REV.lower())]
+        if self._has_live(e.service):
+            heads.append((URGENCY, "9"))
         if w.last_id:
             heads.append((LAST_ID, w.last_id))
         now = st.clock.now
@@ -222,6 +247,10 @@
         self.homes.pop((lot.lid, w.item.group), None)
         return 0.0
 
+    def _has_live(self, service: str) -> bool:
+        """Whether live lanes lead to a service too: its own requests then go before rollouts in the replica's queue."""
+        return service in self.st.live_services
+
     def _turned_away(self, w: Work, e, resp, data: bytes) -> float:
         st = self.st
         st.ctr.add(f"item.away.{resp.status}")
@@ -264,9 +293,11 @@
         while True:
             lane = st.plan.lane(sc["HostName"], sc["Path"].split("?", 1)[0])
             now = st.clock.now()
-            line = st.picker.pick(lane.pick(), set(), now) if lane is not None else None
-            if line is None:
-                await asyncio.sleep(st.gap_s())
+            service = lane.pick() if lane is not None else ""
+            line = st.picker.pick(service, set(), now)
+            if line is None or line.under_way >= self.lull.places(service, line.slots,
+                                                                  len(st.picker.by_service[service])):
+                await asyncio.sleep(st.gap_s() * 0.1)
                 continue
             line.under_way += 1
             st.ctr.add("score.send")
--- a/lines/supervisor/work.py
+++ b/lines/supervisor/work.py
@@ -19,6 +19,7 @@
     not_before: float = 0.0
     task: object = None
     engine: object = None
+    recalled: bool = False
 
     def drop_text(self) -> None:
         """Start over: what was made does not fit."""
--- a/lines/switchboard/edge.py
+++ b/lines/switchboard/edge.py
@@ -10,8 +10,9 @@
 from ..directory import Newsreader
 from ..frame import Board, Clock, Counters, Crew, Result, fault_result
 from ..sends import Caller, Picker
-from ..trunk import Lines
+from ..trunk import LineFault, Lines
 from .forward import Forward
+from .live import Live
 from .lotdesk import LotDesk
 from .relay import Relay
 
@@ -40,6 +41,7 @@
         self.limits: dict = {}
         card = {"id": boot.node, "klass": "edge", "name": boot.node, "ip": boot.ip, "zone": boot.zone}
         self.news = Newsreader(boot, card, self.lines, self.board, self.clock, self.ctr)
+        self.live = self.news.live = Live(self.board, self.clock, boot.secs("ContactMs", 1 / 3))
         self.picker = Picker(boot.zone, boot.zone, rest_s=boot.secs("ContactMs", 0.3))
         self.life = Machine(self, states=["starting", "ready", "leaving"], initial="starting", transitions=MOVES,
                             auto_transitions=False)
@@ -48,13 +50,14 @@
 
     async def start(self) -> None:
         self.caller = Caller()
-        self.forward = Forward(self.caller, self.picker, self.clock, self.ctr)
-        self.relay = Relay(self.caller, self.picker, self.clock, self.ctr)
+        self.forward = Forward(self.caller, self.picker, self.clock, self.ctr, self.live)
+        self.relay = Relay(self.caller, self.picker, self.clock, self.ctr, self.live)
         self.lots = LotDesk(self.boot, self.news, self.lines, self.ctr, self.clock)
         await self.door.open(self.boot.listen["Readiness"])
         await self.window.open(self.boot.listen["FrontHttp"])
         self.crew.keep("news", self.news.run)
         self.crew.keep("parts", self._parts_loop)
+        self.crew.keep("live", self._live_loop)
         self.crew.keep("roll", self._roll_loop)
 
     async def leave(self) -> None:
@@ -82,6 +85,21 @@
                 self.learned()
             turn = await self.board.news("parts", turn)
 
+    async def _live_loop(self) -> None:
+        """The first live request after a lull is told at once, not with the next question for news."""
+        turn = 0
+        while True:
+            turn = await self.board.news("live", turn)
+            busy = {s: n for s, n in self.live.now.items() if n}
+            if set(busy) <= set(self.news.busy):
+                continue   # all know already
+            for addr in self.news.candidates()[:2]:
+                try:
+                    await self.lines.to(addr).call("live", {"id": self.boot.node, "live": busy}, secs=0.3)
+                    break
+                except LineFault:
+                    self.ctr.add("live.untold")
+
     async def _roll_loop(self) -> None:
         turn = 0
         while True:
--- a/lines/switchboard/forward.py
+++ b/lines/switchboard/forward.py
@@ -16,8 +16,8 @@
     >>> # result = await forward.run(request, lane, body)
     """
 
-    def __init__(self, caller, picker, clock, ctr):
-        self.caller, self.picker, self.clock, self.ctr = caller, picker, clock, ctr
+    def __init__(self, caller, picker, clock, ctr, live):
+        self.caller, self.picker, self.clock, self.ctr, self.live = caller, picker, clock, ctr, live
 
     async def run(self, req, lane, body: bytes) -> Result:
         began = self.clock.now()
@@ -30,7 +30,11 @@
         if not rid:
             return fault_result(2001, f"{ECHO} is missing")
         job = _Job(self, req.method, req.raw_path, list(req.headers.items()), body, rid, lane, end)
-        return await job.run()
+        self.live.enter(job.service)
+        try:
+            return await job.run()
+        finally:
+            self.live.leave(job.service)
 
 
 class _Job:
--- a/lines/switchboard/relay.py
+++ b/lines/switchboard/relay.py
@@ -18,8 +18,8 @@
     >>> # result = await relay.run(request, lane, body)
     """
 
-    def __init__(self, caller, picker, clock, ctr):
-        self.caller, self.picker, self.clock, self.ctr = caller, picker, clock, ctr
+    def __init__(self, caller, picker, clock, ctr, live):
+        self.caller, self.picker, self.clock, self.ctr, self.live = caller, picker, clock, ctr, live
 
     async def run(self, req, lane, body: bytes):
         try:
@@ -30,7 +30,15 @@
         if not rid:
             return fault_result(2001, f"{ECHO} is missing")
         end = self.clock.now() + min(allowed, lane.timeout_s)
-        out, last, tried, service, ran = None, None, set(), lane.pick(), False
+        service = lane.pick()
+        self.live.enter(service)
+        try:
+            return await self._relay(req, lane, body, rid, service, end)
+        finally:
+            self.live.leave(service)
+
+    async def _relay(self, req, lane, body, rid, service, end):
+        out, last, tried, ran = None, None, set(), False
         for _ in range(lane.sends):
             line = self.picker.pick(service, tried, self.clock.now())
             left = end - self.clock.now()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -65,7 +65,7 @@
         if mood == "other":
             head["X-Archhatch-Request-Id"] = "somebody-else"
         head["X-Archhatch-Reply-Seal"] = f"seal.{rid}"
-        if not self.models:
+        if not self.models or req.raw_path.startswith("/v/"):
             if mood == "cut":
                 out = web.StreamResponse(headers={**head, "Content-Length": "100"})
                 await out.prepare(req)
@@ -99,7 +99,8 @@
         out.enable_chunked_encoding()
         await out.prepare(req)
         for n in range(first, self.events + 1):
-            await self.gate.wait()
+            if n > 2:
+                await self.gate.wait()
             ver = ""
             if self.models[model] != rev:
                 rev = self.models[model]
@@ -248,6 +249,8 @@
          "TargetLatencyMs": 2000, "Service": "quote", "MaxAttempts": 3},
         {"Name": "s", "HostName": "h.example", "PathPrefix": "/s/", "RouteClass": "streaming", "TimeoutMs": 20000,
          "TargetLatencyMs": 2000, "Service": "llm", "MaxAttempts": 3, "Resumable": True, **kw.get("stream", {})},
+        {"Name": "v", "HostName": "h.example", "PathPrefix": "/v/", "RouteClass": "idempotent", "TimeoutMs": 20000,
+         "TargetLatencyMs": 2000, "Service": "llm", "MaxAttempts": 3},
         {"Name": "l", "HostName": "h.example", "PathPrefix": "/roll/", "RouteClass": "rollout", "TimeoutMs": 20000,
          "TargetLatencyMs": 2000, "ResultDueMs": 20000, "MaxQueueS": 40, "Service": "llm", "MaxAttempts": 3,
          **kw.get("lot", {})}],
--- /dev/null
+++ b/tests/test_lull.py
@@ -0,0 +1,95 @@
+"""Rollouts use the gaps between live requests, and give places back when those return."""
+import asyncio
+
+import pytest
+from standins import World, lot, plan
+
+from lines.directory import LiveBook
+from lines.frame import Board
+from lines.supervisor.lull import Lull
+from lines.switchboard.live import Live
+
+
+@pytest.mark.parametrize("busy, slots, replicas, places", [
+    ({}, 12, 3, 12), ({"other": 5}, 12, 3, 12), ({"s": 1}, 12, 3, 10), ({"s": 6}, 12, 3, 9), ({"s": 7}, 12, 3, 8),
+    ({"s": 99}, 12, 3, 1), ({"s": 1}, 1, 1, 1), ({"s": 1}, 4, 0, 2)])
+def test_places(busy, slots, replicas, places):
+    lull = Lull()
+    lull.heed(busy)
+    assert lull.places("s", slots, replicas) == places
+
+
+WORDS = [  # words as (edge, live, at), asked at, busy
+    ([("a", {"s": 1}, 0.0)], 1.0, {"s": 1}),
+    ([("a", {"s": 1}, 0.0)], 2.1, {}),
+    ([("a", {"s": 1}, 0.0), ("b", {"s": 2}, 1.0)], 1.5, {"s": 3}),
+    ([("a", {"s": 1}, 1.0), ("a", {"s": 5}, 0.5)], 1.5, {"s": 1}),       # the older word comes late
+    ([("a", {"s": 3}, 0.0), ("a", {"s": 0}, 1.0)], 1.5, {"s": 3}),       # nothing is no word
+    ([("a", {"s": 1, "t": 1}, 0.0), ("a", {"t": 2}, 1.5)], 2.5, {"t": 2})]
+
+
+@pytest.mark.parametrize("words, now, busy", WORDS)
+def test_livebook(words, now, busy):
+    book = LiveBook(2.0)
+    for word in words:
+        book.put(*word)
+    assert book.busy(now) == busy
+
+
+def test_live_tells_the_first_after_a_lull_at_once(clock):
+    board = Board()
+    live = Live(board, clock, 1.0)
+    live.enter("s")
+    live.enter("s")
+    live.leave("s")
+    assert board.turn("live") == 1 and live.tally() == {"s": 2} and live.tally() == {"s": 1}
+    clock.at += 0.9
+    live.leave("s")
+    clock.at += 0.9
+    live.enter("s")
+    assert board.turn("live") == 1
+    live.leave("s")
+    clock.at += 1.1
+    live.enter("s")
+    assert board.turn("live") == 2
+
+
+def test_places_are_given_back_and_nothing_is_lost_or_doubled(run, tmp_path):
+    async def go():
+        w = await World(str(tmp_path)).start()
+        try:
+            await w.put_plan(plan(), 0)
+            r = await w.add_replica("llm", {"m": 1})
+            await w.add_replica("quote")
+            await w.until(w.edge.board, "roll", lambda: len(w.edge.picker.all) == 2)
+            for s in w.stores.values():
+                s.gap_s = lambda: 5.0   # streams that stand still on purpose are not taken for dead ones
+            r.gate.clear()
+            assert await w.hand_in("lot1", lot(groups=2)) == 202
+            store = await asyncio.wait_for(wait_busy(w, r, 4), 30)
+            # live requests return: rollouts leave their places, and the answer does not wait for them
+            assert (await w.ask("POST", "/v/live", b"now", rid="v1"))[0] == 200
+            await w.until(store.board, "work", lambda: store.ctr.all["item.recalled"] >= 2)
+            await w.until(store.board, "work", lambda: store.engines.all[r.iid].busy() == 2)
+            # the lull is back: they go on behind the events that were kept
+            await w.until(store.board, "work", lambda: store.engines.all[r.iid].busy() == 4)
+            r.gate.set()
+            rows = await w.read_all("lot1")
+            assert len(rows) == len({x["InstanceId"] for x in rows}) == 4
+            for x in rows:
+                assert x["Text"].split("\n") == [f"{x['InstanceId']}/{n}" for n in (1, 2, 3, 4)]
+            assert sorted(first for _, first, _ in r.runs) == [1, 1, 1, 1, 3, 3]
+            assert sum(1 for s in r.seen if s[1] == "/v/live") == 1
+        finally:
+            await w.end()
+    run(go())
+
+
+async def wait_busy(w, r, n):
+    while True:
+        for s in w.stores.values():
+            e = s.engines.all.get(r.iid)
+            if e is not None and e.busy() == n and len(r.runs) == n and all(
+                    len(x.texts) == 2 for ws in s.dispatch.works.values() for x in ws.values()):
+                return s
+        await w.edge.board.news("nothing", 0, 0.02)
