--- a/tests/test_boot.py
+++ b/tests/test_boot.py
@@ -47,3 +47,13 @@
 def test_missing_file():
     with pytest.raises(BootFault):
         read_boot("/nowhere/at/all.json")
+
+
+def test_every_code_stands_in_the_docs():
+    import os
+
+    from lines.frame import CODES
+    here = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+    with open(os.path.join(here, "docs", "codes.md")) as f:
+        rows = [line for line in f if line.startswith("| ") and line[2].isdigit()]
+    assert rows == [f"| {n} | {s} | {t} |\n" for n, (s, t) in sorted(CODES.items())]
