--- a/lines/exchange/core.py
+++ b/lines/exchange/core.py
@@ -240,6 +240,10 @@
             self._take_roll(doc["roll"])
             return {"me": self.id}
 
+        @on("fitness")
+        async def _fitness(doc, body):
+            return self._fitness()
+
         @on("live")
         async def _live(doc, body):
             self._heed_live([[doc["id"], s, n, 0.0] for s, n in doc["live"].items()])
@@ -251,6 +255,16 @@
         async def _news(doc, body):
             return await self._news(doc)
 
+    def _fitness(self) -> dict:
+        """What the doctor asks for."""
+        now, base = self.clock.now(), self._base(PLAN)
+        voters = base["voters"] if base else {}
+        return {"id": self.id, "in_touch": self.in_touch(), "voters": len(voters),
+                "up": sum(1 for v in voters if self.alive(v)), "damaged": self.book.damaged,
+                "stamps": {p: s["stamp"] for p, s in self.known.items()},
+                "silent": {r: now - self.roll.heard[r] for r, e in self.roll.all.items()
+                           if e.get("silent") and e["state"] != "gone"}}
+
     # -- pings
 
     def _ping_doc(self, addr) -> dict:
--- a/lines/frame/codes.py
+++ b/lines/frame/codes.py
@@ -36,6 +36,16 @@
     4002: (504, "the time is up; it may have run"),
     4003: (504, "the outcome is unclear; send again"),
     5001: (500, "a fault in this node"),
+    6001: (0, "the settings cannot be read"),
+    6002: (0, "the settings contradict themselves"),
+    6003: (0, "the seeds are of no use"),
+    6004: (0, "a seed does not answer"),
+    6005: (0, "a group has no majority"),
+    6006: (0, "a tollbook is damaged"),
+    6007: (0, "a disk is full"),
+    6008: (0, "the data folder is of no use"),
+    6009: (0, "a replica does not beat"),
+    6010: (0, "nodes disagree on the stamp"),
 }
 
 
--- a/lines/frame/commands.py
+++ b/lines/frame/commands.py
@@ -16,6 +16,8 @@
 flags.DEFINE_enum("log", "INFO", ["DEBUG", "INFO", "WARNING", "ERROR"], "least level of a log line")
 flags.DEFINE_float("counters_s", 10.0, "seconds between lines of counters; 0 for none", lower_bound=0)
 
+flags.DEFINE_bool("json", False, "doctor: print one JSON document")
+
 COMMANDS: dict = {}
 USE = {
     "switchboard": "take clients' requests (data plane; role of edge machines)",
@@ -99,6 +101,17 @@
     return 2
 
 
+@command("doctor")
+def _doctor(args) -> int:
+    from ..testdesk import Doctor, report
+    if args:
+        print("archhatch: doctor takes no arguments, only --settings and --json", file=sys.stderr)
+        return 2
+    found = asyncio.run(Doctor(FLAGS.settings).run())
+    print(report(found, FLAGS.json))
+    return 1 if found else 0
+
+
 def main(argv: list) -> None:
     """Parse the command line and run a command; ends the process with its status."""
     if "--help" in argv or "-h" in argv or len(argv) < 2:
