--- a/lines/exchange/store.py
+++ b/lines/exchange/store.py
@@ -396,6 +396,7 @@
                     reign.forget()
             keep = self.boot.secs("StatusS", 2)
             now = self.clock.now()
-            self.shelf.forget([lid for lid, e in self.shelf.lots.items() if e["end"] is not None and now - e["at"] > keep])
+            self.shelf.forget([lid for lid, e in self.shelf.lots.items() if e["end"] is not None and now - e["at"] > keep],
+                              self.boot.secs("LeaseMs", 2))
             if self.book.size > (8 << 20) and self.book.size > self.shelf.size() * 2:
                 await self.book.rewrite(self.shelf.snapshot())
--- a/lines/supervisor/orders.py
+++ b/lines/supervisor/orders.py
@@ -6,6 +6,8 @@
 import aiohttp
 import orjson
 
+from ..tickets import Deposed
+
 
 class Orders:
     """Brings every engine to the newest named version, a few at a time.
@@ -53,7 +55,7 @@
             for e in engines:
                 if e.revs.get(run, 1) >= target or e.ordering or e.fitness.look(now) == "resting" or e.silent:
                     continue
-                if e.pause_until > now:
+                if e.pause_until > now or not reign.may_order(e.iid):
                     continue
                 key = (not urgent, e.running.get(run, 0), e.pace)
                 if best is None or key < best[0]:
@@ -93,7 +95,16 @@
             if not reign.may_order() or e.iid not in st.engines.all:
                 return
             target = max(target, st.named().get(run, 1))
+            try:
+                until = await reign.intend(e.iid)
+            except Deposed:
+                reign.over()
+                return
             began = st.clock.now()
+            # checked last, right before the send: a node that stood still since must not order
+            if began >= until or not reign.may_order(e.iid):
+                st.ctr.add("order.too_late")
+                return
             if await self._send(reign, run, e, target, mode):
                 await self._await_done(run, e, target, began)
         finally:
--- a/lines/supervisor/reign.py
+++ b/lines/supervisor/reign.py
@@ -28,7 +28,7 @@
     def __init__(self, store, run: str, term: int):
         self.st, self.run, self.term = store, run, term
         self.lots: dict[str, Lot] = {}
-        self.order_from = float("inf")
+        self.order_from: dict[str, float] = {}   # replica -> when it may have orders of this holder
         self.began = store.clock.now()
         Machine(self, states=["reading", "holding", "over"], initial="reading", transitions=MOVES,
                 auto_transitions=False)
@@ -48,8 +48,6 @@
             await asyncio.sleep(st.beat_s)
         if self.state != "reading":
             return
-        lease = st.boot.secs("LeaseMs")
-        self.order_from = st.clock.now() + (lease * 4 / 3 if self.term > 1 else 0.0)
         self.gathered()
         st.log.info("run {}: held under term {} with {} lots", self.run, self.term, len(self.lots))
         st.ctr.add("reign.begun")
@@ -86,18 +84,30 @@
                 if not out["ok"]:
                     raise Deposed(self.run)
                 got[tasks[t]] = out["lots"]
+                self._heed_orders(out["orders"])
         for t in wait:
             t.cancel()
         if len(got) < need or st.id not in addrs or not ok:
             return False
         if st.id not in got:
-            got[st.id] = (await st.shelf.prepare(self.run, self.term))["lots"]
+            out = await st.shelf.prepare(self.run, self.term)
+            if not out["ok"]:
+                raise Deposed(self.run)
+            got[st.id] = out["lots"]
+            self._heed_orders(out["orders"])
         lids = {lid for lots in got.values() for lid in lots}
         for lid in sorted(lids):
             if not await self._adopt(lid, {sid: lots[lid] for sid, lots in got.items() if lid in lots}, addrs):
                 return False
         return True
 
+    def _heed_orders(self, ages: dict) -> None:
+        """An earlier holder meant to order from these replicas: wait out its right to, and then the lease."""
+        lease = self.st.boot.secs("LeaseMs")
+        for iid, age in ages.items():
+            at = self.st.clock.now() - age + lease * 4 / 3
+            self.order_from[iid] = max(at, self.order_from.get(iid, at))
+
     async def _adopt(self, lid: str, seen: dict, addrs: dict) -> bool:
         """Take up one lot from what the stores said; positions with one copy are written anew under this term."""
         st = self.st
@@ -169,9 +179,9 @@
         """Whether another store said, not long ago, that it knows no higher term: then no other holder has listed."""
         return self.state == "holding" and self.st.confirmed(self.run, self.term, self.st.boot.secs("SettleMs", 0.5))
 
-    def may_order(self) -> bool:
-        """Whether this node may order weights right now."""
-        return (self.state == "holding" and self.st.clock.now() >= self.order_from
+    def may_order(self, iid: str | None = None) -> bool:
+        """Whether this node may order weights right now: at all, or from one replica."""
+        return (self.state == "holding" and (iid is None or self.st.clock.now() >= self.order_from.get(iid, 0.0))
                 and self.st.confirmed(self.run, self.term, self.st.boot.secs("LeaseMs", 1 / 3)))
 
     async def put(self, head: dict, body: bytes) -> None:
@@ -197,6 +207,12 @@
         self.st.ctr.add("lot.taken")
         self.st.board.touch("work")
 
+    async def intend(self, iid: str) -> float:
+        """Have two stores know that an order is about to be sent to a replica; the time until which it may be."""
+        began = self.st.clock.now()
+        await self.st.copier.put(self.run, self.term, [Rec({"k": "O", "lot": "", "run": self.run, "iid": iid})])
+        return began + self.st.boot.secs("LeaseMs", 1 / 3)
+
     async def end(self, lid: str) -> None:
         lot = self.lots[lid]
         first = not lot.ended
--- a/lines/tickets/rec.py
+++ b/lines/tickets/rec.py
@@ -1,4 +1,5 @@
-"""Records of a lot: L the lot itself, R a result at a position, E its end; P a promise to a run's term."""
+"""Records of a lot: L the lot itself, R a result at a position, E its end; P a promise to a run's term;
+O the intent to send a replica an order."""
 from __future__ import annotations
 
 import struct
--- a/lines/tickets/shelf.py
+++ b/lines/tickets/shelf.py
@@ -16,6 +16,7 @@
         self.id = ""
         self.promised: dict[str, int] = {}
         self.lots: dict[str, dict] = {}
+        self.orders: dict[str, dict] = {}   # run -> replica -> when the last intent to order came here
 
     def load(self, raws: list) -> None:
         for raw in raws:
@@ -45,6 +46,9 @@
     def _apply(self, rec: Rec) -> bool:
         """Put a record in its place; False if one as good stands there."""
         h = rec.head
+        if h["k"] == "O":
+            self.orders.setdefault(h["run"], {})[h["iid"]] = self.clock.now()
+            return True
         ent = self._entry(h["lot"], h["run"])
         if h["k"] == "L":
             if ent["lot"] is not None:
@@ -75,7 +79,8 @@
             if ent["run"] == run:
                 lots[lid] = {"lot": ent["lot"] is not None, "end": ent["end"] is not None,
                              "results": [[p, r.head["term"], r.head["item"]] for p, r in ent["results"].items()]}
-        return {"ok": True, "lots": lots}
+        now = self.clock.now()
+        return {"ok": True, "lots": lots, "orders": {i: now - at for i, at in self.orders.get(run, {}).items()}}
 
     async def append(self, recs: list) -> list:
         """Take records, each under its run's term; the answer says for each whether it is here and synced."""
@@ -106,8 +111,11 @@
             out.append(ent["end"])
         return out + [ent["results"][p] for p in poss if p in ent["results"]]
 
-    def forget(self, lids) -> None:
-        """Lots that nobody may ask for any more."""
+    def forget(self, lids, order_s: float) -> None:
+        """Lots that nobody may ask for any more, and intents to order that are older than order_s."""
+        now = self.clock.now()
+        for run, last in self.orders.items():
+            self.orders[run] = {i: at for i, at in last.items() if now - at <= order_s}
         for lid in lids:
             self.lots.pop(lid, None)
 
@@ -115,6 +123,8 @@
         """All that is kept, for a rewritten book."""
         out = [pack(Rec({"k": "I", "id": self.id}))]
         out += [pack(Rec({"k": "P", "run": r, "term": t})) for r, t in self.promised.items()]
+        for run, last in self.orders.items():
+            out += [pack(Rec({"k": "O", "lot": "", "run": run, "iid": iid})) for iid in last]
         for ent in self.lots.values():
             for rec in [ent["lot"], ent["end"], *ent["results"].values()]:
                 if rec is not None:
--- /dev/null
+++ b/tests/test_reign.py
@@ -0,0 +1,128 @@
+"""What a new holder makes of what the stores tell it; who may order, and when."""
+import orjson
+import pytest
+from conftest import MemBook
+from test_tickets import LOT
+
+from lines.frame import Board, Counters, open_logs
+from lines.frame.boot import check_boot
+from lines.supervisor import Reign
+from lines.tickets import Rec, Shelf
+
+BOOT = check_boot({"NodeName": "n", "IpAddress": "1.1.1.1", "InternalPorts": [1, 9]})
+
+
+class FakeCopier:
+    def __init__(self, shelf):
+        self.shelf, self.puts = shelf, []
+
+    async def put(self, run, term, recs):
+        self.puts.append((term, recs))
+        for r in recs:
+            r.held |= {"me", "b"}
+
+
+class FakeStore:
+    """A store whose neighbours are shelves in the same process."""
+
+    def __init__(self, clock, names=("me", "b", "c")):
+        self.id, self.clock, self.boot = "me", clock, BOOT
+        self.ctr, self.board, self.log, self.beat_s = Counters(), Board(), open_logs("t", "CRITICAL"), 0.01
+        self.shelves = {n: Shelf(MemBook(), clock, Counters()) for n in names}
+        self.shelf = self.shelves["me"]
+        self.copier = FakeCopier(self.shelf)
+        self.news, self.silent, self.proof = self, set(), True
+
+    async def do(self, part, name, args):
+        return 1000, {"stores": {n: {"ip": n, "state": "active"} for n in self.shelves}, "runs": {}}
+
+    def addr_of(self, m):
+        return m["ip"]
+
+    def confirmed(self, run, term, secs):
+        return self.proof
+
+    async def ask_store(self, sid, addr, verb, doc):
+        return None if sid in self.silent else await self.shelves[sid].prepare(doc["run"], doc["term"])
+
+    async def fetch(self, sid, addr, lid, poss, lot):
+        recs = self.shelves[sid].fetch(lid, poss, lot)
+        return [Rec(orjson.loads(orjson.dumps(r.head)), r.body) for r in recs]
+
+
+def lot_rec():
+    return Rec({"k": "L", "lot": "l", "run": "s", "host": "h", "path": "/p/", "by": 1}, orjson.dumps(LOT))
+
+
+def res(pos, term, item):
+    return Rec({"k": "R", "lot": "l", "run": "s", "pos": pos, "term": term, "item": item, "by": term},
+               orjson.dumps({"InstanceId": item, "t": term}))
+
+
+# what each store holds (pos, term, item) -> the items in order, and the positions written anew
+ADOPT = [
+    ("two copies stand", {"me": [(0, 1, "i1")], "b": [(0, 1, "i1")]}, ["i1"], []),
+    ("one copy is taken and written anew", {"b": [(0, 1, "i1")]}, ["i1"], [0]),
+    ("the higher term wins", {"me": [(0, 1, "i1")], "b": [(0, 2, "i2")], "c": [(0, 2, "i2")]}, ["i2"], []),
+    ("behind a hole nothing was listed", {"b": [(0, 1, "i1"), (2, 1, "i2")], "c": [(0, 1, "i1")]}, ["i1"], []),
+    ("an item stands once", {"b": [(0, 2, "i1"), (1, 1, "i1")], "c": [(0, 2, "i1")]}, ["i1"], []),
+    ("nothing listed", {}, [], [])]
+
+
+@pytest.mark.parametrize("why, held, items, anew", ADOPT, ids=[a[0] for a in ADOPT])
+def test_adopt(run, clock, why, held, items, anew):
+    async def go():
+        st = FakeStore(clock)
+        for n, shelf in st.shelves.items():
+            await shelf.append([lot_rec()] + [res(*r) for r in held.get(n, [])])
+        reign = Reign(st, "s", 5)
+        await reign.begin()
+        lot = reign.lots["l"]
+        assert [r.head["item"] for r in lot.results] == items and lot.listed == len(items) and lot.done == set(items)
+        again = [r.head["pos"] for _, recs in st.copier.puts for r in recs if r.head["k"] == "R"]
+        assert again == anew and all(t == 5 for t, _ in st.copier.puts)
+        assert all(lot.results[p].head["term"] == 5 for p in anew)
+    run(go())
+
+
+@pytest.mark.parametrize("holders, silent, taken", [
+    (("me", "b"), "c", True), (("b",), "c", True), (("b", "c"), "me", True), (("b", "c"), "b", True)])
+def test_a_lot_on_two_stores_is_found_without_any_one(run, clock, holders, silent, taken):
+    async def go():
+        st = FakeStore(clock)
+        for n in holders:
+            await st.shelves[n].append([lot_rec()])
+        st.silent = {silent} - {"me"}
+        reign = Reign(st, "s", 2)
+        await reign.begin()
+        assert ("l" in reign.lots) is taken and reign.state == "holding"
+    run(go())
+
+
+def test_higher_term_ends_it(run, clock):
+    async def go():
+        st = FakeStore(clock)
+        await st.shelves["c"].prepare("s", 9)
+        reign = Reign(st, "s", 5)
+        await reign.begin()
+        assert reign.state == "over" and not reign.fresh() and not reign.may_order()
+    run(go())
+
+
+@pytest.mark.parametrize("iid, age, wait", [("e1", 0.5, 3.5), ("e1", 3.9, 0.1), ("e1", 9.0, 0.0), ("e2", 0.0, 0.0)])
+def test_orders_wait_for_what_the_earlier_holder_meant_to_do(run, clock, iid, age, wait):
+    async def go():
+        st = FakeStore(clock)
+        for n in ("b", "c"):
+            await st.shelves[n].append([Rec({"k": "O", "lot": "", "run": "s", "iid": "e1", "by": 1})])
+        clock.at += age
+        reign = Reign(st, "s", 2)
+        await reign.begin()
+        if wait:
+            clock.at += wait - 0.01
+            assert not reign.may_order(iid)
+        clock.at += 0.02
+        assert reign.may_order(iid)
+        st.proof = False
+        assert not reign.may_order(iid)
+    run(go())
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -117,3 +117,20 @@
     assert lot.page(0, most=10) == ([b"y" * 600], 1)
     assert lot.page(0) == ([b"y" * 600] * 2, 2)
     assert lot.page(2) == ([], 2) and lot.page(7) == ([], 7)
+
+
+def test_intents_to_order_outlive_a_loss_of_power_and_are_forgotten_in_time(run, clock):
+    async def go():
+        book = MemBook()
+        shelf = Shelf(book, clock, Counters())
+        await shelf.append([Rec({"k": "O", "lot": "", "run": "m", "iid": "e1", "by": 2})])
+        clock.at += 2
+        assert (await shelf.prepare("m", 3))["orders"] == {"e1": 2.0}
+        again = Shelf(book, clock, Counters())
+        again.load(book.raws)                      # how old it is cannot be known any more: it counts from now
+        assert (await again.prepare("m", 4))["orders"] == {"e1": 0.0}
+        assert await again.append([Rec({"k": "O", "lot": "", "run": "m", "iid": "e2", "by": 2})]) == [False]
+        clock.at += 7
+        again.forget([], 6.0)
+        assert again.orders == {"m": {}}
+    run(go())
