--- a/lines/exchange/store.py
+++ b/lines/exchange/store.py
@@ -68,6 +68,7 @@
         self.crew.keep("watch", self._watch_loop)
         self.crew.keep("mend", self._mend_loop)
         self.crew.keep("dispatch", self.dispatch.run)
+        self.crew.keep("scoring", self.dispatch.scoring.run)
         self.crew.keep("orders", self.orders.run)
         self.log.info("store {} is up; lots={} bytes={}", self.id, len(self.shelf.lots), self.book.size)
 
--- a/lines/supervisor/dispatch.py
+++ b/lines/supervisor/dispatch.py
@@ -6,11 +6,12 @@
 
 import aiohttp
 
-from ..sends import ECHO, EXPECT_REV, NOT_RUN, SEAL, VERSIONS, Ran
+from ..sends import ECHO, EXPECT_REV, NOT_RUN, SEAL, VERSIONS
 from ..sends.events import EventReader
 from ..sends.heads import LAST_ID, URGENCY
 from ..tickets import Deposed
 from .lull import Lull
+from .scoring import Scoring
 from .work import Work
 
 LOOK = 48   # waiting items of a lot that are looked at for one place
@@ -28,6 +29,7 @@
         self.waiting: dict[str, list[Work]] = {}
         self.homes: dict[tuple, str] = {}
         self.lull = Lull()
+        self.scoring = Scoring(store, self.lull)
 
     async def run(self) -> None:
         st, turn = self.st, 0
@@ -273,7 +275,8 @@
         iid = w.item.iid
         doc = {"InstanceId": iid, "OperState": "aborted", "Text": "", "WeightVersions": []}
         if w.fails < lane.sends:
-            score = await self._score(w) if w.item.scorer else ""
+            key = (w.rank >= w.lot.want > 0, w.lot.taken + lane.due_s, w.rank)
+            score = await self.scoring.score(w, key) if w.item.scorer else ""
             if score is not None:
                 doc = {"InstanceId": iid, "OperState": "complete", "Text": "\n".join(w.texts),
                        "WeightVersions": sorted(w.versions)}
@@ -284,41 +287,6 @@
         await reign.list_result(w.lot, iid, doc)
         w.state = "done"
 
-    async def _score(self, w: Work) -> str | None:
-        """The seal of the reward call's 2xx; None once it failed for good."""
-        st, sc = self.st, w.item.scorer
-        body = base64.b64decode(sc.get("Payload", ""))
-        heads = [("Host", sc["HostName"]), (ECHO, sc["InstanceId"])]
-        pause = 0.0
-        while True:
-            lane = st.plan.lane(sc["HostName"], sc["Path"].split("?", 1)[0])
-            now = st.clock.now()
-            service = lane.pick() if lane is not None else ""
-            line = st.picker.pick(service, set(), now)
-            if line is None or line.under_way >= self.lull.places(service, line.slots,
-                                                                  len(st.picker.by_service[service])):
-                await asyncio.sleep(st.gap_s() * 0.1)
-                continue
-            line.under_way += 1
-            st.ctr.add("score.send")
-            try:
-                ans = await st.caller.send(line.addr, line.iid, "POST", sc["Path"], heads, body, sc["InstanceId"],
-                                           min(lane.timeout_s, lane.aim_s * 2))
-            finally:
-                line.under_way -= 1
-            if ans.good:
-                st.picker.note(line, "served", st.clock.now(), st.clock.now() - now, lane.aim_s * 0.3)
-                return next(v for k, v in ans.heads if k.lower() == SEAL.lower())
-            st.ctr.add(f"score.{ans.ran.value}.{ans.status}")
-            if ans.ran is Ran.YES and ans.status == 500:
-                w.score_fails += 1
-                if w.score_fails >= lane.sends:
-                    return None
-                continue
-            st.picker.note(line, "vanished" if ans.silent else "faulted", st.clock.now())
-            pause = min(st.gap_s(), pause * 2 or 0.01)
-            await asyncio.sleep(pause)
-
 
 def _rev(head: str, dflt: int) -> int:
     """The newest number in a head of versions.
--- a/lines/supervisor/lull.py
+++ b/lines/supervisor/lull.py
@@ -7,8 +7,8 @@
 class Lull:
     """Places by service, from the live requests that the news tells of.
 
-    >>> lull = Lull(); lull.heed({"s": 4}); lull.places("s", 12, 2), lull.places("t", 12, 2)
-    (9, 12)
+    >>> lull = Lull(); lull.heed({"s": 3.1}); lull.places("s", 12, 2), lull.places("t", 12, 2)
+    (8, 12)
     """
 
     def __init__(self):
@@ -18,8 +18,8 @@
         self.busy = busy
 
     def places(self, service: str, slots: int, replicas: int) -> int:
-        """Live requests keep their share of a replica's places and one more; rollouts keep one at least."""
+        """Live requests keep twice their usual share of a replica's places, one at least; so do rollouts."""
         live = self.busy.get(service, 0)
         if not live:
             return slots
-        return max(1, slots - math.ceil(live / max(1, replicas)) - 1)
+        return max(1, slots - max(1, math.ceil(2 * live / max(1, replicas))))
--- /dev/null
+++ b/lines/supervisor/scoring.py
@@ -0,0 +1,90 @@
+"""Reward calls: the most urgent first, in the places that live requests leave."""
+from __future__ import annotations
+
+import asyncio
+import base64
+import heapq
+import itertools
+
+from ..sends import ECHO, SEAL, Ran
+from .lull import Lull
+
+
+class Scoring:
+    """score() gives the seal of a reward call's 2xx, or None once the call failed for good.
+
+    >>> # scoring = Scoring(store, lull); crew.keep("scoring", scoring.run); seal = await scoring.score(work, key)
+    """
+
+    def __init__(self, store, lull: Lull):
+        self.st, self.lull = store, lull
+        self.inbox: list = []
+        self.count = itertools.count()
+
+    async def score(self, work, key: tuple) -> str | None:
+        """Wait for a place in the order of key, call, and call again where that may help."""
+        while True:
+            fut = asyncio.get_running_loop().create_future()
+            heapq.heappush(self.inbox, (key, next(self.count), work, fut))
+            self.st.board.touch("score")
+            try:
+                line, lane = await fut
+            except asyncio.CancelledError:
+                if fut.done() and not fut.cancelled():
+                    fut.result()[0].under_way -= 1   # the place came just as the lot ended
+                    self.st.board.touch("score")
+                raise
+            ans = await self._call(work.item.scorer, line, lane)
+            if ans.good:
+                return next(v for k, v in ans.heads if k.lower() == SEAL.lower())
+            self.st.ctr.add(f"score.{ans.ran.value}.{ans.status}")
+            if ans.ran is Ran.YES and ans.status == 500:
+                work.score_fails += 1
+                if work.score_fails >= lane.sends:
+                    return None
+            else:
+                await asyncio.sleep(self.st.gap_s() * 0.1)
+
+    async def run(self) -> None:
+        """Give places to those who wait, as they come free."""
+        st, turn = self.st, 0
+        while True:
+            while self._place_one():
+                pass
+            turn = await st.board.news("score", turn, st.beat_s * 0.5)
+
+    def _place_one(self) -> bool:
+        st = self.st
+        while self.inbox and self.inbox[0][3].done():
+            heapq.heappop(self.inbox)   # its lot has ended
+        if not self.inbox:
+            return False
+        sc = self.inbox[0][2].item.scorer
+        lane = st.plan.lane(sc["HostName"], sc["Path"].split("?", 1)[0])
+        if lane is None:
+            return False
+        service = lane.pick()
+        line = st.picker.pick(service, set(), st.clock.now())
+        if line is None or line.under_way >= self.lull.places(service, line.slots, len(st.picker.by_service[service])):
+            return False
+        line.under_way += 1
+        heapq.heappop(self.inbox)[3].set_result((line, lane))
+        return True
+
+    async def _call(self, sc: dict, line, lane):
+        st, began = self.st, self.st.clock.now()
+        heads = [("Host", sc["HostName"]), (ECHO, sc["InstanceId"])]
+        st.ctr.add("score.send")
+        try:
+            ans = await st.caller.send(line.addr, line.iid, "POST", sc["Path"], heads,
+                                       base64.b64decode(sc.get("Payload", "")), sc["InstanceId"],
+                                       min(lane.timeout_s, lane.aim_s * 2))
+        finally:
+            line.under_way -= 1
+            st.board.touch("score")
+        now = st.clock.now()
+        if ans.ran is Ran.YES:
+            st.picker.note(line, "served", now, now - began, lane.aim_s * 0.3)
+        else:
+            st.picker.note(line, "vanished" if ans.silent else "faulted", now)
+        return ans
