--- a/lines/supervisor/dispatch.py
+++ b/lines/supervisor/dispatch.py
@@ -79,6 +79,18 @@
                         self.works[lid][it.iid] = Work(lot, it, groups[it.group])
                 self.waiting[lid] = sorted(self.works[lid].values(), key=lambda w: (w.rank, w.item.at))
 
+    def short(self, reign, model: str) -> bool:
+        """Whether items that the trainer waits for find no free place under a version that they allow."""
+        for lot in reign.lots.values():
+            if lot.model != model or lot.ended:
+                continue
+            if not any(w.rank < lot.want or not lot.want for w in self.waiting.get(lot.lid, ())):
+                continue
+            if not any(e.busy() < self._places(e) and model not in e.held and e.revs.get(model, 1) >= lot.least
+                       and not e.draining for e in self.st.engines.of(reign.run)):
+                return True
+        return False
+
     # -- picking
 
     def _place_one(self) -> bool:
--- a/lines/supervisor/orders.py
+++ b/lines/supervisor/orders.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 import aiohttp
 import orjson
@@ -51,6 +52,8 @@
             if not reign.may_order():
                 continue
             engines = [e for e in st.engines.of(reign.run) if not e.draining]
+            if not self._wanted(reign, run, engines, target):
+                continue
             urgent = not any(e.revs.get(run, 1) >= target for e in engines) or self._starved(reign, run, engines)
             for e in engines:
                 if e.revs.get(run, 1) >= target or e.ordering or e.fitness.look(now) == "resting" or e.silent:
@@ -68,6 +71,15 @@
         st.crew.once("order", self._order, reign, run, e, target)
         return True
 
+    def _wanted(self, reign, model: str, engines: list, target: int) -> bool:
+        """Whether one more engine should load: each model's even share of them does at once, more when items wait
+        that no free place may run."""
+        loaded = sum(1 for e in engines if e.revs.get(model, 1) >= target or model in e.held)
+        share = math.ceil(len(engines) / max(1, len(self.st.models_of(reign.run))))
+        if loaded < share:
+            return True
+        return self.st.dispatch.short(reign, model)
+
     def _starved(self, reign, model, engines) -> bool:
         """Whether an open lot has no engine that may make its tokens."""
         return any(lot.model == model and not lot.ended and not any(e.revs.get(model, 1) >= lot.least for e in engines)
--- a/lines/trunk/framing.py
+++ b/lines/trunk/framing.py
@@ -10,6 +10,7 @@
 
 _HEAD = struct.Struct(">II")
 MAX_FRAME = 64 << 20
+WORTH = 1024   # bytes of a body from which deflating it is tried
 
 
 class FrameFault(Exception):
@@ -22,6 +23,10 @@
     >>> len(pack(Envelope(call=1)))
     10
     """
+    if len(env.body) >= WORTH:
+        small = zlib.compress(env.body, 1)
+        if len(small) < len(env.body):
+            env = Envelope(call=env.call, code=env.code, verb=env.verb, head=env.head, body=small, packed=True)
     raw = bytes(env)
     return _HEAD.pack(len(raw), zlib.crc32(raw)) + raw
 
@@ -35,11 +40,25 @@
     if zlib.crc32(raw) != crc:
         raise FrameFault("checksum differs")
     try:
-        return Envelope().parse(raw)
+        env = Envelope().parse(raw)
+        if env.packed:
+            env.body, env.packed = _inflate(env.body), False
+        return env
+    except FrameFault:
+        raise
     except Exception as e:
         raise FrameFault(f"no envelope: {e!r}") from e
 
 
+def _inflate(raw: bytes) -> bytes:
+    """A deflated body, no longer than a frame may be."""
+    job = zlib.decompressobj()
+    out = job.decompress(raw, MAX_FRAME)
+    if job.unconsumed_tail or not job.eof:
+        raise FrameFault("deflated body is cut or too long")
+    return out
+
+
 def tune(wr: asyncio.StreamWriter, user_ms: int = 1500) -> None:
     """Small frames at once, and a dead path noticed soon."""
     sock = wr.get_extra_info("socket")
--- a/lines/trunk/messages.py
+++ b/lines/trunk/messages.py
@@ -16,3 +16,4 @@
     verb: str = betterproto.string_field(3)
     head: bytes = betterproto.bytes_field(4)
     body: bytes = betterproto.bytes_field(5)
+    packed: bool = betterproto.bool_field(6)   # the body is deflated
--- a/tests/test_trunk.py
+++ b/tests/test_trunk.py
@@ -1,4 +1,5 @@
 import asyncio
+import zlib
 
 import pytest
 
@@ -31,6 +32,30 @@
     run(go())
 
 
+@pytest.mark.parametrize("body", [b"", b"a" * 1023, b"a" * 5000, bytes(range(256)) * 40, __import__("os").urandom(3000)])
+def test_bodies_come_through_deflated_or_not(run, body):
+    async def go():
+        rd = asyncio.StreamReader()
+        raw = pack(Envelope(call=1, body=body))
+        rd.feed_data(raw)
+        env = await read_frame(rd)
+        assert env.body == body and not env.packed and len(raw) <= len(body) + 20
+        assert len(body) < 4000 or len(raw) < len(body) / 2
+    run(go())
+
+
+@pytest.mark.parametrize("body", [b"no deflate", zlib.compress(b"x" * 5000)[:-3], zlib.compress(bytes((64 << 20) + 1), 9)])
+def test_damaged_deflate_is_a_fault(run, body):
+    async def go():
+        env = Envelope(call=1, body=body, packed=True)
+        raw = bytes(env)
+        rd = asyncio.StreamReader()
+        rd.feed_data(len(raw).to_bytes(4, "big") + zlib.crc32(raw).to_bytes(4, "big") + raw)
+        with pytest.raises(FrameFault):
+            await read_frame(rd)
+    run(go())
+
+
 def build():
     verbs, ctr = Verbs(), Counters()
 
