--- a/lines/counter/window.py
+++ b/lines/counter/window.py
@@ -10,7 +10,7 @@
 
 
 class Window:
-    """Serves handler(request, body) -> Result | None on an address; None means that it wrote the answer itself.
+    """Serves handler(request, body) on an address; it gives a Result, or a stream that it wrote itself.
 
     >>> # win = Window(handler, log, ctr); await win.open("10.0.0.1:8144"); await win.close(grace_s=6)
     """
@@ -56,8 +56,8 @@
             except web.HTTPRequestEntityTooLarge:
                 res = fault_result(2012)
                 res.close = True
-            if res is None:
-                return self._done(req)
+            if isinstance(res, web.StreamResponse):
+                return res
             return await self._write(req, res)
         finally:
             self.under_way -= 1
@@ -77,9 +77,6 @@
             out.headers["Connection"] = "close"
         return out
 
-    def _done(self, req):
-        return req["answer"]
-
     async def close(self, grace_s: float) -> None:
         """Stop accepting, let what is under way finish, then end."""
         end = asyncio.get_running_loop().time() + grace_s
--- a/lines/exchange/core.py
+++ b/lines/exchange/core.py
@@ -387,22 +387,27 @@
     async def _tend_loop(self) -> None:
         while True:
             before = self.clock.now()
-            await asyncio.sleep(self.beat_s * random.uniform(1.0, 1.6))
+            # while a part is still unknown, as after a start, each moment counts
+            hurry = 1.0 if len(self.known) == len(PARTS) else 0.2
+            await asyncio.sleep(self.beat_s * random.uniform(1.0, 1.6) * hurry)
             if self.clock.now() - before > self.quiet_s:
                 self.started = self.clock.now()   # this node stood still: what it heard long ago says nothing
                 self.ctr.add("woke")
-            if not self.in_touch() or self.clock.now() - self.started < self.beat_s * 3:
+            if not self.in_touch():
                 continue
+            settled = self.clock.now() - self.started >= self.beat_s * 3
             for part in PARTS:
                 if self._owners(part)[:1] == [self.id]:
-                    await self._tend(part)
+                    await self._tend(part, settled)
+            if not settled:
+                continue
             await self._tend_stores()
             if self.book.size > (1 << 20) and self.book.size > self.board.read("rewritten", 0) * 4:
                 await self._rewrite()
 
-    async def _tend(self, part: str) -> None:
+    async def _tend(self, part: str, settled: bool) -> None:
         own, base = self.owners[part], self._base(part)
-        want = self._wanted(base)
+        want = self._wanted(base) if settled else None
         if part not in self.known or base["prev"] or want or (own.lead is not None and not own.settled):
             if want:
                 self.log.info("part {}: the group becomes {}", part, sorted(want))
--- a/lines/exchange/store.py
+++ b/lines/exchange/store.py
@@ -35,6 +35,7 @@
         self.quiet_s = boot.secs("ContactMs", 0.25)
         self.woke = self.clock.now()
         self.others = Neighbours()
+        self.met: dict[str, float] = {}
         self.proofs: dict[str, tuple] = {}
         self.engines = Engines()
         self.picker = Picker(boot.zone, boot.zone, rest_s=boot.secs("ContactMs", 0.2))
@@ -135,7 +136,8 @@
         now = self.clock.now()
         if sid == self.id:
             return True
-        return min(self.others.silent(sid, now), now - self.woke) < self.quiet_s
+        met = self.met.setdefault(sid, now)   # one just heard of has not had its time to speak
+        return min(self.others.silent(sid, now), now - max(self.woke, met)) < self.quiet_s
 
     def confirmed(self, run: str, term: int, secs: float) -> bool:
         """Whether another store said within secs that it knows no higher term of a run."""
--- a/lines/switchboard/relay.py
+++ b/lines/switchboard/relay.py
@@ -6,7 +6,7 @@
 import aiohttp
 from aiohttp import web
 
-from ..frame import fault_result
+from ..frame import Result, fault_result
 from ..sends import DEADLINE, ECHO, NOT_RUN, SEAL, pass_on
 from ..sends.events import EventReader
 from ..sends.heads import LAST_ID
@@ -67,7 +67,6 @@
                         out = web.StreamResponse(status=resp.status, headers=pass_on(resp.headers.items()))
                         out.enable_chunked_encoding()
                         await out.prepare(req)
-                        req["answer"] = out
                     rd = EventReader()
                     async for raw in resp.content.iter_any():
                         for ev in rd.feed(raw):
@@ -77,7 +76,7 @@
                         raise ValueError("stream ended inside an event")
                     self.picker.note(line, "served", self.clock.now())
                     await out.write_eof()
-                    return None
+                    return out
             except (aiohttp.ClientError, OSError, ValueError, asyncio.TimeoutError, TimeoutError) as e:
                 ran = ran or not isinstance(e, aiohttp.ClientConnectorError)
                 self.picker.note(line, "faulted", self.clock.now())
@@ -86,12 +85,12 @@
             finally:
                 line.under_way -= 1
         if out is not None:
-            req.transport.abort()
-            return None
+            if req.transport is not None:
+                req.transport.abort()   # an answer that ends early must not look whole
+            return out
         return fault_result(4001) if ran else fault_result(3002, after_s=min(0.25, lane.aim_s * 0.5))
 
 
-def web_answer(resp, data: bytes):
+def web_answer(resp, data: bytes) -> Result:
     """A whole answer as a Result."""
-    from ..frame import Result
     return Result(resp.status, data, pass_on(resp.headers.items()))
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -1,6 +1,7 @@
 """The whole system over real sockets, against the stand-ins of this repository."""
 import asyncio
 
+import aiohttp
 import pytest
 from standins import World, lot, plan
 
@@ -178,7 +179,9 @@
             w.tmp = str(tmp_path / "other")
             await w.add_core(1, first=False)
             core = w.cores[1]
-            await w.until(core.board, "news", lambda: core.id in (core._base("plan") or {"voters": {}})["voters"])
+            # not before the change of the group is whole: in its middle both groups must answer
+            await w.until(core.board, "news", lambda: all(
+                core.id in s["voters"] and not s["prev"] for s in core.known.values()) and len(core.known) == 4)
             await w.kill(w.cores.pop(2))
             assert await w.put_plan(plan(7), 5) == 200
             status, doc = await w.call("PUT", "/api/config", plan(9), {"If-Match": "5"})
@@ -202,3 +205,19 @@
         finally:
             await w.end()
     run(go())
+
+
+def test_stream_that_breaks_off_for_good_does_not_look_whole(run, tmp_path):
+    async def go():
+        w = await world(tmp_path, stores=1, cores=1)
+        try:
+            for r in w.replicas[:2]:
+                r.mood["*"] = "cut"
+            with pytest.raises(aiohttp.ClientError):
+                await w.ask("POST", "/s/x", b"b", rid="st", heads={"X-Archhatch-Model": "m"})
+            for r in w.replicas[:2]:
+                r.mood.clear()
+            assert (await w.ask("POST", "/q/ok", b"x"))[0] == 200
+        finally:
+            await w.end()
+    run(go())
