--- a/lines/counter/window.py
+++ b/lines/counter/window.py
@@ -27,15 +27,16 @@
         return web.BaseRequest(message, payload, protocol, writer, task, asyncio.get_running_loop(),
                                client_max_size=cap)
 
-    async def open(self, addr: str) -> None:
+    async def open(self, addr: str, sock=None) -> None:
+        """Serve on an address, or on a socket that listens already."""
         host, port = addr.rsplit(":", 1)
+        where = {"sock": sock} if sock is not None else {"host": host, "port": int(port), "reuse_address": True}
         self._srv = web.Server(
             self._serve, request_factory=self._factory, auto_decompress=False, access_log=None, logger=_Quiet(self),
             keepalive_timeout=self.limits.get("IdleTimeoutMs", 15000) / 1000, tcp_keepalive=False,
             max_line_size=int(self.limits.get("MaxHeaderBytes", 16384)),
             max_field_size=int(self.limits.get("MaxHeaderBytes", 16384)), lingering_time=1.0)
-        self._site = await asyncio.get_running_loop().create_server(self._srv, host, int(port), backlog=1024,
-                                                                    reuse_address=True)
+        self._site = await asyncio.get_running_loop().create_server(self._srv, backlog=1024, **where)
 
     def port(self) -> int:
         return self._site.sockets[0].getsockname()[1]
--- a/lines/frame/commands.py
+++ b/lines/frame/commands.py
@@ -4,6 +4,7 @@
 import asyncio
 import gc
 import signal
+import socket
 import sys
 
 from absl import flags
@@ -68,12 +69,26 @@
     await node.leave()
 
 
-def _run(make) -> int:
+def _early(boot, name: str):
+    """A socket that listens before the rest of the program is loaded: who calls meanwhile waits, and is not refused."""
+    host, port = boot.listen[name].rsplit(":", 1)
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, int(port)))
+    sock.listen(1024)
+    sock.setblocking(False)
+    return sock
+
+
+def _boot():
     try:
-        boot = read_boot(FLAGS.settings)
+        return read_boot(FLAGS.settings)
     except BootFault as e:
         print(f"archhatch: {e}", file=sys.stderr)
-        return 2
+        return None
+
+
+def _run(boot, make) -> int:
     log = open_logs(boot.node, FLAGS.log)
     try:
         asyncio.run(_live(make(boot, log), boot, log))
@@ -85,20 +100,37 @@
 
 @command("switchboard")
 def _switchboard(args) -> int:
+    boot = _boot()
+    if boot is None:
+        return 2
+    if "FrontHttp" not in boot.listen or "Readiness" not in boot.listen:
+        print("archhatch: settings: Bindings: needs FrontHttp and Readiness", file=sys.stderr)
+        return 2
+    try:
+        sock = _early(boot, "FrontHttp")
+    except OSError as e:
+        print(f"archhatch: settings: Bindings.FrontHttp: {e}", file=sys.stderr)
+        return 1
     from ..switchboard.edge import Edge
-    return _run(Edge)
+    return _run(boot, lambda b, log: Edge(b, log, sock=sock))
 
 
 @command("exchange")
 def _exchange(args) -> int:
-    if args[:1] == ["core"]:
+    if args[:1] not in (["core"], ["store"]):
+        print("archhatch: exchange: say core or store", file=sys.stderr)
+        return 2
+    boot = _boot()
+    if boot is None:
+        return 2
+    if args[0] == "core" and "ControlPlane" not in boot.listen:
+        print("archhatch: settings: Bindings: needs ControlPlane", file=sys.stderr)
+        return 2
+    if args[0] == "core":
         from ..exchange.core import Core
-        return _run(Core)
-    if args[:1] == ["store"]:
-        from ..exchange.store import Store
-        return _run(Store)
-    print("archhatch: exchange: say core or store", file=sys.stderr)
-    return 2
+        return _run(boot, Core)
+    from ..exchange.store import Store
+    return _run(boot, Store)
 
 
 @command("doctor")
--- a/lines/switchboard/edge.py
+++ b/lines/switchboard/edge.py
@@ -30,8 +30,8 @@
     >>> # edge = Edge(boot, log); await edge.start(); await edge.leave()
     """
 
-    def __init__(self, boot, log, clock=None):
-        self.boot, self.log = boot, log
+    def __init__(self, boot, log, clock=None, sock=None):
+        self.boot, self.log, self.sock = boot, log, sock
         self.clock = clock or Clock()
         self.ctr = Counters()
         self.crew = Crew(log, self.ctr)
@@ -54,7 +54,7 @@
         self.relay = Relay(self.caller, self.picker, self.clock, self.ctr, self.live)
         self.lots = LotDesk(self.boot, self.news, self.lines, self.ctr, self.clock)
         await self.door.open(self.boot.listen["Readiness"])
-        await self.window.open(self.boot.listen["FrontHttp"])
+        await self.window.open(self.boot.listen["FrontHttp"], self.sock)
         self.crew.keep("news", self.news.run)
         self.crew.keep("parts", self._parts_loop)
         self.crew.keep("live", self._live_loop)
@@ -112,9 +112,13 @@
         return Result(200 if self.state == "ready" else 503)
 
     async def _front(self, req, body):
+        if self.plan is None:   # just started: the configuration is a moment away
+            await self.board.news("parts", self.board.turn("parts"), self.boot.secs("ContactMs", 0.1))
+            await asyncio.sleep(0)
         plan = self.plan
         if plan is None:
-            return fault_result(3001, after_s=0.3)
+            self.ctr.add("front.no_plan")
+            return fault_result(3001, after_s=self.boot.secs("ContactMs", 0.05))
         target = req.raw_path
         path = target.split("?", 1)[0]
         if path.startswith(("/api/lots/", "/api/items/")):
