--- /dev/null
+++ b/tests/test_troubles.py
@@ -0,0 +1,218 @@
+"""Troubles brought about on a whole system over real sockets: disks lost, machines emptied, taken away, stopped in order."""
+import asyncio
+import shutil
+
+import orjson
+import pytest
+from standins import World, lot, plan
+
+
+async def world(tmp_path, **kw):
+    w = await World(str(tmp_path), **kw).start()
+    assert await w.put_plan(plan(), 0) == 200
+    for _ in range(2):
+        await w.add_replica("llm", {"m": 1})
+    await w.add_replica("quote")
+    await w.until(w.edge.board, "roll", lambda: len(w.edge.picker.all) == 3)
+    return w
+
+
+def holder(w):
+    return next((s for s in w.stores.values() for r in s.reigns.values() if r.state == "holding"), None)
+
+
+def copies(w, lid, total):
+    return sum(1 for s in w.stores.values() if s.shelf.lots.get(lid, {}).get("lot") is not None
+               and len(s.shelf.lots[lid]["results"]) == total)
+
+
+async def lose_disk(w, i):
+    """A store dies, loses its disk, and comes back at its address."""
+    old = w.stores.pop(i)
+    await w.kill(old)
+    shutil.rmtree(old.boot.data_dir)
+    await w.add_store(i, first=False)
+    return old.id
+
+
+async def kill_store(w, i):
+    await w.kill(w.stores.pop(i))
+
+
+@pytest.mark.parametrize("which", ["holder", "other"])
+def test_a_disk_is_lost_repaired_and_then_another(run, tmp_path, which):
+    async def go():
+        w = await world(tmp_path)
+        try:
+            assert await w.hand_in("lot1", lot()) == 202
+            rows = await w.read_all("lot1")
+            first = next(i for i, s in w.stores.items() if (s is holder(w)) is (which == "holder"))
+            gone = await lose_disk(w, first)
+            edge = w.edge
+            # repaired: the old disk is no member any more, and two stores hold everything
+            await w.until(edge.board, "parts", lambda: gone not in edge.news.parts["plan"]["stores"]
+                          and w.stores[first].id in edge.news.parts["plan"]["stores"])
+            await w.until(edge.board, "parts", lambda: copies(w, "lot1", 4) >= 2)
+            second = next(i for i, s in w.stores.items() if i != first)
+            await lose_disk(w, second)
+            assert await w.read_all("lot1") == rows
+            assert await w.hand_in("lot2", lot(name="b")) == 202
+            assert len(await w.read_all("lot2")) == 4
+        finally:
+            await w.end()
+    run(go())
+
+
+def test_a_store_is_emptied_and_taken_away(run, tmp_path):
+    async def go():
+        w = await world(tmp_path, stores=4)
+        try:
+            assert await w.hand_in("lot1", lot()) == 202
+            rows = await w.read_all("lot1")
+            i = next(i for i, s in w.stores.items() if s is holder(w))
+            name = w.stores[i].boot.node
+            assert (await w.call("POST", "/api/retire/nobody", {"DeadlineS": 9}))[0] == 404
+            assert (await w.call("POST", f"/api/retire/{name}", {"DeadlineS": 9}))[0] == 200
+            while (await w.call("GET", f"/api/retire/{name}"))[1]["OperState"] != "complete":
+                pass
+            await kill_store(w, i)
+            other = next(s.boot.node for s in w.stores.values())
+            assert (await w.call("POST", f"/api/retire/{other}", {"DeadlineS": 9}))[0] == 409
+            await lose_disk(w, next(iter(w.stores)))
+            assert await w.read_all("lot1") == rows
+        finally:
+            await w.end()
+    run(go())
+
+
+def test_power_is_lost_by_all_stores_and_control_nodes(run, tmp_path):
+    async def go():
+        w = await world(tmp_path)
+        try:
+            assert await w.hand_in("lot1", lot()) == 202
+            rows = await w.read_all("lot1")
+            assert await w.put_plan(plan(8), 1) == 200
+            for s in list(w.stores.values()):
+                await w.kill(s)
+            for c in list(w.cores.values()):
+                await w.kill(c)
+            w.stores, w.cores = {}, {}
+            for i in (1, 2, 3):
+                await w.add_core(i, first=False)
+                await w.add_store(i, first=False)
+            assert (await w.call("GET", "/api/config"))[1] == plan(8)
+            for r in w.replicas:
+                await w.beat(r)
+            assert await w.read_all("lot1") == rows
+        finally:
+            await w.end()
+    run(go())
+
+
+def test_holder_that_ends_in_order_names_its_successor(run, tmp_path):
+    async def go():
+        w = await world(tmp_path)
+        try:
+            assert await w.hand_in("lot1", lot()) == 202
+            rows = await w.read_all("lot1")
+            i = next(i for i, s in w.stores.items() if s is holder(w))
+            old = w.stores.pop(i)
+            await old.leave()
+            assert old.ctr.all["tenure.claim.1000"] >= 2      # its own, and the one it made for the next
+            assert await w.read_all("lot1") == rows
+        finally:
+            await w.end()
+    run(go())
+
+
+def test_edge_ends_in_order_under_load(run, tmp_path):
+    async def go():
+        w = await world(tmp_path)
+        try:
+            asks = [asyncio.ensure_future(w.ask("POST", "/q/x", b"%d" % n, rid=f"r{n}")) for n in range(20)]
+            end = asyncio.ensure_future(w.edge.leave())
+            await w.until(w.edge.board, "nothing", lambda: w.edge.state == "leaving")
+            async with w.http.get(f"http://{w.net}.3.1:{w.ready}/api/readiness") as resp:
+                assert resp.status == 503
+            late = await w.ask("POST", "/q/late", b"late", rid="late")
+            assert late[0] == 200 and late[2]["Connection"] == "close"
+            assert [(s, b) for s, b, _ in await asyncio.gather(*asks)] == [(200, b"answer to %d" % n) for n in range(20)]
+            await end
+        finally:
+            await w.end()
+    run(go())
+
+
+def test_control_node_that_is_cut_off_refuses_and_others_go_on(run, tmp_path):
+    async def go():
+        w = await world(tmp_path)
+        try:
+            lone = w.cores[1]
+            for other in list(lone.cores.cards):          # what a cut does to what it hears
+                lone.cores.heard.pop(other, None)
+            lone._heed = lambda doc: None
+            async with w.http.put(f"http://{w.net}.1.1:{w.control}/api/instances/i", data=b"{}") as resp:
+                assert resp.status == 400                  # what cannot be read is refused by anyone
+            beat = orjson.dumps(w.replicas[2].beat("draining"))
+            async with w.http.put(f"http://{w.net}.1.1:{w.control}/api/instances/{w.replicas[2].iid}", data=beat) as resp:
+                assert resp.status == 503                  # a draining that it cannot spread is not acknowledged
+            assert await w.put_plan(plan(5), 1) == 200
+            await w.until(w.edge.board, "parts", lambda: w.edge.plan.stamp == 5)
+        finally:
+            await w.end()
+    run(go())
+
+
+def test_seeds_are_exchanged_for_others(run, tmp_path):
+    async def go():
+        w = await world(tmp_path)
+        try:
+            for new, old in ((4, 1), (5, 2), (6, 3)):
+                await w.add_core(new, first=False)
+                node = w.cores[new]
+                await w.until(node.board, "news", lambda: len(node.known) == 4 and all(
+                    node.id in s["voters"] and not s["prev"] for s in node.known.values()))
+                gone = w.cores.pop(old)
+                await gone.leave()
+                await w.until(node.board, "news", lambda: all(
+                    gone.id not in s["voters"] and not s["prev"] for s in node.known.values())
+                    or len(node.known["plan"]["voters"]) >= 3)
+            assert await w.put_plan(plan(5), 1) == 200
+            assert (await w.call("GET", "/api/config"))[1] == plan(5)
+            await w.until(w.edge.board, "parts", lambda: w.edge.plan.stamp == 5)
+        finally:
+            await w.end()
+    run(go())
+
+
+def test_an_address_is_used_again_by_another_service(run, tmp_path):
+    async def go():
+        w = await world(tmp_path)
+        try:
+            other = await w.add_replica("quote")
+            await w.until(w.edge.board, "roll", lambda: other.iid in w.edge.picker.all)
+            w.edge.picker.all[other.iid].under_way = 50
+            w.replicas[2].iid = "i-somebody-else"          # its machine now serves another
+            status, data, _ = await w.ask("POST", "/n/x", b"once")
+            assert (status, data) == (200, b"answer to once") and w.replicas[2].seen == []
+        finally:
+            await w.end()
+    run(go())
+
+
+def test_two_operators_race_and_one_is_invalid(run, tmp_path):
+    async def go():
+        w = await world(tmp_path)
+        try:
+            a, b = plan(5), {**plan(6), "Limits": {"MaxBodyBytes": 7}}
+            out = await asyncio.gather(w.put_plan(a, 1), w.put_plan(b, 1))
+            assert sorted(out) == [200, 412]
+            now = (await w.call("GET", "/api/config"))[1]
+            assert now == (a if out[0] == 200 else b)
+            bad = {**plan(9), "ServiceTable": []}
+            assert await w.put_plan(bad, now["Revision"]) == 400
+            assert await w.put_plan(now, 1) == 200          # the one that prevailed, sent once more
+            assert (await w.call("GET", "/api/config"))[1] == now
+        finally:
+            await w.end()
+    run(go())
