--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,161 @@
+"""Weight orders: at most one holder's, none too late, none unresolved; which engines load when."""
+import asyncio
+from types import SimpleNamespace
+
+import orjson
+import pytest
+from transitions import Machine
+
+from lines.dialplan import Plan
+from lines.frame import Board, Counters, open_logs
+from lines.frame.boot import check_boot
+from lines.supervisor import Engines, Orders
+from lines.supervisor.reign import MOVES
+
+BOOT = check_boot({"NodeName": "n", "IpAddress": "1.1.1.1", "InternalPorts": [1, 9],
+                   "Bounds": {"LeaseMs": 300, "ContactMs": 300}})
+
+
+class Resp:
+    def __init__(self, status, doc):
+        self.status, self.doc, self.headers = status, doc, {}
+
+    async def read(self):
+        return orjson.dumps(self.doc)
+
+    async def __aenter__(self):
+        if self.status == 0:
+            raise OSError("reset")
+        return self
+
+    async def __aexit__(self, *a):
+        return False
+
+
+class FakeReplica:
+    """Answers orders from a script, and reports what it holds."""
+
+    def __init__(self, script=(), rev=1, count=0):
+        self.script, self.rev, self.count, self.orders, self.reports = list(script), rev, count, [], 0
+
+    def ask(self, addr, iid, method, target, heads, body, secs):
+        if target == "/api/report":
+            self.reports += 1
+            return Resp(200, {"ModelList": [{"Name": "m", "Revision": self.rev}], "Utilization": False,
+                              "Sequence": self.count})
+        doc = orjson.loads(body)
+        self.orders.append(doc)
+        status, taken = self.script.pop(0) if self.script else (202, True)
+        if taken:
+            self.rev, self.count = doc["Revision"], self.count + 1
+        return Resp(status, {})
+
+
+class FakeReign:
+    def __init__(self, clock):
+        self.run, self.term, self.lots, self.state = "s", 7, {}, "holding"
+        self.clock, self.allowed, self.noted, self.right_s = clock, True, [], 0.1
+
+    def may_order(self, iid=None):
+        return self.allowed
+
+    async def intend(self, iid):
+        self.noted.append(iid)
+        return self.clock.now() + self.right_s
+
+    def over(self):
+        self.state = "over"
+
+
+def setup(clock, replica, named=2, models=("m",), n=1):
+    engines = Engines()
+    engines.fold([{"id": f"e{i}", "addr": f"a{i}", "service": "s", "zone": "z", "slots": 4, "state": "up",
+                   "models": {m: 1 for m in models}} for i in range(n)])
+    st = SimpleNamespace(boot=BOOT, board=Board(), clock=clock, ctr=Counters(), engines=engines, caller=replica,
+                         log=open_logs("t", "CRITICAL"), beat_s=0.001, gap_s=lambda: 0.02,
+                         named=lambda: {m: named for m in models}, models_of=lambda run: list(models),
+                         plan=Plan({"Revision": 1, "RouteTable": [], "ServiceTable": []}),
+                         dispatch=SimpleNamespace(short=lambda reign, model: False), crew=None)
+    st.reigns = {"s": FakeReign(clock)}
+    st.tasks = []
+    st.crew = SimpleNamespace(once=lambda name, fn, *args: st.tasks.append(asyncio.ensure_future(fn(*args))))
+    return st, st.reigns["s"], Orders(st)
+
+
+async def settle(orders):
+    """Start what may start, until nothing is under way and nothing more starts."""
+    tasks = orders.st.tasks
+    while orders._start_one() or tasks:
+        await asyncio.gather(*tasks)
+        tasks.clear()
+
+
+@pytest.mark.parametrize("script, sent, rev", [
+    ([(202, True)], 1, 2),
+    ([(200, True)], 1, 2),
+    ([(0, True)], 1, 2),               # no answer, but taken: the report shows it, nothing is ordered twice
+    ([(409, False), (202, True)], 2, 2),
+    ([(0, False), (202, True)], 2, 2)])  # no answer and not taken: the report shows that too
+def test_an_order_is_cleared_up_before_the_next(run, clock, script, sent, rev):
+    async def go():
+        rep = FakeReplica(script)
+        st, reign, orders = setup(clock, rep)
+        began = asyncio.get_running_loop().time()
+        clock.now = lambda: 100.0 + asyncio.get_running_loop().time() - began
+        await settle(orders)
+        assert len(rep.orders) == sent and st.engines.all["e0"].revs["m"] == rev
+        assert all(o["FenceToken"] == 7 and o["Owner"] == "n" for o in rep.orders)
+        assert len(reign.noted) == sent
+    run(go())
+
+
+@pytest.mark.parametrize("why", ["deposed", "stood still"])
+def test_no_order_by_one_who_may_not(run, clock, why):
+    async def go():
+        rep = FakeReplica()
+        st, reign, orders = setup(clock, rep)
+        if why == "deposed":
+            reign.allowed = False
+        else:
+            reign.right_s = 0.0           # thawed after its note: the right to order has run out
+        orders._start_one()
+        await asyncio.gather(*st.tasks)
+        assert rep.orders == [] and st.engines.all["e0"].held == set() and orders.out == 0
+    run(go())
+
+
+@pytest.mark.parametrize("n, models, short, loaded", [
+    (4, ("m",), False, 4),                 # one trainer: every replica
+    (4, ("m", "k"), False, 2),             # two: an even share each
+    (5, ("m", "k", "j"), False, 2),
+    (4, ("m", "k"), True, 4)])             # items wait for places: more of them
+def test_how_many_load(clock, n, models, short, loaded):
+    st, reign, orders = setup(clock, FakeReplica(), models=models, n=n)
+    st.dispatch.short = lambda r, m: short and m == "m"
+    es = list(st.engines.all.values())
+    got = 0
+    while orders._wanted(reign, "m", es, 2) and got < n:
+        es[got].proven("m", 2)
+        got += 1
+    assert got == loaded
+
+
+REIGN = [("reading", "gathered", "holding"), ("reading", "deposed", "over"), ("holding", "deposed", "over"),
+         ("over", "deposed", "over")]
+
+
+@pytest.mark.parametrize("state, sign, dest", REIGN)
+def test_states_of_a_reign(state, sign, dest):
+    model = SimpleNamespace()
+    Machine(model, states=["reading", "holding", "over"], initial=state, transitions=MOVES, auto_transitions=False)
+    getattr(model, sign)()
+    assert model.state == dest
+
+
+@pytest.mark.parametrize("state", ["holding", "over"])
+def test_nothing_is_gathered_twice(state):
+    from transitions import MachineError
+    model = SimpleNamespace()
+    Machine(model, states=["reading", "holding", "over"], initial=state, transitions=MOVES, auto_transitions=False)
+    with pytest.raises(MachineError):
+        model.gathered()
