--- a/tests/test_partyline.py
+++ b/tests/test_partyline.py
@@ -262,3 +262,16 @@
         assert (await k.accept((2, "b"), new))["ok"] and not (await k.accept((2, "b"), old))["ok"]
         assert k.ctr.all["part.accept_stale"] == 1
     run(go())
+
+
+def test_cut_in_two_only_the_larger_side_goes_on(run):
+    async def go():
+        net = Net("abcde")
+        await net.do("a", "put", v=1)
+        net.split = {"a", "b"}
+        with pytest.raises(Unclear):
+            await net.do("a", "put", v=2, match=1)
+        assert await net.do("c", "put", v=3, match=1) == (1000, 3)
+        net.split = None
+        assert await net.do("a", "get") == (1000, 3) and await net.do("b", "get") == (1000, 3)
+    run(go())
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -216,3 +216,74 @@
         finally:
             await w.end()
     run(go())
+
+
+def test_a_store_is_replaced_by_an_empty_one_at_another_address(run, tmp_path):
+    async def go():
+        w = await world(tmp_path)
+        try:
+            assert await w.hand_in("lot1", lot()) == 202
+            rows = await w.read_all("lot1")
+            i = next(i for i, s in w.stores.items() if s is not holder(w))
+            gone = w.stores[i].id
+            await kill_store(w, i)
+            await w.add_store(9, first=False)
+            await w.until(w.edge.board, "parts", lambda: gone not in w.edge.news.parts["plan"]["stores"])
+            await w.until(w.edge.board, "parts", lambda: copies(w, "lot1", 4) >= 2)
+            await kill_store(w, next(i for i in w.stores if i != 9))   # the new one must be as good as the old
+            assert await w.read_all("lot1") == rows
+        finally:
+            await w.end()
+    run(go())
+
+
+def test_a_replica_goes_dark_in_the_middle_of_its_streams(run, tmp_path):
+    async def go():
+        w = await world(tmp_path)
+        try:
+            w.replicas[0].gate.clear()       # two events, then silence for good
+            assert await w.hand_in("lot1", lot(groups=2)) == 202
+            rows = await w.read_all("lot1")
+            assert len(rows) == 4 and all(x["OperState"] == "complete" for x in rows)
+            for x in rows:
+                assert x["Text"].split("\n") == [f"{x['InstanceId']}/{n}" for n in (1, 2, 3, 4)]
+            assert holder(w).ctr.all["item.silent"] >= 1
+            assert any(first == 3 for _, first, _ in w.replicas[1].runs)   # it went on behind what was there
+        finally:
+            w.replicas[0].gate.set()
+            await w.end()
+    run(go())
+
+
+def test_a_holder_that_stood_still_neither_reads_nor_orders(run, tmp_path):
+    async def go():
+        w = await world(tmp_path)
+        try:
+            assert await w.hand_in("lot1", lot()) == 202
+            await w.read_all("lot1")
+            old = holder(w)
+            reign = next(iter(old.reigns.values()))
+            assert reign.fresh() and reign.may_order()
+            now = old.clock.now
+            old.clock.now = lambda: now() + 30     # it wakes 30 s later, before it heard anybody
+            assert not reign.fresh() and not reign.may_order()
+        finally:
+            await w.end()
+    run(go())
+
+
+def test_the_time_of_day_is_read_nowhere():
+    """Clocks of machines jump: nothing may hang on them."""
+    import os
+    import re
+
+    from conftest import ROOT
+    bad = re.compile(r"time\.time\(|datetime|utcnow|time_ns\(|localtime|gmtime")
+    seen = 0
+    for folder, _, names in os.walk(os.path.join(ROOT, "lines")):
+        for name in names:
+            if name.endswith(".py"):
+                seen += 1
+                with open(os.path.join(folder, name)) as f:
+                    assert not bad.search(f.read()), name
+    assert seen > 40
