--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -4,21 +4,8 @@
 
 import orjson
 import pytest
-from standins import World, lot, plan
-
-
-async def world(tmp_path, **kw):
-    w = await World(str(tmp_path), **kw).start()
-    assert await w.put_plan(plan(), 0) == 200
-    for _ in range(2):
-        await w.add_replica("llm", {"m": 1})
-    await w.add_replica("quote")
-    await w.until(w.edge.board, "roll", lambda: len(w.edge.picker.all) == 3)
-    return w
-
-
-def holder(w):
-    return next((s for s in w.stores.values() for r in s.reigns.values() if r.state == "holding"), None)
+from standins import lot, plan
+from test_system import holder, world
 
 
 def copies(w, lid, total):
