--- /dev/null
+++ b/lines/cordboard/__init__.py
@@ -0,0 +1,8 @@
+"""Share groups (KIP-932) on the step log: the leader's window, the workers that draw from it, and their state on disk."""
+from .journal import WindowJournal
+from .leader import Leader
+from .queue import LotQueue
+from .window import BadMove, Entry, State, Window
+from .worker import Worker
+
+__all__ = ["BadMove", "Entry", "Leader", "LotQueue", "State", "Window", "WindowJournal", "Worker"]
--- /dev/null
+++ b/lines/cordboard/journal.py
@@ -0,0 +1,86 @@
+"""Share-group state on disk (KIP-932's ShareSnapshot and ShareUpdate): full snapshots plus deltas, fenced by epochs."""
+from __future__ import annotations
+
+import orjson
+
+from ..tickets import Rec
+from .window import State, Window
+
+EVERY = 32   # deltas after which a new snapshot is written
+
+
+def batches(marks: dict) -> list:
+    """Runs of offsets with the same state and count: [[first, last, state, deliveries], ...].
+
+    >>> batches({0: (2, 1), 1: (2, 1), 3: (0, 2)})
+    [[0, 1, 2, 1], [3, 3, 0, 2]]
+    """
+    out: list = []
+    for off in sorted(marks):
+        state, count = marks[off]
+        if out and out[-1][1] == off - 1 and out[-1][2:] == [state, count]:
+            out[-1][1] = off
+        else:
+            out.append([off, off, state, count])
+    return out
+
+
+class WindowJournal:
+    """Makes the records of one window and reads them back.
+
+    >>> # rec = journal.next(window); await copier.put(run, epoch, [rec])
+    """
+
+    def __init__(self, run: str, partition: str):
+        self.run, self.partition = run, partition
+        self.snapshot_epoch = 0
+        self.number = 0    # of the last delta behind the snapshot
+
+    def _rec(self, kind: str, epoch: int, doc: dict) -> Rec:
+        head = {"k": kind, "lot": f"window|{self.partition}", "run": self.run, "part": self.partition, "term": epoch,
+                "se": self.snapshot_epoch, "n": self.number}
+        return Rec(head, orjson.dumps(doc))
+
+    def next(self, win: Window) -> Rec | None:
+        """A snapshot when one is due, else a delta of what changed; None if nothing did."""
+        if not win.dirty and self.snapshot_epoch:
+            return None
+        if not self.snapshot_epoch or self.number >= EVERY:
+            self.snapshot_epoch += 1
+            self.number = 0
+            marks = {o: (int(State.AVAILABLE), e.deliveries) for o, e in win.entries.items() if e.deliveries}
+            win.dirty = {}
+            return self._rec("S", win.epoch, {"start": win.start, "next": win.next, "batches": batches(marks)})
+        self.number += 1
+        marks, win.dirty = win.dirty, {}
+        return self._rec("U", win.epoch, {"start": win.start, "next": win.next, "batches": batches(marks)})
+
+    def restore(self, win: Window, found: list, ctr) -> None:
+        """Load the newest snapshot among the records that stores told, then its deltas in order up to the first gap.
+
+        found: [(head, body), ...] from several stores, in any order, doubles included.
+        """
+        snaps = [(h["term"], h["se"], h, b) for h, b in found if h["k"] == "S"]
+        if not snaps:
+            return
+        epoch, serial, head, body = max(snaps, key=lambda x: x[:2])
+        ups = {h["n"]: b for h, b in found if h["k"] == "U" and (h["term"], h["se"]) == (epoch, serial)}
+        docs = [body]
+        while len(docs) in ups:
+            docs.append(ups[len(docs)])
+        if len(docs) - 1 != len(ups):
+            ctr.add("share.delta_missing")
+        for n, raw in enumerate(docs):
+            try:
+                doc = orjson.loads(raw)
+                marks = [(int(a), int(b), int(s), int(c)) for a, b, s, c in doc["batches"]]
+                win.start, win.next = int(doc["start"]), max(win.next, int(doc["next"]))
+            except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
+                ctr.add("share.delta_damaged" if n else "share.snapshot_damaged")
+                break
+            for first, last, _, count in marks:
+                for off in range(first, last + 1):
+                    win.counts[off] = count
+        win.end = win.start
+        win.counts = {o: c for o, c in win.counts.items() if o >= win.start}
+        self.snapshot_epoch = serial
--- /dev/null
+++ b/lines/cordboard/window.py
@@ -0,0 +1,171 @@
+"""The share partition's window (KIP-932): which entries of a partition of the step log are in flight, and with whom."""
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+from transitions import Machine
+
+
+class State(enum.IntEnum):
+    """The states of an entry; the numbers are those of KIP-932's delivery states."""
+    AVAILABLE = 0
+    ACQUIRED = 1
+    ACKNOWLEDGED = 2
+    ARCHIVED = 4
+
+
+MOVES = [
+    {"trigger": "acquire", "source": "AVAILABLE", "dest": "ACQUIRED"},
+    {"trigger": "release", "source": "ACQUIRED", "dest": "AVAILABLE"},
+    {"trigger": "accept", "source": "ACQUIRED", "dest": "ACKNOWLEDGED"},
+    {"trigger": "reject", "source": "ACQUIRED", "dest": "ARCHIVED"},
+    {"trigger": "archive", "source": ["AVAILABLE", "ACQUIRED"], "dest": "ARCHIVED"},
+    {"trigger": "found", "source": ["AVAILABLE", "ACQUIRED"], "dest": "ACKNOWLEDGED"},
+]
+FINAL = (State.ACKNOWLEDGED, State.ARCHIVED)
+
+
+def _table() -> dict:
+    """The machine's moves as a look-up: entries come by the ten thousand, one machine serves them all."""
+    Machine(model=None, states=[s.name for s in State], initial="AVAILABLE", transitions=MOVES, auto_transitions=False)
+    out = {}
+    for m in MOVES:
+        for src in [m["source"]] if isinstance(m["source"], str) else m["source"]:
+            out[State[src], m["trigger"]] = State[m["dest"]]
+    return out
+
+
+TABLE = _table()
+
+
+class BadMove(Exception):
+    """A settlement of an entry that is not the caller's, or of another acquisition: it counts for nothing."""
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    """One item of an open lot at its offset. partial: what released runs made of its text."""
+    offset: int
+    lot: object
+    item: object
+    rank: int
+    state: State = State.AVAILABLE
+    deliveries: int = 0
+    worker: str = ""
+    until: float = 0.0
+    settling: bool = False
+    engine: object = None      # where it runs, while its stream takes a place there
+    fails: int = 0
+    texts: list = field(default_factory=list)
+    last_id: str = ""
+    versions: set = field(default_factory=set)
+    not_before: float = 0.0
+    recalled: bool = False
+
+    def drop_text(self) -> None:
+        """Start over: what was made does not fit."""
+        self.texts, self.last_id, self.versions = [], "", set()
+
+    def fits(self, version: int, single: bool) -> bool:
+        """Whether a run under a version may go on with this text: the one place where that is decided.
+
+        >>> Entry(0, type("L", (), {"least": 2})(), None, 0, texts=["a"], versions={3}).fits(4, True)
+        False
+        """
+        if version < self.lot.least or any(v < self.lot.least for v in self.versions):
+            return False
+        return not (single and self.versions and self.versions != {version})
+
+
+class Window:
+    """Entries by offset. Before start all are final; from end on none was ever acquired; between them they are in
+    flight. Locks are timed on the steady clock and at most most_locks at once.
+
+    >>> w = Window("m", 3, lock_s=30.0, most_locks=200); e = w.append(None, None, 0)
+    >>> w.acquire(e, "w1", 0.0); w.settle(e.offset, "w1", 1, "accept").state.name, w.start
+    ('ACKNOWLEDGED', 1)
+    """
+
+    def __init__(self, partition: str, epoch: int, lock_s: float, most_locks: int):
+        self.partition, self.epoch = partition, epoch
+        self.lock_s, self.most_locks = lock_s, most_locks
+        self.start = self.end = 0
+        self.next = 0                        # the offset of the next entry that is appended
+        self.entries: dict[int, Entry] = {}  # those that are not final
+        self.locked: dict[int, Entry] = {}
+        self.counts: dict[int, int] = {}     # delivery counts read from a snapshot, until their entries are appended
+        self.dirty: dict[int, tuple] = {}    # offset -> (state, deliveries) since the last delta
+
+    def _move(self, e: Entry, trigger: str) -> None:
+        to = TABLE.get((e.state, trigger))
+        if to is None:
+            raise BadMove(f"{self.partition}@{e.offset}: {e.state.name} knows no {trigger}")
+        e.state = to
+        if to is not State.ACQUIRED:
+            self.locked.pop(e.offset, None)
+            e.settling = False
+            # acquisitions are not written down, as in KIP-932: a new leader presents them again
+            self.dirty[e.offset] = (int(to), e.deliveries)
+        if to in FINAL:
+            self.entries.pop(e.offset, None)
+            self._advance()
+
+    def _advance(self) -> None:
+        while self.start < self.next and self.start not in self.entries:
+            self.start += 1
+        self.end = max(self.end, self.start)
+
+    def append(self, lot, item, rank: int, offset: int | None = None) -> Entry:
+        """A new entry behind all others, or at the offset that it had under an earlier leader."""
+        at = self.next if offset is None or offset in self.entries or offset < self.start else offset
+        e = self.entries[at] = Entry(at, lot, item, rank)
+        e.deliveries = self.counts.pop(at, 0)
+        self.next = max(self.next, at + 1)
+        return e
+
+    def skip(self, offset: int) -> None:
+        """An offset whose entry was final before this leader came."""
+        self.next = max(self.next, offset + 1)
+        self.counts.pop(offset, None)
+        self._advance()
+
+    def room(self) -> int:
+        """Locks that are left."""
+        return self.most_locks - len(self.locked)
+
+    def acquire(self, e: Entry, worker: str, now: float) -> None:
+        """Lock an Available entry for a worker; raises the delivery count."""
+        if self.room() <= 0:
+            raise BadMove(f"{self.partition}: all {self.most_locks} locks are taken")
+        self._move(e, "acquire")
+        e.deliveries += 1
+        e.worker, e.until, e.recalled = worker, now + self.lock_s, False
+        self.locked[e.offset] = e
+        self.end = max(self.end, e.offset + 1)
+
+    def held(self, offset: int, worker: str, delivery: int) -> Entry:
+        """The entry of a settlement; BadMove unless this worker holds this very acquisition."""
+        e = self.locked.get(offset)
+        if e is None or e.worker != worker or e.deliveries != delivery:
+            raise BadMove(f"{self.partition}@{offset}: not held by {worker} with delivery {delivery}")
+        return e
+
+    def settle(self, offset: int, worker: str, delivery: int, kind: str) -> Entry:
+        """accept, release or reject an entry."""
+        e = self.held(offset, worker, delivery)
+        self._move(e, kind)
+        return e
+
+    def give_up(self, e: Entry) -> None:
+        """Take a lock back: it ran out, or its worker is gone."""
+        self._move(e, "release")
+
+    def finish(self, e: Entry, found: bool = False) -> None:
+        """No more runs of this entry: its lot ended, or it was found settled."""
+        if e.state not in FINAL:
+            self._move(e, "found" if found else "archive")
+
+    def expired(self, now: float) -> list[Entry]:
+        """Entries whose lock ran out. One that is being settled keeps it."""
+        return [e for e in self.locked.values() if now >= e.until and not e.settling]
--- /dev/null
+++ b/lines/cordboard/worker.py
@@ -0,0 +1,404 @@
+"""A worker of the share groups (KIP-932): draws entries from the leaders, drives replicas with them, settles them."""
+from __future__ import annotations
+
+import asyncio
+import base64
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+import aiohttp
+import orjson
+
+from ..sends import ECHO, EXPECT_REV, NOT_RUN, SEAL, VERSIONS
+from ..sends.events import EventReader
+from ..sends.heads import LAST_ID, URGENCY
+from ..supervisor.lull import Lull
+from ..supervisor.scoring import Scoring
+from ..trunk import LineFault, Refusal
+
+
+@dataclass(eq=False)
+class Job:
+    """An acquired entry in a worker's hands. state: running, scoring, settling."""
+    run: str
+    card: dict
+    until: float                 # the lock's end by this node's steady clock
+    state: str = "running"
+    texts: list = field(default_factory=list)
+    last_id: str = ""
+    versions: set = field(default_factory=set)
+    fails: int = 0
+    score_fails: int = 0
+    signs: list = field(default_factory=list)
+    pause: float = 0.0
+    forget_home: bool = False
+    off_told: bool = False
+    row: dict | None = None      # its settlement, until the leader committed it
+    task: object = None
+    item: object = None
+    may_send: object = None
+
+    def key(self) -> tuple:
+        return self.card["lot"], self.card["iid"]
+
+    def drop_text(self) -> None:
+        self.texts, self.last_id, self.versions = [], "", set()
+
+
+class Desk:
+    """What a worker keeps of one run: its leader's epoch, the entries in hand, settlements on their way."""
+
+    def __init__(self):
+        self.epoch = 0
+        self.attach = True
+        self.poll = 0
+        self.jobs: dict[tuple, Job] = {}
+        self.off: list = []           # streams that ended, until a poll that told of them was answered
+        self.got: list = []           # batches that came
+        self.heard = float("-inf")    # when the leader's last answered question was sent
+        self.poke = asyncio.Event()
+        self.ready = asyncio.Event()  # settlements wait
+
+
+class Worker:
+    """Pulls from the leader of every run and runs what it gets.
+
+    >>> # worker = Worker(store); crew.keep("worker", worker.run)
+    """
+
+    def __init__(self, store):
+        self.st = store
+        self.desks: dict[str, Desk] = {}
+        self.lull = Lull()
+        self.scoring = Scoring(store, self.lull)
+        self.hold_s = store.boot.secs("CancelMs", 0.25)
+        self.touch_s = store.boot.secs("CancelMs", 0.5)
+
+    async def run(self) -> None:
+        """One pulling and one committing task for each run that there is."""
+        st, turn = self.st, 0
+        while True:
+            for run in st.tenures():
+                if run not in self.desks:
+                    self.desks[run] = Desk()
+                    st.crew.keep("pull", self._pull, run)
+                    st.crew.keep("commit", self._commit, run)
+                desk, lead = self.desks[run], self._leader(run)
+                if lead is not None and lead[0] != desk.epoch:
+                    desk.poke.set()   # another leads now: don't wait for the old one's answer
+            self.lull.heed(st.news.busy)
+            turn = await st.board.news("work", turn, st.beat_s)
+
+    def _leader(self, run: str):
+        ten = self.st.tenures().get(run)
+        member = self.st.members().get(ten["holder"]) if ten else None
+        return (ten["term"], ten["holder"], member["addr"]) if member else None
+
+    async def _ask(self, sid: str, addr: str, verb: str, doc: dict, body: bytes, secs: float):
+        """Call the leader, which may be this very node."""
+        if sid == self.st.id:
+            try:
+                out = await self.st.verbs.table[verb](doc, body)
+            except Refusal as e:
+                return e.code, e.doc, b""
+            doc, raw = out if isinstance(out, tuple) else (out, b"")
+            return 1000, doc, raw
+        return await self.st.lines.to(addr).call(verb, doc, body, secs=secs)
+
+    # -- pulling
+
+    async def _pull(self, run: str) -> None:
+        st, desk = self.st, self.desks[run]
+        while True:
+            lead = self._leader(run)
+            if lead is None or not st.ready or st.leaving:
+                await asyncio.sleep(st.beat_s)
+                continue
+            if lead[0] != desk.epoch:
+                desk.epoch, desk.attach = lead[0], True
+            desk.poke.clear()
+            poll = st.crew.once("poll", self._poll, run, desk, lead)
+            poke = asyncio.ensure_future(desk.poke.wait())
+            try:
+                await asyncio.wait([poll, poke], return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                poke.cancel()
+            if poll.done() and not poll.cancelled() and poll.result() is not True:
+                await asyncio.sleep(st.beat_s * 0.25)
+
+    async def _poll(self, run: str, desk: Desk, lead: tuple) -> bool:
+        """One question to the leader; takes up what it answers. False if it gave nothing to go on."""
+        st, (epoch, sid, addr) = self.st, lead
+        sent = st.clock.now()
+        desk.poll += 1
+        off, got = list(desk.off), list(desk.got)
+        held = [j for j in desk.jobs.values()] if desk.attach else None
+        doc = {"worker": st.id, "life": st.life, "zone": st.boot.zone, "lag": st.lag, "run": run, "epoch": epoch,
+               "poll": desk.poll, "hold": self.hold_s, "off": off, "got": got,
+               "holding": None if held is None else [
+                   [*j.key(), j.card["engine"] if j.state == "running" else None] for j in held]}
+        try:
+            code, out, raw = await self._ask(sid, addr, "share.fetch", doc, b"", self.hold_s + st.quiet_s)
+        except LineFault:
+            return False
+        if epoch != desk.epoch:
+            return True
+        if code == 3007:
+            desk.attach = True
+        if code != 1000 or out is None:
+            return False
+        if out.get("old"):
+            return True
+        if st.clock.now() - sent > self.touch_s:
+            # it lay on the way, or this node stood still: what it hands out may be ended by now
+            st.ctr.add("share.stale_batch")
+            return False
+        desk.heard = max(desk.heard, sent)
+        desk.off = [x for x in desk.off if x not in off]
+        desk.got = [x for x in desk.got if x not in got]
+        if out["kept"] is not None and held is not None:
+            self._keep(desk, held, out["kept"])
+            desk.attach = False
+        for part, offset, delivery in out["drop"]:
+            job = next((j for j in desk.jobs.values() if (j.card["part"], j.card["off"], j.card["dc"])
+                        == (part, offset, delivery)), None)
+            if job is not None and job.task is not None:
+                job.task.cancel()
+        if out["batch"] is not None:
+            desk.got.append(out["batch"])
+            for card in orjson.loads(raw):
+                self._take(run, desk, card, sent)
+        st.board.touch("score")
+        return True
+
+    def _keep(self, desk: Desk, held: list, kept: list) -> None:
+        """Under a new epoch only what its leader took up again stays."""
+        new = {(lid, iid): (offset, delivery) for lid, iid, offset, delivery in kept}
+        desk.off = []
+        for job in held:
+            mine = new.get(job.key())
+            if mine is None:
+                desk.jobs.pop(job.key(), None)
+                if job.task is not None:
+                    job.task.cancel()
+                continue
+            job.card["off"], job.card["dc"] = mine
+            job.until = self.st.clock.now() + job.card["lock"]
+            if job.row is not None:
+                job.row["off"], job.row["dc"] = mine
+            if job.state != "running":
+                desk.off.append([job.card["part"], *mine])
+        desk.ready.set()
+
+    def _take(self, run: str, desk: Desk, card: dict, sent: float) -> None:
+        key = (card["lot"], card["iid"])
+        old = desk.jobs.get(key)
+        if old is not None and old.task is not None:   # given up by the leader, and handed out anew
+            desk.jobs.pop(key)
+            old.task.cancel()
+        job = Job(run, card, sent + card["lock"], texts=card["texts"], last_id=card["last"],
+                  versions=set(card["versions"]), fails=card["fails"])
+        job.item = SimpleNamespace(iid=card["iid"], scorer=card["scorer"])
+        job.may_send = lambda: self._may_send(job)
+        desk.jobs[key] = job
+        job.task = self.st.crew.once("item", self._run, desk, job)
+
+    def _may_send(self, job: Job) -> bool:
+        """Whether a new request of this entry may reach a replica: the lock stands and the leader was heard lately, so
+        that the lot cannot have been ended for longer than the bound allows."""
+        now = self.st.clock.now()
+        desk = self.desks[job.run]
+        return now < job.until and now - desk.heard <= self.touch_s and desk.jobs.get(job.key()) is job
+
+    # -- running
+
+    async def _run(self, desk: Desk, job: Job) -> None:
+        try:
+            await self._stream(job)
+        except asyncio.CancelledError:
+            # the leader wants it back: what was made goes with it
+            if desk.jobs.get(job.key()) is job and job.state == "running":
+                self._settle(desk, job, "release")
+            else:
+                desk.jobs.pop(job.key(), None) if desk.jobs.get(job.key()) is job else None
+            self._off(desk, job)
+            raise
+        if job.state == "running":
+            self._settle(desk, job, "release")
+            return
+        self._off(desk, job)
+        doc = {"InstanceId": job.card["iid"], "OperState": "aborted", "Text": "", "WeightVersions": []}
+        try:
+            if job.fails < job.card["sends"]:
+                seal = await self.scoring.score(job, tuple(job.card["key"])) if job.card["scorer"] else ""
+                if seal is not None:
+                    doc = {"InstanceId": job.card["iid"], "OperState": "complete", "Text": "\n".join(job.texts),
+                           "WeightVersions": sorted(job.versions)}
+                    if job.card["scorer"]:
+                        doc["Score"] = seal
+        except asyncio.CancelledError:
+            if desk.jobs.get(job.key()) is job:
+                desk.jobs.pop(job.key())
+            raise
+        self.st.ctr.add("item." + doc["OperState"])
+        self._settle(desk, job, "accept" if doc["OperState"] == "complete" else "reject", doc)
+
+    def _off(self, desk: Desk, job: Job) -> None:
+        """The place at the replica is free: say so at once."""
+        if not job.off_told:
+            job.off_told = True
+            desk.off.append([job.card["part"], job.card["off"], job.card["dc"]])
+            desk.poke.set()
+
+    def _settle(self, desk: Desk, job: Job, kind: str, doc: dict | None = None) -> None:
+        """Settle an entry; it counts once the leader has committed it."""
+        job.state = "settling"
+        c = job.card
+        job.row = {"part": c["part"], "off": c["off"], "dc": c["dc"], "kind": kind, "engine": c["engine"],
+                   "signs": job.signs}
+        if kind == "release":
+            job.row.update(texts=job.texts, last=job.last_id, versions=sorted(job.versions), fails=job.fails,
+                           pause=job.pause, forget_home=job.forget_home)
+        else:
+            job.row["doc"] = doc
+        desk.ready.set()
+
+    async def _commit(self, run: str) -> None:
+        """Bring settlements to the leader, all that wait in one call; again until it answers."""
+        st, desk = self.st, self.desks[run]
+        while True:
+            await desk.ready.wait()
+            desk.ready.clear()
+            jobs = [j for j in desk.jobs.values() if j.row is not None][:64]
+            lead = self._leader(run)
+            if not jobs:
+                continue
+            if lead is None or lead[0] != desk.epoch or desk.attach:
+                await asyncio.sleep(st.beat_s * 0.25)   # _pull takes them to the new leader first
+                desk.ready.set()
+                continue
+            rows = [dict(j.row) for j in jobs]
+            try:
+                code, out, _ = await self._ask(lead[1], lead[2], "share.commit", {"worker": st.id, "run": run,
+                                               "epoch": desk.epoch}, orjson.dumps(rows), st.quiet_s * 2)
+            except LineFault:
+                code, out = 0, None
+            if code == 3007:
+                desk.attach = True
+            if code != 1000:
+                st.ctr.add("share.uncommitted")
+                await asyncio.sleep(st.beat_s * 0.5)
+                desk.ready.set()
+                continue
+            for job, row, done in zip(jobs, rows, out["done"]):
+                if job.row is not None and (job.row["off"], job.row["dc"]) == (row["off"], row["dc"]) \
+                        and desk.jobs.get(job.key()) is job:
+                    desk.jobs.pop(job.key())
+                    if not done:
+                        st.ctr.add("share.lost_settlement")
+            if any(j.row is not None for j in desk.jobs.values()):
+                desk.ready.set()
+
+    # -- one stream
+
+    def _sign(self, job: Job, what: str, rest: float = 0.0) -> None:
+        job.signs.append([what, rest])
+
+    async def _stream(self, job: Job) -> None:
+        """Run an entry once; what is whole moves on to scoring."""
+        st, card = self.st, job.card
+        version, gap = card["version"], self.st.gap_s()
+        heads = [("Host", card["host"]), (ECHO, card["iid"]), (EXPECT_REV, str(version))] + [
+            (k, v) for k, v in card["heads"] if k.lower() not in ("host", ECHO.lower(), EXPECT_REV.lower())]
+        if card["service"] in st.live_services:
+            heads.append((URGENCY, "9"))
+        if job.last_id:
+            heads.append((LAST_ID, job.last_id))
+        now = st.clock.now
+        if not self._may_send(job):
+            return
+        st.ctr.add("item.send")
+        quiet = gap * 3
+        try:
+            async with asyncio.timeout(quiet + gap * 2) as limit:
+                async with st.caller.ask(card["addr"], card["engine"], "POST", card["path"], heads,
+                                         base64.b64decode(card["payload"]), 0.0) as resp:
+                    if NOT_RUN in resp.headers or resp.status == 421:
+                        await resp.read()
+                        return self._turned_away(job, resp)
+                    if resp.headers.get(ECHO) != card["iid"]:
+                        resp.close()
+                        raise ValueError("answer of another item")
+                    if resp.status == 422:
+                        job.state, job.fails = "scoring", card["sends"]
+                        return
+                    if resp.status != 200:
+                        await resp.read()
+                        st.ctr.add(f"item.{resp.status}")
+                        if resp.status == 500:
+                            job.fails += 1
+                            if job.fails >= card["sends"]:
+                                job.state = "scoring"
+                        self._sign(job, "faulted", gap)
+                        job.pause = gap
+                        return
+                    if SEAL not in resp.headers:
+                        raise ValueError("no seal")
+                    cur = newest(resp.headers.get(VERSIONS, ""), version)
+                    rd, began, n = EventReader(), now(), 0
+                    async for raw in resp.content.iter_any():
+                        limit.reschedule(asyncio.get_running_loop().time() + quiet)
+                        for ev in rd.feed(raw):
+                            if ev.version:
+                                cur = newest(ev.version, cur)
+                            job.texts.append(ev.data)
+                            job.last_id = ev.id
+                            job.versions.add(cur)
+                            n += 1
+                    if rd.rest:
+                        raise ValueError("stream ended inside an event")
+                    if cur > version:
+                        self._sign(job, "version", cur)
+            self._sign(job, "served", gap)
+            if n:
+                self._sign(job, "pace", (now() - began) / n)
+            if any(v < card["least"] for v in job.versions) or (card["single"] and len(job.versions) > 1) \
+                    or not job.texts:
+                st.ctr.add("item.misfit")
+                job.drop_text()
+                return
+            job.state = "scoring"
+            return
+        except aiohttp.ClientConnectorError:
+            self._sign(job, "vanished", gap * 2)
+            st.ctr.add("item.no_way")
+        except (asyncio.TimeoutError, TimeoutError):
+            self._sign(job, "vanished", gap * 2)
+            st.ctr.add("item.silent")
+        except (aiohttp.ClientError, OSError, ValueError) as ex:
+            self._sign(job, "faulted", gap)
+            st.ctr.add("item.cut")
+            st.log.debug("item cut at {}: {!r}", card["engine"], ex)
+        job.forget_home = True
+
+    def _turned_away(self, job: Job, resp) -> None:
+        st, card = self.st, job.card
+        st.ctr.add(f"item.away.{resp.status}")
+        other = resp.headers.get("X-Archhatch-Instance-Id")
+        if resp.status == 421 and other not in (None, card["engine"]):
+            self._sign(job, "gone")
+        elif resp.status == 421:
+            self._sign(job, "doubt")
+        else:
+            self._sign(job, "full")
+            job.forget_home = True
+
+
+def newest(head: str, dflt: int) -> int:
+    """The newest number in a head of versions.
+
+    >>> newest("6,7", 1), newest("", 3)
+    (7, 3)
+    """
+    nums = [int(x) for x in head.replace(" ", "").split(",") if x.isdigit()]
+    return nums[-1] if nums else dflt
--- a/lines/exchange/store.py
+++ b/lines/exchange/store.py
@@ -8,7 +8,8 @@
 from ..directory import Neighbours, Newsreader, rank
 from ..frame import Board, Clock, Counters, Crew
 from ..sends import Caller, Picker
-from ..supervisor import Dispatch, Engines, Orders, Reign
+from ..cordboard import Leader, Worker
+from ..supervisor import Engines, Orders, Reign
 from ..supervisor.reign import fetch_over
 from ..tickets import Copier, Deposed, Rec, Shelf, pack
 from ..tickets.rec import pack_many, unpack_many
@@ -44,6 +45,7 @@
         self.live_services: set = set()
         self.ready = False
         self.leaving = False
+        self.lag = 0.0     # how late this node's timers are, lately
         self.verbs = Verbs()
         self._register()
         self.desk = Desk(self.verbs, log, self.ctr)
@@ -59,7 +61,8 @@
         self.news = Newsreader(self.boot, self._card(), self.lines, self.board, self.clock, self.ctr)
         self.copier = Copier(self.id, self.shelf, self.lines, self.members, self.alive, self.crew, self.ctr,
                              secs=self.quiet_s * 1.5)
-        self.dispatch = Dispatch(self)
+        self.leader = Leader(self)
+        self.worker = Worker(self)
         self.orders = Orders(self)
         await self.desk.open(f"{self.boot.ip}:{self.port}")
         self.crew.keep("news", self.news.run)
@@ -68,8 +71,10 @@
         self.crew.keep("pings", self._pings_loop)
         self.crew.keep("watch", self._watch_loop)
         self.crew.keep("mend", self._mend_loop)
-        self.crew.keep("dispatch", self.dispatch.run)
-        self.crew.keep("scoring", self.dispatch.scoring.run)
+        self.crew.keep("leader", self.leader.run)
+        self.crew.keep("persist", self.leader.persist)
+        self.crew.keep("worker", self.worker.run)
+        self.crew.keep("scoring", self.worker.scoring.run)
         self.crew.keep("orders", self.orders.run)
         self.log.info("store {} is up; lots={} bytes={}", self.id, len(self.shelf.lots), self.book.size)
 
@@ -91,7 +96,7 @@
         for reign in list(self.reigns.values()):
             if reign.state == "holding":
                 reign.over()
-                self.dispatch._sync()
+                self.leader.sync()
                 await self._name_successor(reign)
         await asyncio.sleep(self.beat_s)
         await self.crew.end()
@@ -211,6 +216,14 @@
         async def _lacks(doc, body):
             return {"me": self.id, "lacks": self.ready and doc["lot"] not in self.shelf.lots}
 
+        @on("share.fetch")
+        async def _fetch_share(doc, body):
+            return await self.leader.fetch(doc)
+
+        @on("share.commit")
+        async def _commit_share(doc, body):
+            return await self.leader.commit(doc, body)
+
         @on("lot.put")
         async def _put(doc, body):
             reign = self.reigns.get(doc["run"])
@@ -315,6 +328,7 @@
                     tasks[sid] = self.crew.once("ping", self._ping_one, sid, m["addr"])
             before = self.clock.now()
             await asyncio.sleep(self.beat_s)
+            self.lag += 0.3 * (max(0.0, self.clock.now() - before - self.beat_s) - self.lag)
             if self.clock.now() - before > self.quiet_s:
                 self.woke = self.clock.now()
                 self.proofs.clear()
--- a/lines/frame/codes.py
+++ b/lines/frame/codes.py
@@ -32,6 +32,7 @@
     3004: (503, "not sure; ask again"),
     3005: (503, "no store holds the run at the moment; not taken"),
     3006: (429, "too many at once; it has not run"),
+    3007: (503, "another epoch leads the partition, or the worker is not known there; attach anew"),
     4001: (502, "the replica broke off"),
     4002: (504, "the time is up; it may have run"),
     4003: (504, "the outcome is unclear; send again"),
--- a/lines/supervisor/__init__.py
+++ b/lines/supervisor/__init__.py
@@ -1,7 +1,6 @@
 """The rollout controller: holds runs, orders weights, runs items, tags and scores samples."""
-from .dispatch import Dispatch
 from .engines import Engine, Engines
 from .orders import Orders
 from .reign import Reign
 
-__all__ = ["Dispatch", "Engine", "Engines", "Orders", "Reign"]
+__all__ = ["Engine", "Engines", "Orders", "Reign"]
--- a/lines/supervisor/engines.py
+++ b/lines/supervisor/engines.py
@@ -68,5 +68,13 @@
             for model, rev in ent["models"].items():
                 e.proven(model, rev)
 
+    def count(self, service: str) -> int:
+        """How many engines a service has."""
+        return len(self.of(service))
+
+    def drop(self, iid: str) -> None:
+        """That life is over."""
+        self.all.pop(iid, None)
+
     def of(self, service: str) -> list[Engine]:
         return [e for e in self.all.values() if e.service == service]
--- a/lines/supervisor/orders.py
+++ b/lines/supervisor/orders.py
@@ -78,7 +78,7 @@
         share = math.ceil(len(engines) / max(1, len(self.st.models_of(reign.run))))
         if loaded < share:
             return True
-        return self.st.dispatch.short(reign, model)
+        return self.st.leader.short(reign, model)
 
     def _starved(self, reign, model, engines) -> bool:
         """Whether an open lot has no engine that may make its tokens."""
--- a/lines/supervisor/reign.py
+++ b/lines/supervisor/reign.py
@@ -30,6 +30,7 @@
         self.lots: dict[str, Lot] = {}
         self.order_from: dict[str, float] = {}   # replica -> when it may have orders of this holder
         self.began = store.clock.now()
+        self.window_recs: list = []              # what the stores told of the partitions' windows
         Machine(self, states=["reading", "holding", "over"], initial="reading", transitions=MOVES,
                 auto_transitions=False)
         self._putting: dict[str, asyncio.Future] = {}
@@ -85,6 +86,7 @@
                     raise Deposed(self.run)
                 got[tasks[t]] = out["lots"]
                 self._heed_orders(out["orders"])
+                self.window_recs += out["windows"]
         for t in wait:
             t.cancel()
         if len(got) < need or st.id not in addrs or not ok:
@@ -95,6 +97,7 @@
                 raise Deposed(self.run)
             got[st.id] = out["lots"]
             self._heed_orders(out["orders"])
+            self.window_recs += out["windows"]
         lids = {lid for lots in got.values() for lid in lots}
         for lid in sorted(lids):
             if not await self._adopt(lid, {sid: lots[lid] for sid, lots in got.items() if lid in lots}, addrs):
@@ -201,12 +204,17 @@
     async def _put(self, head: dict, body: bytes) -> None:
         rec = Rec({"k": "L", "lot": head["lot"], "run": self.run, "host": head["host"], "path": head["path"]}, body)
         lot = read_lot(rec.head, body, self.st.clock.now())
+        lot.base = rec.head["base"] = self.st.leader.base(self.run, lot.model, lot.total)
         await self.st.copier.put(self.run, self.term, [rec])
         lot.recs.append(rec)
         self.lots.setdefault(head["lot"], lot)
         self.st.ctr.add("lot.taken")
         self.st.board.touch("work")
 
+    async def note(self, rec) -> None:
+        """Have a record of a partition's window synced with its copies; Deposed if another leads."""
+        await self.st.copier.put(self.run, self.term, [rec])
+
     async def intend(self, iid: str) -> float:
         """Have two stores know that an order is about to be sent to a replica; the time until which it may be."""
         began = self.st.clock.now()
--- a/lines/supervisor/scoring.py
+++ b/lines/supervisor/scoring.py
@@ -59,7 +59,11 @@
             heapq.heappop(self.inbox)   # its lot has ended
         if not self.inbox:
             return False
-        sc = self.inbox[0][2].item.scorer
+        work = self.inbox[0][2]
+        may_send = getattr(work, "may_send", None)
+        if may_send is not None and not may_send():
+            return False   # its leader was not heard of late: the lot may be ended
+        sc = work.item.scorer
         lane = st.plan.lane(sc["HostName"], sc["Path"].split("?", 1)[0])
         if lane is None:
             return False
--- a/lines/tickets/lot.py
+++ b/lines/tickets/lot.py
@@ -96,6 +96,7 @@
     ended: bool = False
     taken: float = 0.0
     ended_at: float = 0.0
+    base: int = 0      # offset of its first item in the partition of its model
 
     def page(self, after: int, most: int = 900_000) -> tuple[list, int]:
         """Listed results from a position on, up to about most bytes.
@@ -120,4 +121,4 @@
                                         row.get("Payload", ""), str(row.get("GroupId", n)),
                                         int(row.get("TokenCount") or 0), row.get("ScorerUrl"))
     return Lot(head["lot"], head["run"], doc["Model"], head["host"], head["path"], len(items), doc.get("TrainStep", 0),
-               doc.get("DesiredCount", 0), doc.get("MinRevision", 0), items, taken=taken)
+               doc.get("DesiredCount", 0), doc.get("MinRevision", 0), items, taken=taken, base=int(head.get("base", 0)))
--- a/lines/tickets/rec.py
+++ b/lines/tickets/rec.py
@@ -1,5 +1,5 @@
 """Records of a lot: L the lot itself, R a result at a position, E its end; P a promise to a run's term;
-O the intent to send a replica an order."""
+O the intent to send a replica an order; S and U a snapshot of a partition's window and a delta behind it."""
 from __future__ import annotations
 
 import struct
--- a/lines/tickets/shelf.py
+++ b/lines/tickets/shelf.py
@@ -16,6 +16,7 @@
         self.id = ""
         self.promised: dict[str, int] = {}
         self.lots: dict[str, dict] = {}
+        self.windows: dict[tuple, list] = {}   # (run, partition) -> its newest snapshot and the deltas behind it
         self.orders: dict[str, dict] = {}   # run -> replica -> when the last intent to order came here
 
     def load(self, raws: list) -> None:
@@ -49,6 +50,8 @@
         if h["k"] == "O":
             self.orders.setdefault(h["run"], {})[h["iid"]] = self.clock.now()
             return True
+        if h["k"] in ("S", "U"):
+            return self._apply_window(rec)
         ent = self._entry(h["lot"], h["run"])
         if h["k"] == "L":
             if ent["lot"] is not None:
@@ -65,6 +68,21 @@
             ent["results"][h["pos"]] = rec
         return True
 
+    def _apply_window(self, rec: Rec) -> bool:
+        """A newer snapshot deletes what lay before it; a delta stands only behind its own snapshot."""
+        h = rec.head
+        have = self.windows.get((h["run"], h["part"]))
+        if h["k"] == "S":
+            if have and (have[0].head["term"], have[0].head["se"]) >= (h["term"], h["se"]):
+                return False
+            self.windows[h["run"], h["part"]] = [rec]
+            return True
+        if not have or (have[0].head["term"], have[0].head["se"]) != (h["term"], h["se"]) \
+                or any(r.head["n"] == h["n"] for r in have[1:]):
+            return False
+        have.append(rec)
+        return True
+
     async def prepare(self, run: str, term: int) -> dict:
         """Promise a run's new holder to take nothing from older ones; tells what is here of the run."""
         if term < self.promised.get(run, 0):
@@ -80,7 +98,8 @@
                 lots[lid] = {"lot": ent["lot"] is not None, "end": ent["end"] is not None,
                              "results": [[p, r.head["term"], r.head["item"]] for p, r in ent["results"].items()]}
         now = self.clock.now()
-        return {"ok": True, "lots": lots, "orders": {i: now - at for i, at in self.orders.get(run, {}).items()}}
+        windows = [[r.head, r.body.decode()] for (of, _), recs in self.windows.items() if of == run for r in recs]
+        return {"ok": True, "lots": lots, "windows": windows, "orders": {i: now - at for i, at in self.orders.get(run, {}).items()}}
 
     async def append(self, recs: list) -> list:
         """Take records, each under its run's term; the answer says for each whether it is here and synced."""
@@ -125,6 +144,7 @@
         out += [pack(Rec({"k": "P", "run": r, "term": t})) for r, t in self.promised.items()]
         for run, last in self.orders.items():
             out += [pack(Rec({"k": "O", "lot": "", "run": run, "iid": iid})) for iid in last]
+        out += [pack(r) for recs in self.windows.values() for r in recs]
         for ent in self.lots.values():
             for rec in [ent["lot"], ent["end"], *ent["results"].values()]:
                 if rec is not None:
--- a/tests/test_lull.py
+++ b/tests/test_lull.py
@@ -95,6 +95,6 @@
         for s in w.stores.values():
             e = s.engines.all.get(r.iid)
             if e is not None and e.busy() == n and len(r.runs) == n and all(
-                    len(x.texts) == 2 for ws in s.dispatch.works.values() for x in ws.values()):
+                    len(j.texts) == 2 for o in w.stores.values() for d in o.worker.desks.values() for j in d.jobs.values()):
                 return s
         await w.edge.board.news("nothing", 0, 0.02)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -75,7 +75,7 @@
                          log=open_logs("t", "CRITICAL"), beat_s=0.001, gap_s=lambda: 0.02,
                          named=lambda: {m: named for m in models}, models_of=lambda run: list(models),
                          plan=Plan({"Revision": 1, "RouteTable": [], "ServiceTable": []}),
-                         dispatch=SimpleNamespace(short=lambda reign, model: False), crew=None)
+                         leader=SimpleNamespace(short=lambda reign, model: False), crew=None)
     st.reigns = {"s": FakeReign(clock)}
     st.tasks = []
     st.crew = SimpleNamespace(once=lambda name, fn, *args: st.tasks.append(asyncio.ensure_future(fn(*args))))
@@ -131,7 +131,7 @@
     (4, ("m", "k"), True, 4)])             # items wait for places: more of them
 def test_how_many_load(clock, n, models, short, loaded):
     st, reign, orders = setup(clock, FakeReplica(), models=models, n=n)
-    st.dispatch.short = lambda r, m: short and m == "m"
+    st.leader.short = lambda r, m: short and m == "m"
     es = list(st.engines.all.values())
     got = 0
     while orders._wanted(reign, "m", es, 2) and got < n:
