Costs by changes, not by all replicas: subsetting, indexes, news made once

Cause: each pick hashed and sorted all replicas of a service, each entry of the roll walked all replicas, each question for news encoded the roll and the parts anew, and each beat went whole to every control node. All edges of a zone ranked alike (key was the zone), and every edge came to use every replica, each by a connection of its own. Change: Subset ranks once for each replica's life, by the node's name, in blocks (own zone, then one of each other); Picker goes on to a further block only while the ones in hand are half full, resting or tried, and prefers a kept connection by less than a place or a zone counts. Indexes by address and service in Picker and Engines. Roll keeps its dictionaries in the order of turns; beats that say nothing new go as id and number (with life and lack in pings, so that one that forgot is told all). News: parts once a stamp, the roll once a turn, shared bytes through the desk. KeptConnector uses the connection that idled least. Excluded: subsets for the stores' picker (a holder makes all reward calls of a service itself, so it widens until one is idle); sharing live words by changes.

--- a/lines/directory/roll.py
+++ b/lines/directory/roll.py
@@ -20,6 +20,7 @@
         self.turn = 0
         self.beat_turns: dict[str, int] = {}
         self.beat_turn = 0
+        self.told_turns: dict[str, int] = {}   # the beat turn of the last beat that said more than 'still here'
 
     def beat(self, ent: dict, now: float) -> bool:
         """Fold one beat, or the word of another node about one; False if it is late."""
@@ -35,13 +36,16 @@
         self.all[rid] = ent
         self.heard[rid] = max(now, self.heard.get(rid, now))
         self.beat_turn += 1
+        self.beat_turns.pop(rid, None)   # at the end of the dictionary: its order is that of the turns
         self.beat_turns[rid] = self.beat_turn
         if old is None or {**old, "seq": 0} != {**ent, "seq": 0}:
             self._turn(rid)
+            self.told_turns[rid] = self.beat_turn
         return True
 
     def _turn(self, rid: str) -> None:
         self.turn += 1
+        self.turns.pop(rid, None)
         self.turns[rid] = self.turn
 
     def sweep(self, now: float, quiet_s: float) -> bool:
@@ -50,7 +54,7 @@
         for rid, ent in list(self.all.items()):
             age = now - self.heard[rid]
             if age > KEEP_GONE and (ent["state"] == "gone" or age > 4 * KEEP_GONE):
-                for d in (self.all, self.heard, self.turns, self.beat_turns):
+                for d in (self.all, self.heard, self.turns, self.beat_turns, self.told_turns):
                     d.pop(rid, None)
                 continue
             silent = age > quiet_s
@@ -61,9 +65,52 @@
         return did
 
     def since(self, turn: int) -> list[dict]:
-        """Entries that changed after a turn."""
-        return [self.all[r] for r, t in self.turns.items() if t > turn]
+        """Entries that changed after a turn, the oldest change first; costs by these, not by all.
+
+        >>> r = Roll(); r.since(0)
+        []
+        """
+        return [self.all[r] for r in _later(self.turns, turn)]
 
     def beats_since(self, turn: int, now: float) -> list[dict]:
-        """Entries heard after a beat turn, each with its age, for the other control nodes."""
-        return [{**self.all[r], "age": now - self.heard[r]} for r, t in self.beat_turns.items() if t > turn]
+        """What was heard after a beat turn, each with its age, for a control node that was told all up to it.
+
+        A beat that says nothing new is told as its id and number alone.
+
+        >>> r = Roll(); r.beats_since(0, 1.0)
+        []
+        """
+        out = []
+        for rid in _later(self.beat_turns, turn):
+            ent, age = self.all[rid], now - self.heard[rid]
+            if self.told_turns.get(rid, 0) > turn:
+                out.append({**ent, "age": age})
+            else:
+                out.append({"id": rid, "seq": ent["seq"], "age": age})
+        return out
+
+    def whole(self, ent: dict) -> dict | None:
+        """An entry told by another control node, with what its short form left out; None if that is not known here.
+
+        >>> r = Roll(); r.whole({"id": "a", "seq": 2}) is None
+        True
+        """
+        if "state" in ent:
+            return ent
+        old = self.all.get(ent["id"])
+        return None if old is None else {**old, **ent}
+
+
+def _later(turns: dict, turn: int) -> list:
+    """Keys of a dictionary in the order of its values, that have a value over turn.
+
+    >>> _later({"a": 1, "b": 2, "c": 3}, 1)
+    ['b', 'c']
+    """
+    out = []
+    for key in reversed(turns):
+        if turns[key] <= turn:
+            break
+        out.append(key)
+    out.reverse()
+    return out
--- a/lines/exchange/core.py
+++ b/lines/exchange/core.py
@@ -47,6 +47,8 @@
         self.keepers: dict[str, Keeper] = {}
         self.owners: dict[str, Owner] = {}
         self.acked: dict[str, tuple] = {}
+        self._part_bytes: dict[str, tuple] = {}
+        self._roll_bytes: dict = {}
         self.leaving = False
         self.calls = {Beat: self._beat, Leave: self._leave_call, PutPlan: self._put_plan, GetPlan: self._get_plan,
                       PutVersion: self._put_version, Retire: self._retire}
@@ -232,8 +234,8 @@
 
         @on("core.ping")
         async def _ping(doc, body):
-            self._heed(doc)
-            return self._ping_doc(None)
+            lack = self._heed(doc)
+            return {**self._ping_doc(None), "lack": lack}
 
         @on("roll.push")
         async def _push(doc, body):
@@ -269,7 +271,7 @@
 
     def _ping_doc(self, addr) -> dict:
         now = self.clock.now()
-        doc = {"card": self.card(), "stores": [[c, self.stores.silent(i, now)] for i, c in self.stores.cards.items()],
+        doc = {"card": self.card(), "life": self.life, "stores": [[c, self.stores.silent(i, now)] for i, c in self.stores.cards.items()],
                "live": self.live.since(now), "stamps": {p: s["stamp"] for p, s in self.known.items()},
                "others": [c for i, c in self.cores.cards.items() if self.cores.silent(i, now) < self.quiet_s * 4]}
         if addr is not None:
@@ -277,7 +279,8 @@
             doc["roll"], doc["turn"] = self.roll.beats_since(turn, now), self.roll.beat_turn
         return doc
 
-    def _heed(self, doc: dict) -> None:
+    def _heed(self, doc: dict) -> bool:
+        """Take up a ping or its answer; True if it was told in short of replicas that are not known here."""
         now = self.clock.now()
         card = doc["card"]
         fresh = card["id"] not in self.cores.cards
@@ -294,14 +297,14 @@
                         c["addr"] == other["addr"] for c in self.cores.cards.values()):
                     self.cores.learn(other)
                 self._watch(other["addr"])
-        if doc.get("roll"):
-            self._take_roll(doc["roll"])
+        lack = self._take_roll(doc.get("roll") or [])
         self._heed_live(doc["live"])
         for store, age in doc["stores"]:
             self.stores.hear(store, now - age)
         for part, stamp in doc["stamps"].items():
             if stamp > self.known.get(part, {"stamp": 0})["stamp"]:
                 self.crew.once("hear", self._hear_part, card["addr"], part)
+        return lack
 
     def _heed_live(self, words: list) -> None:
         now = self.clock.now()
@@ -324,16 +327,22 @@
         if state is not None:
             self._publish(part, state, spread=False)
 
-    def _take_roll(self, entries: list) -> None:
+    def _take_roll(self, entries: list) -> bool:
+        """Fold what another control node told of replicas; True if something in short form is not known here."""
         now = self.clock.now()
-        turn = self.roll.turn
-        for ent in entries:
+        turn, lack = self.roll.turn, False
+        for short in entries:
+            ent = self.roll.whole(short)
+            if ent is None:
+                lack = True
+                continue
             ent = dict(ent)
             age = ent.pop("age", 0.0)
             ent.pop("silent", None)
             self.roll.beat(ent, now - age)
         if self.roll.turn != turn:
             self.board.touch("news")
+        return lack
 
     async def _ping_loop(self, addr: str) -> None:
         gone_at = None
@@ -343,9 +352,10 @@
             now = self.clock.now()
             if out is not None:
                 gone_at = None
-                life = out["card"]["id"]
                 self._heed(out)
-                self.acked[addr] = (life, turn)
+                # one that started anew since was told the rest in another life: it is told all again
+                anew = out["lack"] or self.acked.get(addr, (out["life"], 0))[0] != out["life"]
+                self.acked[addr] = (out["life"], 0 if anew else turn)
             else:
                 self.acked.pop(addr, None)
                 gone_at = gone_at or now
@@ -354,7 +364,8 @@
 
     # -- news
 
-    async def _news(self, doc: dict) -> dict:
+    async def _news(self, doc: dict) -> bytes:
+        """Answer a node that asks for news, at once or when there is some, with bytes that others share."""
         who, now = doc["who"], self.clock.now()
         if who["klass"] == "store":
             self.stores.hear(who, now)
@@ -364,18 +375,35 @@
             if self.leaving or not self.in_touch():
                 raise Refusal(3003)
             turn = self.board.turn("news")
-            parts = {p: {"stamp": s["stamp"], "val": news_view(p, s["val"])} for p, s in self.known.items()
-                     if s["stamp"] > doc["stamps"].get(p, 0)}
+            parts = [p for p, s in self.known.items() if s["stamp"] > doc["stamps"].get(p, 0)]
             same = doc["life"] == self.life
-            roll = self.roll.since(doc["turn"] if same else 0)
+            after = doc["turn"] if same else 0
             left = end - self.clock.now()
             busy = self.live.busy(self.clock.now())
-            if parts or roll or left <= 0 or not same or sorted(busy) != doc["busy"]:
+            if parts or self.roll.turn > after or left <= 0 or not same or sorted(busy) != doc["busy"]:
                 cores = [self.addr] + [c["addr"] for i, c in self.cores.cards.items() if self.alive(i)]
-                return {"parts": parts, "roll": roll, "life": self.life, "turn": self.roll.turn, "cores": cores,
-                        "busy": busy}
+                return orjson.dumps({"parts": {p: self._part_news(p) for p in parts}, "roll": self._roll_news(after),
+                                     "life": self.life, "turn": self.roll.turn, "cores": cores, "busy": busy})
             await self.board.news("news", turn, min(left, self.quiet_s))
 
+    def _part_news(self, part: str) -> orjson.Fragment:
+        """A part as it stands in the news; made once for each stamp."""
+        state = self.known[part]
+        have = self._part_bytes.get(part)
+        if have is None or have[0] != state["stamp"]:
+            raw = orjson.dumps({"stamp": state["stamp"], "val": news_view(part, state["val"])})
+            have = self._part_bytes[part] = (state["stamp"], orjson.Fragment(raw))
+        return have[1]
+
+    def _roll_news(self, after: int) -> orjson.Fragment:
+        """The roll's changes after a turn; made once for all who ask with the same turn."""
+        if self._roll_bytes.get("turn") != self.roll.turn:
+            self._roll_bytes = {"turn": self.roll.turn}
+        have = self._roll_bytes.get(after)
+        if have is None:
+            have = self._roll_bytes[after] = orjson.Fragment(orjson.dumps(self.roll.since(after)))
+        return have
+
     # -- duties
 
     async def _sweep_loop(self) -> None:
--- a/lines/sends/caller.py
+++ b/lines/sends/caller.py
@@ -11,6 +11,7 @@
 from yarl import URL
 
 from .heads import DEADLINE, ECHO, EXPECT_ID, NOT_RUN, SEAL, pass_on
+from .kept import KeptConnector
 
 _QUIET = frozenset({"Accept", "Accept-Encoding", "User-Agent", "Content-Type"})
 
@@ -56,16 +57,24 @@
     """
 
     def __init__(self, per_host: int = 0):
-        conn = aiohttp.TCPConnector(limit=0, limit_per_host=per_host, keepalive_timeout=30, enable_cleanup_closed=False,
-                                    use_dns_cache=False, force_close=False, socket_factory=_socket)
+        self.kept = KeptConnector(limit=0, limit_per_host=per_host, keepalive_timeout=30,
+                                  enable_cleanup_closed=False, use_dns_cache=False, force_close=False,
+                                  socket_factory=_socket)
         self.session = aiohttp.ClientSession(
-            connector=conn, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar(), trust_env=False,
+            connector=self.kept, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar(), trust_env=False,
             skip_auto_headers=_QUIET, timeout=aiohttp.ClientTimeout(total=None), read_bufsize=1 << 18)
         self.session._retry_connection = False  # a send that failed is ours to judge, never repeated unseen
 
     async def close(self) -> None:
         await self.session.close()
 
+    def idle(self, addr: str) -> bool:
+        """Whether a send to an address needs no new connection.
+
+        >>> # caller.idle("10.0.0.9:8080")
+        """
+        return self.kept.idle(addr)
+
     def ask(self, addr: str, iid: str, method: str, target: str, heads, body: bytes, secs: float):
         """A request in the making: an async context that gives the raw response."""
         out = CIMultiDict(pass_on(heads))
--- a/lines/sends/picker.py
+++ b/lines/sends/picker.py
@@ -3,7 +3,12 @@
 
 from dataclasses import dataclass, field
 
-from ..directory import Fitness, rank
+from ..directory import Fitness
+from .subset import Subset
+
+ZONE = 0.08      # costs, as shares of a replica's places: a send to another zone
+COLD = 0.05      # a new connection
+HEARD_S = 0.5    # how long a replica's own word on its load holds
 
 
 @dataclass
@@ -16,7 +21,6 @@
     slots: int
     draining: bool = False
     silent: bool = False
-    warm: float = 0.0
     under_way: int = 0
     pace: float = 0.0
     load: float = 0.0
@@ -25,17 +29,23 @@
 
 
 class Picker:
-    """Replicas by service, kept up to date from the roll.
+    """Replicas by service, kept up to date from the roll; idle(address) tells where a connection is kept.
+
+    widen is the share of its places in use from which a replica counts as busy: when all of a block of the subset are,
+    the next block is looked at too. A node that is one of many wants few replicas, so a large share; one that makes all
+    calls of a service itself wants all replicas, so 0.
 
     >>> p = Picker("z1"); p.fold([{"id": "a", "addr": "1:1", "service": "s", "zone": "z1", "slots": 2, "state": "up"}])
     >>> p.pick("s", set(), 0.0).iid
     'a'
     """
 
-    def __init__(self, zone: str, me: str = "", rest_s: float = 1.0):
-        self.zone, self.me, self.rest_s = zone, me, rest_s
+    def __init__(self, zone: str, me: str = "", rest_s: float = 1.0, widen: float = 0.0, idle=None):
+        self.zone, self.me, self.rest_s, self.widen, self.idle = zone, me, rest_s, widen, idle
         self.all: dict[str, Trunkline] = {}
         self.by_service: dict[str, dict] = {}
+        self.by_addr: dict[str, Trunkline] = {}
+        self.subsets: dict[str, Subset] = {}
 
     def fold(self, entries: list) -> None:
         """Take up changed entries of the roll."""
@@ -43,41 +53,67 @@
             t = self.all.get(ent["id"])
             if ent["state"] == "gone":
                 if t is not None:
-                    self.all.pop(t.iid)
-                    self.by_service[t.service].pop(t.iid, None)
+                    self._drop(t)
                 continue
             if t is None:
-                t = self.all[ent["id"]] = Trunkline(ent["id"], ent["addr"], ent["service"], ent["zone"], ent["slots"])
-                self.by_service.setdefault(t.service, {})[t.iid] = t
-                # a new life at an address ends the one that was there
-                for other in [o for o in self.all.values() if o.addr == t.addr and o is not t]:
-                    self.all.pop(other.iid)
-                    self.by_service[other.service].pop(other.iid, None)
-            t.draining = ent["state"] == "draining"
+                t = self._add(ent)
+            if ent["state"] == "draining" and not t.draining:
+                t.draining = True
+                self.subsets[t.service].drop(t.iid)
             was, t.silent = t.silent, bool(ent.get("silent"))
             if was and not t.silent:
                 t.fitness.until = 0.0
 
+    def _add(self, ent: dict) -> Trunkline:
+        t = Trunkline(ent["id"], ent["addr"], ent["service"], ent["zone"], ent["slots"])
+        old = self.by_addr.get(t.addr)
+        if old is not None:   # a new life at an address ends the one that was there
+            self._drop(old)
+        self.all[t.iid] = self.by_addr[t.addr] = t
+        self.by_service.setdefault(t.service, {})[t.iid] = t
+        subset = self.subsets.get(t.service)
+        if subset is None:
+            subset = self.subsets[t.service] = Subset(self.me, self.zone)
+        subset.add(t.iid, t.zone, t)
+        return t
+
+    def _drop(self, t: Trunkline) -> None:
+        del self.all[t.iid]
+        self.by_service[t.service].pop(t.iid, None)
+        self.subsets[t.service].drop(t.iid)
+        if self.by_addr.get(t.addr) is t:
+            del self.by_addr[t.addr]
+
     def pick(self, service: str, tried: set, now: float) -> Trunkline | None:
-        """The best replica that was not tried yet."""
-        best, best_cost = None, None
-        lines = self.by_service.get(service) or {}
-        order = None
-        for t in lines.values():
-            if t.iid in tried or t.draining:
-                continue
-            if order is None:
-                order = {iid: n for n, iid in enumerate(rank(self.me, lines))}
-            cost = self._cost(t, now) + 0.001 * order[t.iid]
-            if best is None or cost < best_cost:
-                best, best_cost = t, cost
+        """The best replica that was not tried yet, of as few as will do."""
+        subset = self.subsets.get(service)
+        if subset is None:
+            return None
+        best, best_cost, n = None, None, 0
+        for block in subset.blocks():
+            for t in block:
+                n += 1
+                if t.iid in tried or t.draining:
+                    continue
+                cost = self._cost(t, now) + 0.001 * n
+                if best is None or cost < best_cost:
+                    best, best_cost = t, cost
+            if best is not None and self._free(best, now):
+                break
         return best
 
+    def _free(self, t: Trunkline, now: float) -> bool:
+        return not t.silent and self._busy(t, now) <= self.widen * t.slots and t.fitness.look(now) == "fit"
+
+    def _busy(self, t: Trunkline, now: float) -> float:
+        return t.under_way + (t.load if now - t.load_at < HEARD_S else 0.0)
+
     def _cost(self, t: Trunkline, now: float) -> float:
-        busy = t.under_way + (t.load if now - t.load_at < 0.5 else 0.0)
-        cost = busy / max(1, t.slots) * (1.0 + t.pace)
+        cost = self._busy(t, now) / max(1, t.slots) * (1.0 + t.pace)
         if t.zone != self.zone:
-            cost += 0.08
+            cost += ZONE
+        if self.idle is not None and not self.idle(t.addr):
+            cost += COLD
         state = t.fitness.look(now)
         if state == "resting":
             cost += 100.0
--- a/lines/supervisor/engines.py
+++ b/lines/supervisor/engines.py
@@ -48,19 +48,27 @@
 
     def __init__(self):
         self.all: dict[str, Engine] = {}
+        self.by_addr: dict[str, Engine] = {}
+        self._listed: dict[str, list] = {}   # service -> its engines; made anew when `all` changed
+        self._count = 0
 
     def fold(self, entries: list) -> None:
+        """Take up changed entries of the roll."""
         for ent in entries:
             e = self.all.get(ent["id"])
             if ent["state"] == "gone":
-                self.all.pop(ent["id"], None)
+                if e is not None:
+                    self._drop(e)
                 continue
             if not ent.get("models"):
                 continue
             if e is None:
-                for old in [o for o in self.all.values() if o.addr == ent["addr"]]:
-                    del self.all[old.iid]
-                e = self.all[ent["id"]] = Engine(ent["id"], ent["addr"], ent["service"], ent["zone"], ent["slots"])
+                old = self.by_addr.get(ent["addr"])
+                if old is not None:   # a new life at an address ends the one that was there
+                    self._drop(old)
+                e = Engine(ent["id"], ent["addr"], ent["service"], ent["zone"], ent["slots"])
+                self.all[e.iid] = self.by_addr[e.addr] = e
+                self._listed.clear()
             e.draining = ent["state"] == "draining"
             was, e.silent = e.silent, bool(ent.get("silent"))
             if was and not e.silent:
@@ -68,5 +76,22 @@
             for model, rev in ent["models"].items():
                 e.proven(model, rev)
 
+    def _drop(self, e: Engine) -> None:
+        self.all.pop(e.iid, None)
+        if self.by_addr.get(e.addr) is e:
+            del self.by_addr[e.addr]
+        self._listed.clear()
+
     def of(self, service: str) -> list[Engine]:
-        return [e for e in self.all.values() if e.service == service]
+        """A service's engines; the list is shared by all who ask until one comes or goes.
+
+        >>> Engines().of("s")
+        []
+        """
+        if self._count != len(self.all):   # others take an engine out of `all` that turned out to be another life
+            self._listed.clear()
+            self._count = len(self.all)
+        if not self._listed:
+            for e in self.all.values():
+                self._listed.setdefault(e.service, []).append(e)
+        return self._listed.get(service) or []
--- a/lines/switchboard/edge.py
+++ b/lines/switchboard/edge.py
@@ -42,7 +42,7 @@
         card = {"id": boot.node, "klass": "edge", "name": boot.node, "ip": boot.ip, "zone": boot.zone}
         self.news = Newsreader(boot, card, self.lines, self.board, self.clock, self.ctr)
         self.live = self.news.live = Live(self.board, self.clock, boot.secs("ContactMs", 1 / 3))
-        self.picker = Picker(boot.zone, boot.zone, rest_s=boot.secs("ContactMs", 0.3))
+        self.picker = Picker(boot.zone, boot.node, rest_s=boot.secs("ContactMs", 0.3), widen=0.5)
         self.life = Machine(self, states=["starting", "ready", "leaving"], initial="starting", transitions=MOVES,
                             auto_transitions=False)
         self.window = Window(self._front, log, self.ctr, self.limits)
@@ -50,6 +50,7 @@
 
     async def start(self) -> None:
         self.caller = Caller()
+        self.picker.idle = self.caller.idle
         self.forward = Forward(self.caller, self.picker, self.clock, self.ctr, self.live)
         self.relay = Relay(self.caller, self.picker, self.clock, self.ctr, self.live)
         self.lots = LotDesk(self.boot, self.news, self.lines, self.ctr, self.clock)
--- a/lines/trunk/desk.py
+++ b/lines/trunk/desk.py
@@ -94,7 +94,8 @@
             self.log.opt(exception=e).error("call {} failed", env.verb)
         if not wr.is_closing():
             try:
-                wr.write(pack(Envelope(call=env.call, code=code, head=orjson.dumps(doc), body=body)))
+                head = doc if isinstance(doc, bytes) else orjson.dumps(doc)   # a handler may bring them ready
+                wr.write(pack(Envelope(call=env.call, code=code, head=head, body=body)))
                 await wr.drain()
             except (OSError, RuntimeError):
                 pass
--- /dev/null
+++ b/tests/microbench.py
@@ -0,0 +1,133 @@
+"""Costs by the number of replicas, on this machine: python3 tests/microbench.py [--rounds N]. Not a test.
+
+Prints one row for each number of replicas; each figure is the least of some rounds, in microseconds a call.
+"""
+import asyncio
+import gc
+import os
+import sys
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path[:0] = [os.path.join(ROOT, "target", "deps"), ROOT]
+
+import orjson  # noqa: E402
+
+from lines.directory import Roll  # noqa: E402
+from lines.exchange.core import Core  # noqa: E402
+from lines.frame import open_logs  # noqa: E402
+from lines.frame.boot import check_boot  # noqa: E402
+from lines.sends import Picker  # noqa: E402
+from lines.supervisor import Engines  # noqa: E402
+
+SIZES = (100, 1000, 10000)
+ZONES = [f"z{n}" for n in range(5)]
+ASKERS = 50
+
+
+def entries(count):
+    return [{"id": f"i-{n}", "addr": f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:80", "service": f"s{n % 2}",
+             "zone": ZONES[n % 5], "slots": 6, "state": "up", "seq": 1, "rev": "v1", "models": {"m0": 1, "m1": 1}}
+            for n in range(count)]
+
+
+def least(fn, calls, rounds=3):
+    """Microseconds a call, the least of some rounds; fn(k) is the k-th call."""
+    best = float("inf")
+    for _ in range(rounds):
+        gc.collect()
+        began = time.perf_counter()
+        for k in range(calls):
+            fn(k)
+        best = min(best, time.perf_counter() - began)
+    return best / calls * 1e6
+
+
+def picking(count):
+    p, ents = Picker(ZONES[0], "edge-1"), entries(count)
+    p.fold(ents)
+
+    def churn(k):   # one replica of the service changes between two requests
+        p.fold([{**ents[k % count], "state": "gone"}, ents[k % count]])
+        p.pick("s0", set(), 0.0)
+    calls = max(5, 20000 // count)
+    return {"pick": least(lambda k: p.pick("s0", set(), 0.0), calls),
+            "pick after a change": least(churn, calls),
+            "fold, each entry new": least(lambda k: Picker(ZONES[0], "e").fold(ents), 1, 1) / count}
+
+
+def engines(count):
+    es, ents = Engines(), entries(count)
+    out = {"engines fold, each entry new": least(lambda k: Engines().fold(ents), 1, 1) / count}
+    es.fold(ents)
+    out["engines of a service"] = least(lambda k: es.of("s0"), max(20, 20000 // count))
+    return out
+
+
+def rolls(count):
+    roll = Roll()
+    for e in entries(count):
+        roll.beat(e, 0.0)
+    turn, beats = roll.turn - 1, roll.beat_turn - 1
+    calls = max(20, 50000 // count)
+    return {"roll since one change": least(lambda k: roll.since(turn), calls),
+            "beats since one beat": least(lambda k: roll.beats_since(beats, 1.0), calls)}
+
+
+def news(count):
+    boot = check_boot({"NodeName": "c", "Role": "core", "IpAddress": "127.0.0.1", "Zone": "z0",
+                       "Bindings": {"ControlPlane": "127.0.0.1:1"}, "InternalPorts": [2, 3],
+                       "SeedPeers": ["127.0.0.1:1"], "Bootstrap": True, "DataDir": "/tmp/unused"})
+    core = Core(boot, open_logs("bench", "CRITICAL"))
+    core.in_touch = lambda: True
+    for e in entries(count):
+        core.roll.beat(e, 0.0)
+    core.known["plan"] = {"stamp": 7, "val": {"plan": {"RouteTable": [{"Name": f"r{n}", "HostName": "h", "PathPrefix": "/"}
+                                                                      for n in range(count // 10)]}}}
+    turn = core.roll.turn
+
+    async def all_ask(part, after):
+        stamps = {} if part else {"plan": 7}
+        for n in range(ASKERS):
+            out = await core._news({"who": {"id": f"e{n}", "klass": "edge"}, "live": {"s0": 1}, "busy": [], "turn": after,
+                                    "stamps": stamps, "life": core.life, "hold": 0.0})
+            if not isinstance(out, bytes):
+                out = orjson.dumps(out)
+
+    def ask(part, after):
+        return least(lambda k: asyncio.run(all_ask(part, after)), 1) / ASKERS
+    return {"news, one entry": ask(False, turn - 1), "news, whole roll and part": ask(True, 0)}
+
+
+def beats(count):
+    """What one beat of every replica costs on its way to another control node: microseconds and bytes a replica."""
+    boot = check_boot({"NodeName": "c", "Role": "core", "IpAddress": "127.0.0.1", "Zone": "z0",
+                       "Bindings": {"ControlPlane": "127.0.0.1:1"}, "InternalPorts": [2, 3],
+                       "SeedPeers": ["127.0.0.1:1"], "Bootstrap": True, "DataDir": "/tmp/unused"})
+    a, b = (Core(boot, open_logs("bench", "CRITICAL")) for _ in range(2))
+    a.id, b.id = "a", "b"
+    ents = entries(count)
+
+    def ping(k):
+        for e in ents:
+            a.roll.beat({**e, "seq": k + 2}, 0.0)
+        raw = orjson.dumps(a._ping_doc("b:1"))
+        b._take_roll(orjson.loads(raw)["roll"])
+        a.acked["b:1"] = ("x", a.roll.beat_turn)
+        return len(raw)
+    ping(0)
+    began = time.perf_counter()
+    size = ping(1)
+    took = time.perf_counter() - began
+    return {"all beats told, each": took / count * 1e6, "bytes of them, each": size / count}
+
+
+def main():
+    rows = [{**picking(c), **engines(c), **rolls(c), **news(c), **beats(c)} for c in SIZES]
+    print(f"{'microseconds':32}" + "".join(f"{c:>12,}" for c in SIZES))
+    for name in rows[0]:
+        print(f"{name:32}" + "".join(f"{r[name]:>12.1f}" for r in rows))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_subset.py
@@ -0,0 +1,264 @@
+"""Subsetting: few replicas for each node, alike over all nodes, more when the few are taken; costs go by changes."""
+import asyncio
+from collections import Counter
+
+import orjson
+import pytest
+from aiohttp import web
+from conftest import HandClock
+
+from lines.directory import Roll
+from lines.exchange.core import Core
+from lines.frame import open_logs
+from lines.frame.boot import check_boot
+from lines.sends import Caller, Picker
+from lines.sends.subset import HOME, Subset
+from lines.supervisor import Engines
+
+ZONES = ["z1", "z2", "z3", "z4"]
+
+
+def ents(count, zones=ZONES, service="s", state="up"):
+    return [{"id": f"i{n}", "addr": f"a{n}:1", "service": service, "zone": zones[n % len(zones)], "slots": 6,
+             "state": state, "models": {"m": 1}} for n in range(count)]
+
+
+def picker(me, count, zone="z1", **kw):
+    p = Picker(zone, me, widen=0.5, **kw)
+    p.fold(ents(count))
+    return p
+
+
+@pytest.mark.parametrize("count", [1, 2, 5, 24, 400])
+def test_blocks_hold_each_replica_once_and_the_first_each_zone(count):
+    s = Subset("e1", "z1")
+    for e in ents(count):
+        s.add(e["id"], e["zone"], e)
+    blocks = list(s.blocks())
+    flat = [e["id"] for b in blocks for e in b]
+    assert sorted(flat) == sorted(e["id"] for e in ents(count))
+    own = [e for e in blocks[0] if e["zone"] == "z1"]
+    assert blocks[0][:len(own)] == own and len(own) == min(HOME, -(-count // 4))
+    assert {e["zone"] for e in blocks[0]} == set(ZONES[:count]) and len(blocks[0]) <= HOME + 3
+
+
+@pytest.mark.parametrize("gone", ["i0", "i7", "i23"])
+def test_a_change_moves_nothing_else(gone):
+    s = Subset("e1", "z1")
+    for e in ents(24):
+        s.add(e["id"], e["zone"], e["id"])
+    before = [x for b in s.blocks() for x in b if x != gone and int(x[1:]) % 4 == 0]
+    s.drop(gone)
+    s.drop(gone)
+    assert [x for b in s.blocks() for x in b if int(x[1:]) % 4 == 0] == before
+    s.add(gone, ZONES[int(gone[1:]) % 4], gone)
+    assert sorted(x for b in s.blocks() for x in b) == sorted(e["id"] for e in ents(24))
+
+
+@pytest.mark.parametrize("edges, replicas, at_once, most", [
+    (73, 24, 1, 3.0), (73, 24, 3, 1.8), (73, 16, 1, 2.5), (450, 100, 1, 3.0), (450, 100, 3, 1.8)])
+def test_load_is_spread_over_the_replicas_by_many_edges(edges, replicas, at_once, most):
+    load = Counter()
+    for n in range(edges):
+        p = picker(f"edge-{n}", replicas, ZONES[n % 4])
+        for _ in range(at_once):
+            t = p.pick("s", set(), 0.0)
+            t.under_way += 1
+            load[t.iid] += 1
+    mean = edges * at_once / replicas
+    assert max(load.values()) <= most * mean and len(load) >= 0.9 * replicas
+
+
+def test_two_edges_of_a_zone_use_different_replicas():
+    firsts = {picker(f"edge-{n}", 400).pick("s", set(), 0.0).iid for n in range(10)}
+    assert len(firsts) >= 9
+
+
+@pytest.mark.parametrize("at_once, most", [(1, 1), (4, 4), (9, HOME + 3)])
+def test_an_edge_keeps_to_few_replicas(at_once, most):
+    p, used = picker("e", 10000), set()
+    for _ in range(300):
+        lines = []
+        for _ in range(at_once):
+            t = p.pick("s", set(), 0.0)
+            t.under_way += 1
+            lines.append(t)
+        used |= {t.iid for t in lines}
+        for t in lines:
+            t.under_way -= 1
+    assert len(used) <= most
+
+
+@pytest.mark.parametrize("what", ["full", "resting", "tried", "draining"])
+def test_more_are_used_when_all_of_the_subset_are(what):
+    p = picker("e", 40)
+    first = list(next(iter(p.subsets["s"].blocks())))
+    tried = {t.iid for t in first} if what == "tried" else set()
+    for t in first:
+        if what == "full":
+            t.under_way = 6
+        if what == "resting":
+            p.note(t, "vanished", 0.0)
+        if what == "draining":
+            p.fold([{"id": t.iid, "addr": t.addr, "service": "s", "zone": t.zone, "slots": 6, "state": "draining"}])
+    got = p.pick("s", tried, 0.1)
+    assert got is not None and got not in first and got.zone == "z1"
+
+
+def test_who_makes_all_calls_uses_all_replicas_before_it_waits():
+    p = Picker("z1", "store")
+    p.fold(ents(40))
+    for _ in range(40):
+        p.pick("s", set(), 0.0).under_way += 1
+    assert {t.under_way for t in p.all.values()} == {1}
+
+
+@pytest.mark.parametrize("warm, under_way, zone, picked", [
+    (True, 0, "z1", "warm"),
+    (True, 1, "z1", "cold"),     # busy: a new connection is cheaper than to wait
+    (True, 0, "z2", "cold"),     # another zone: bytes between zones cost more
+    (False, 0, "z1", "cold")])
+def test_a_kept_connection_is_preferred(warm, under_way, zone, picked):
+    kept = set()
+    p = picker("e", 12, idle=lambda addr: addr in kept)
+    first = p.pick("s", set(), 0.0)
+    other = next(t for t in next(iter(p.subsets["s"].blocks())) if t is not first and t.zone == zone)
+    other.under_way = under_way
+    if warm:
+        kept.add(other.addr)
+    assert p.pick("s", set(), 0.0) is (other if picked == "warm" else first)
+
+
+@pytest.mark.parametrize("at_once", [1, 3])
+def test_connections_are_used_again_the_newest_first(run, at_once):
+    async def go():
+        conns = Counter()
+
+        async def serve(req):
+            conns[req.transport.get_extra_info("peername")] += 1
+            return web.Response(headers={"X-Archhatch-Request-Id": req.headers["X-Archhatch-Request-Id"],
+                                         "X-Archhatch-Reply-Seal": "s"})
+        srv = web.Server(serve, access_log=None)
+        site = await asyncio.get_running_loop().create_server(srv, "127.0.0.1", 0)
+        addr, caller = f"127.0.0.1:{site.sockets[0].getsockname()[1]}", Caller()
+
+        async def ask(n):
+            return await caller.send(addr, "i", "GET", "/", [("X-Archhatch-Request-Id", n)], b"", n, 5.0)
+        assert not caller.idle(addr)
+        await asyncio.gather(*[ask(f"a{n}") for n in range(at_once)])
+        assert caller.idle(addr) and len(conns) == at_once
+        before = Counter(conns)
+        for n in range(4):
+            assert (await ask(f"b{n}")).good
+        assert len(conns) == at_once and sorted((conns - before).values()) == [4]   # one of them served all four
+        await caller.close()
+        site.close()
+        await srv.shutdown(0)
+    run(go())
+
+
+@pytest.mark.parametrize("pop", [False, True])
+def test_engines_of_a_service_follow_the_changes(pop):
+    es = Engines()
+    es.fold(ents(6, service="s") + [{**e, "id": "x" + e["id"], "addr": "x" + e["addr"]} for e in ents(2, service="t")])
+    assert [len(es.of(s)) for s in ("s", "t", "u")] == [6, 2, 0]
+    if pop:
+        es.all.pop("i0")                       # as the dispatcher does with a life that ended
+    else:
+        es.fold([{**ents(1)[0], "state": "gone"}])
+    assert [e.iid for e in es.of("s")] == [f"i{n}" for n in range(1, 6)]
+    es.fold([{**ents(1)[0], "id": "new", "addr": "a1:1"}])
+    assert [e.iid for e in es.of("s")] == [f"i{n}" for n in range(2, 6)] + ["new"] and "i1" not in es.all
+
+
+def boot(n):
+    return check_boot({"NodeName": f"c{n}", "Role": "core", "IpAddress": f"127.0.0.{n}", "Zone": "z1",
+                       "Bindings": {"ControlPlane": f"127.0.0.{n}:1"}, "InternalPorts": [2, 3],
+                       "SeedPeers": ["127.0.0.1:1"], "Bootstrap": True, "DataDir": "/nowhere"})
+
+
+def core(n=1):
+    c = Core(boot(n), open_logs("test", "CRITICAL"), HandClock())
+    c.id, c.in_touch = f"c{n}", lambda: True
+    return c
+
+
+def test_later_beats_are_told_in_short_and_understood():
+    a, b = core(1), core(2)
+    for step, (seq, change) in enumerate([(1, {}), (2, {}), (3, {"models": {"m": 2}}), (4, {})]):
+        for e in ents(3):
+            a.roll.beat({**e, "seq": seq, **(change if e["id"] == "i1" else {}), **({"models": {"m": 2}} if
+                        e["id"] == "i1" and seq > 3 else {})}, a.clock.now())
+        doc = orjson.loads(orjson.dumps(a._ping_doc(b.addr)))
+        assert ["state" in e for e in doc["roll"]] == [[True] * 3, [False] * 3, [False, True, False], [False] * 3][step]
+        assert b._heed(doc) is False
+        a.acked[b.addr] = (b.life, a.roll.beat_turn)
+        assert b.roll.all == a.roll.all
+    assert a._ping_doc(b.addr)["roll"] == []
+
+
+@pytest.mark.parametrize("known, lack", [(True, False), (False, True)])
+def test_one_that_forgot_says_so(known, lack):
+    b = core()
+    if known:
+        b.roll.beat({**ents(1)[0], "seq": 1}, 0.0)
+    assert b._take_roll([{"id": "i0", "seq": 2, "age": 0.5}]) is lack
+    assert b.roll.all.get("i0", {}).get("seq") == (2 if known else None)
+
+
+@pytest.mark.parametrize("answer, acked", [
+    ({"life": "x", "lack": False}, ("x", 3)),      # told up to the turn of the question
+    ({"life": "x", "lack": True}, ("x", 0)),       # it lacks something: all again
+    ({"life": "y", "lack": False}, ("y", 0))])     # another life: all again
+def test_a_control_node_is_told_all_again_when_it_must(run, answer, acked):
+    async def go():
+        a = core()
+        for e in ents(3):
+            a.roll.beat({**e, "seq": 1}, 0.0)
+        a.acked["b:1"] = ("x", 2)
+        a._heed = lambda out: False
+        a.beat_s = 30.0   # one round only: its pause outlasts the test
+
+        async def call(addr, verb, doc, secs):
+            assert [e["id"] for e in doc["roll"]] == ["i2"]
+            a.board.touch("asked")
+            return answer
+        a._call = call
+        task = asyncio.ensure_future(a._ping_loop("b:1"))
+        await a.board.news("asked", 0)
+        await asyncio.sleep(0)
+        assert a.acked["b:1"] == acked
+        task.cancel()
+    run(go())
+
+
+def test_short_beats_keep_the_order_of_turns():
+    roll = Roll()
+    for e in ents(3):
+        roll.beat({**e, "seq": 1}, 0.0)
+    roll.beat({**ents(3)[0], "seq": 2}, 0.0)
+    assert [e["id"] for e in roll.beats_since(2, 0.0)] == ["i2", "i0"]
+    assert [("state" in e) for e in roll.beats_since(2, 0.0)] == [True, False]
+    roll.beat({**ents(3)[1], "seq": 2, "zone": "other"}, 0.0)
+    assert [e["id"] for e in roll.since(2)] == ["i2", "i1"]
+
+
+def test_news_of_one_turn_is_made_once_for_all_askers(run):
+    async def go():
+        c = core()
+        for e in ents(3):
+            c.roll.beat({**e, "seq": 1}, 0.0)
+        c.known["plan"] = {"stamp": 4, "val": {"plan": {"Revision": 9}}}
+        ask = {"who": {"id": "e", "klass": "edge"}, "live": {}, "busy": [], "hold": 0.0, "stamps": {}, "life": c.life}
+        one, two, three = [orjson.loads(await c._news({**ask, "turn": t})) for t in (0, 2, 0)]
+        assert one == three and [e["id"] for e in one["roll"]] == ["i0", "i1", "i2"]
+        assert [e["id"] for e in two["roll"]] == ["i2"] and one["parts"]["plan"]["val"]["plan"] == {"Revision": 9}
+        made = c._roll_news(0), c._part_news("plan")
+        assert made == (c._roll_news(0), c._part_news("plan")) and made[0] is c._roll_news(0)
+        c.roll.beat({**ents(3)[2], "state": "draining", "seq": 2}, 0.0)
+        c.known["plan"] = {"stamp": 5, "val": {"plan": {"Revision": 10}}}
+        last = orjson.loads(await c._news({**ask, "turn": 3}))
+        assert [e["state"] for e in last["roll"]] == ["draining"] and last["parts"]["plan"]["stamp"] == 5
+        other = orjson.loads(await c._news({**ask, "turn": 3, "life": "another core"}))
+        assert len(other["roll"]) == 3
+    run(go())
