Listing follows the copies, not the task that waits for them

Cause: an item's last task waited inside list_result for its copies; once all items had positions, Dispatch dropped the lot and cancelled that task, so nobody advanced 'listed' although the stores held the record. An end whose caller was cancelled was not copied on either, and a put whose callers were all cancelled stayed in _putting for ever when it failed. Change: copying is a task of the reign, one for each place; waiters may go. It advances 'listed', touches the lot's board, and mend() does so too. When a reign is over its tasks end and waiters are told Deposed. Excluded: Dispatch is unchanged (it may drop such a lot now); begin/_adopt run in the reign's own task and need nothing; the note before an order stays with its waiter, since without it no order is sent.

--- a/lines/supervisor/reign.py
+++ b/lines/supervisor/reign.py
@@ -32,7 +32,7 @@
         self.began = store.clock.now()
         Machine(self, states=["reading", "holding", "over"], initial="reading", transitions=MOVES,
                 auto_transitions=False)
-        self._putting: dict[str, asyncio.Future] = {}
+        self._copying: dict[tuple, asyncio.Task] = {}   # what is being copied, by the place of its first record
 
     # -- taking over
 
@@ -60,6 +60,8 @@
             self.deposed()
             self.st.ctr.add("reign.over")
             self.st.log.info("run {}: term {} is over", self.run, self.term)
+            for task in self._copying.values():
+                task.cancel()   # nothing of this term is answered any more; its waiters are told Deposed
             for lid in self.lots:
                 self.st.board.touch(("lot", lid))
             self.st.board.touch("work")
@@ -184,47 +186,68 @@
         return (self.state == "holding" and (iid is None or self.st.clock.now() >= self.order_from.get(iid, 0.0))
                 and self.st.confirmed(self.run, self.term, self.st.boot.secs("LeaseMs", 1 / 3)))
 
-    async def put(self, head: dict, body: bytes) -> None:
-        """Take a lot, once; returns when two stores have it."""
-        lid = head["lot"]
-        if lid in self.lots:
-            return
-        if lid in self._putting:
-            return await asyncio.shield(self._putting[lid])
-        fut = self._putting[lid] = asyncio.ensure_future(self._put(head, body))
+    # -- copying: the reign's own tasks do it, so that it goes on whatever happens to those who wait
+
+    async def _copy(self, recs: list, lot: Lot | None = None) -> None:
+        """Have records copied; returns when enough stores have them. Whoever asks for the same waits for the same."""
+        key = _place(recs[0])
+        task = self._copying.get(key)
+        if task is None:
+            task = self._copying[key] = self.st.crew.once("records", self._copy_on, key, recs, lot)
+        await asyncio.wait({task})   # unlike an await of the task, this leaves it running if the waiter is cancelled
+        if task.cancelled() or task.result() is not True:
+            raise Deposed(self.run)
+
+    async def _copy_on(self, key: tuple, recs: list, lot: Lot | None) -> bool:
         try:
-            await asyncio.shield(fut)
+            await self.st.copier.put(self.run, self.term, recs)
+        except Deposed:
+            self.over()
+            return False
         finally:
-            if fut.done():
-                self._putting.pop(lid, None)
+            self._copying.pop(key, None)
+        if key[0] == "L":
+            self.lots.setdefault(lot.lid, lot)
+            self.st.ctr.add("lot.taken")
+            self.st.board.touch("work")
+        elif lot is not None:
+            self._advance(lot)
+        return True
+
+    def _advance(self, lot: Lot) -> None:
+        """List what has its copies, and all before it."""
+        while lot.listed < len(lot.results) and len(lot.results[lot.listed].held) >= COPIES:
+            lot.listed += 1
+        self.st.board.touch(("lot", lot.lid))
 
-    async def _put(self, head: dict, body: bytes) -> None:
+    async def put(self, head: dict, body: bytes) -> None:
+        """Take a lot, once; returns when two stores have it."""
+        if head["lot"] in self.lots:
+            return
         rec = Rec({"k": "L", "lot": head["lot"], "run": self.run, "host": head["host"], "path": head["path"]}, body)
-        lot = read_lot(rec.head, body, self.st.clock.now())
-        await self.st.copier.put(self.run, self.term, [rec])
-        lot.recs.append(rec)
-        self.lots.setdefault(head["lot"], lot)
-        self.st.ctr.add("lot.taken")
-        self.st.board.touch("work")
+        lot = None
+        if _place(rec) not in self._copying:
+            lot = read_lot(rec.head, body, self.st.clock.now())
+            lot.recs.append(rec)
+        await self._copy([rec], lot)
 
     async def intend(self, iid: str) -> float:
         """Have two stores know that an order is about to be sent to a replica; the time until which it may be."""
         began = self.st.clock.now()
+        # not a task of the reign: without the one that waits, no order is sent, and the note binds nobody
         await self.st.copier.put(self.run, self.term, [Rec({"k": "O", "lot": "", "run": self.run, "iid": iid})])
         return began + self.st.boot.secs("LeaseMs", 1 / 3)
 
     async def end(self, lid: str) -> None:
         lot = self.lots[lid]
-        first = not lot.ended
         lot.ended, lot.ended_at = True, lot.ended_at or self.st.clock.now()
         self.st.board.touch("work")
         rec = next((r for r in lot.recs if r.head["k"] == "E"), None)
         if rec is None:
             rec = Rec({"k": "E", "lot": lid, "run": self.run})
             lot.recs.append(rec)
-        if first or len(rec.held) < COPIES:
-            await self.st.copier.put(self.run, self.term, [rec])
-        self.st.board.touch(("lot", lid))
+        if len(rec.held) < COPIES:
+            await self._copy([rec], lot)
 
     async def list_result(self, lot: Lot, iid: str, doc: dict) -> None:
         """Give an item its position; it is listed once two stores hold it and all before it are."""
@@ -235,10 +258,7 @@
                   orjson.dumps(doc))
         lot.results.append(rec)
         lot.recs.append(rec)
-        await self.st.copier.put(self.run, self.term, [rec])
-        while lot.listed < len(lot.results) and len(lot.results[lot.listed].held) >= COPIES:
-            lot.listed += 1
-        self.st.board.touch(("lot", lot.lid))
+        await self._copy([rec], lot)
 
     async def read(self, lid: str, after: int, hold: float) -> bytes | None:
         """A page of results; None when this node cannot be sure."""
@@ -279,6 +299,8 @@
                     await st.copier._here(self.term, lack)
                 else:
                     await st.copier.send(sid, self.run, self.term, lack)
+            if lot.listed < len(lot.results):
+                self._advance(lot)
             if any(len(r.held & active) < COPIES for r in lot.recs):
                 whole = False
         if whole and self.state == "holding":
@@ -297,6 +319,15 @@
         return old
 
 
+def _place(rec: Rec) -> tuple:
+    """What a record is a copy of.
+
+    >>> _place(Rec({"k": "R", "lot": "l", "pos": 3}))
+    ('R', 'l', 3)
+    """
+    return rec.head["k"], rec.head["lot"], rec.head.get("pos")
+
+
 async def fetch_over(store, sid: str, addr: str, lid: str, poss: list, lot: bool):
     """Records of a lot from another store, or None."""
     try:
--- a/tests/test_reign.py
+++ b/tests/test_reign.py
@@ -1,23 +1,30 @@
 """What a new holder makes of what the stores tell it; who may order, and when."""
+import asyncio
+
 import orjson
 import pytest
 from conftest import MemBook
 from test_tickets import LOT
 
-from lines.frame import Board, Counters, open_logs
+from lines.frame import Board, Counters, Crew, open_logs
 from lines.frame.boot import check_boot
 from lines.supervisor import Reign
-from lines.tickets import Rec, Shelf
+from lines.tickets import Deposed, Rec, Shelf
 
 BOOT = check_boot({"NodeName": "n", "IpAddress": "1.1.1.1", "InternalPorts": [1, 9]})
 
 
 class FakeCopier:
     def __init__(self, shelf):
-        self.shelf, self.puts = shelf, []
+        self.shelf, self.puts, self.deposed = shelf, [], False
+        self.gate = asyncio.Event()      # copies arrive while it is set
+        self.gate.set()
 
     async def put(self, run, term, recs):
         self.puts.append((term, recs))
+        await self.gate.wait()
+        if self.deposed:
+            raise Deposed(run)
         for r in recs:
             r.held |= {"me", "b"}
 
@@ -28,6 +35,7 @@
     def __init__(self, clock, names=("me", "b", "c")):
         self.id, self.clock, self.boot = "me", clock, BOOT
         self.ctr, self.board, self.log, self.beat_s = Counters(), Board(), open_logs("t", "CRITICAL"), 0.01
+        self.crew = Crew(self.log, self.ctr)
         self.shelves = {n: Shelf(MemBook(), clock, Counters()) for n in names}
         self.shelf = self.shelves["me"]
         self.copier = FakeCopier(self.shelf)
@@ -126,3 +134,71 @@
         st.proof = False
         assert not reign.may_order(iid)
     run(go())
+
+
+async def holding(clock):
+    st = FakeStore(clock)
+    for n in st.shelves:
+        await st.shelves[n].append([lot_rec()])
+    reign = Reign(st, "s", 2)
+    await reign.begin()
+    st.copier.gate.clear()
+    return st, reign
+
+
+HEAD = {"lot": "new", "host": "h", "path": "/p/"}
+WAITERS = [  # who waits for copies; what must hold once they are there, though the waiter was cancelled
+    ("the last results", lambda r: [r.list_result(r.lots["l"], i, {}) for i in ("i1", "i2")],
+     lambda r: r.lots["l"].listed == 2, ("lot", "l")),
+    ("an end", lambda r: [r.end("l")], lambda r: r.lots["l"].recs[-1].held >= {"me", "b"}, ("lot", "l")),
+    ("a lot", lambda r: [r.put(HEAD, orjson.dumps(LOT))], lambda r: "new" in r.lots, "work")]
+
+
+@pytest.mark.parametrize("why, waits, good, name", WAITERS, ids=[w[0] for w in WAITERS])
+def test_copies_arrive_although_the_task_that_waited_was_cancelled(run, clock, why, waits, good, name):
+    async def go():
+        st, reign = await holding(clock)
+        tasks = [asyncio.ensure_future(c) for c in waits(reign)]
+        while len(st.copier.puts) < len(tasks):
+            await asyncio.sleep(0)
+        for t in tasks:              # as Dispatch._sync does with the tasks of a lot whose items all have positions
+            t.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        assert not good(reign)
+        turn = st.board.turn(name)
+        st.copier.gate.set()
+        while not good(reign):
+            turn = await st.board.news(name, turn)
+        assert not reign._copying
+    run(go())
+
+
+@pytest.mark.parametrize("why, waits, good, name", WAITERS, ids=[w[0] for w in WAITERS])
+@pytest.mark.parametrize("how", ["a store knows a higher term", "the reign is over"])
+def test_waiters_are_told_that_the_reign_is_over(run, clock, how, why, waits, good, name):
+    async def go():
+        st, reign = await holding(clock)
+        tasks = [asyncio.ensure_future(c) for c in waits(reign)]
+        while len(st.copier.puts) < len(tasks):
+            await asyncio.sleep(0)
+        if how == "the reign is over":
+            reign.over()
+        else:
+            st.copier.deposed = True
+            st.copier.gate.set()
+        outs = await asyncio.gather(*tasks, return_exceptions=True)
+        assert all(isinstance(o, Deposed) for o in outs) and reign.state == "over" and not good(reign)
+    run(go())
+
+
+def test_the_same_lot_handed_in_twice_is_copied_once(run, clock):
+    async def go():
+        st, reign = await holding(clock)
+        tasks = [asyncio.ensure_future(reign.put(HEAD, orjson.dumps(LOT))) for _ in range(3)]
+        while not st.copier.puts:
+            await asyncio.sleep(0)
+        tasks[0].cancel()
+        st.copier.gate.set()
+        outs = await asyncio.gather(*tasks, return_exceptions=True)
+        assert outs[1:] == [None, None] and len(st.copier.puts) == 1 and "new" in reign.lots
+    run(go())
