--- a/lines/exchange/store.py
+++ b/lines/exchange/store.py
@@ -39,7 +39,7 @@
         self.met: dict[str, float] = {}
         self.proofs: dict[str, tuple] = {}
         self.engines = Engines()
-        self.picker = Picker(boot.zone, boot.zone, rest_s=boot.secs("ContactMs", 0.2))
+        self.picker = Picker(boot.zone, boot.node, rest_s=boot.secs("ContactMs", 0.2), widen=0.5)
         self.plan: Plan | None = None
         self.reigns: dict[str, Reign] = {}
         self.live_services: set = set()
