Copies, gathers, proofs and 404s follow FaultTolerance

Cause: two copies, 'all stores but one' and one other's word stood in the code; where two machines may be lost, an accepted lot could lose both copies, and no gather was ever done with two members gone. Change: tickets/quorum.py says what is enough (machines, zones, regions) and what has been heard; copier, reign, confirmed, the edge's 404 and the commands that let a store leave use it. The commands carry the tolerance of the node that sent them. A put makes f + 1 copies, in other zones first, and asks one more store as soon as one is slow; before, one more than needed was always made. mend() makes up for silent copies; a record that is being copied no longer keeps a leaving store from being cleared. A gather waits one beat for those in touch once it is sure, so that their copies are not made anew. prepare() answers only with what is synced, also when it is asked again. A FaultTolerance that is no whole number now ends the start with its field's name; null means the default. Excluded: fewer copies while the membership is small. A lot is then refused, as an acknowledgement would not hold.

--- a/lines/exchange/core.py
+++ b/lines/exchange/core.py
@@ -11,6 +11,7 @@
 from ..directory import LiveBook, Neighbours, Roll, part_of, rank
 from ..frame import Board, Clock, Counters, Crew, fault_result, json_result
 from ..partyline import Keeper, Owner, Unclear
+from ..tickets import Quorum
 from ..tollbook import Tollbook
 from ..trunk import Desk, LineFault, Lines, Refusal, Verbs
 from .calls import BadCall, Beat, GetPlan, Leave, PutPlan, PutVersion, Retire, decode
@@ -36,6 +37,7 @@
         self.cores = Neighbours()
         self.live = LiveBook(boot.secs("ContactMs", 2 / 3))
         self.stores = Neighbours()
+        self.quorum = Quorum.of(boot)
         self.life = f"{random.getrandbits(48):012x}"
         self.addr = f"{boot.ip}:{boot.ports[0]}"
         self.beat_s = boot.secs("ContactMs", 1 / 15)
@@ -458,7 +460,7 @@
                         for oid, o in have.items() if oid != sid and o["state"] == "active")
             if s["state"] == "active" and quiet > self.boot.secs("SyncS", 0.45) and newer:
                 self.log.info("store {} fell silent and another came: it is to leave", sid)
-                await self._try(PLAN, "store.leave", {"id": sid})
+                await self._try(PLAN, "store.leave", {"id": sid, "quorum": self.quorum.doc()})
         for oid in have:
             if self.board.read(("joined", oid)) is None:
                 self.board.post(("joined", oid), now)
@@ -548,5 +550,6 @@
         return json_result(1000, doc) if code == 1000 else fault_result(code, str(doc))
 
     async def _retire(self, cmd: Retire):
-        code, doc = await self.run_command(PLAN, "retire.get" if cmd.ask else "retire.start", {"node": cmd.node})
+        code, doc = await self.run_command(PLAN, "retire.get" if cmd.ask else "retire.start",
+                                           {"node": cmd.node, "quorum": self.quorum.doc()})
         return json_result(1000, doc) if code == 1000 else fault_result(code, str(doc))
--- a/lines/exchange/parts.py
+++ b/lines/exchange/parts.py
@@ -7,12 +7,12 @@
 
 from ..dialplan import PlanFault, check_plan, merge
 from ..partyline import Commands
+from ..tickets import Quorum, active
 
 PLAN = "plan"
 OTHERS = ["p0", "p1", "p2"]
 PARTS = [PLAN] + OTHERS
 KEEP_TAKEN = 64
-COPIES = 2
 
 commands = Commands()
 
@@ -96,8 +96,11 @@
     return 1000, None, True
 
 
-def _active(val) -> int:
-    return sum(1 for s in val.get("stores", {}).values() if s["state"] == "active")
+def _spares(val, sid: str, args) -> bool:
+    """Whether enough active stores stay without one. What is tolerated comes with the command: all nodes must make the
+    same of it, whatever settings they started with."""
+    left = {s: m for s, m in active(val.get("stores", {})).items() if s != sid}
+    return Quorum.read(args.get("quorum")).spares(left)
 
 
 def _drop_cleared(val, sid: str) -> None:
@@ -114,11 +117,11 @@
 
 @commands.on("store.leave")
 def store_leave(val, args):
-    """A store is to hold nothing any more: {"id"}."""
+    """A store is to hold nothing any more: {"id", "quorum"}."""
     s = val.get("stores", {}).get(args["id"])
     if s is None or s["state"] == "leaving":
         return 1000, None, False
-    if _active(val) <= COPIES:
+    if not _spares(val, args["id"], args):
         return 2013, None, False
     s["state"] = "leaving"
     _drop_cleared(val, args["id"])
@@ -150,12 +153,12 @@
 
 @commands.on("retire.start")
 def retire_start(val, args):
-    """The operator wants a machine emptied: {"node"}."""
+    """The operator wants a machine emptied: {"node", "quorum"}."""
     if args["node"] in val.get("retired", {}):
         return 1000, {"OperState": val["retired"][args["node"]]}, False
     for sid, s in val.get("stores", {}).items():
         if s["name"] == args["node"] and s["state"] == "active":
-            if _active(val) - 1 <= COPIES:
+            if not _spares(val, sid, args):
                 return 2013, None, False
             s["state"], s["retire"] = "leaving", True
             _drop_cleared(val, sid)
--- a/lines/exchange/store.py
+++ b/lines/exchange/store.py
@@ -10,7 +10,7 @@
 from ..sends import Caller, Picker
 from ..supervisor import Dispatch, Engines, Orders, Reign
 from ..supervisor.reign import fetch_over
-from ..tickets import Copier, Deposed, Rec, Shelf, pack
+from ..tickets import Copier, Deposed, Quorum, Rec, Shelf, active, pack
 from ..tickets.rec import pack_many, unpack_many
 from ..tollbook import Tollbook
 from ..trunk import Desk, LineFault, Lines, Refusal, Verbs
@@ -37,6 +37,7 @@
         self.others = Neighbours()
         self.met: dict[str, float] = {}
         self.proofs: dict[str, tuple] = {}
+        self.quorum = Quorum.of(boot)
         self.engines = Engines()
         self.picker = Picker(boot.zone, boot.zone, rest_s=boot.secs("ContactMs", 0.2))
         self.plan: Plan | None = None
@@ -58,7 +59,7 @@
         self.caller = Caller()
         self.news = Newsreader(self.boot, self._card(), self.lines, self.board, self.clock, self.ctr)
         self.copier = Copier(self.id, self.shelf, self.lines, self.members, self.alive, self.crew, self.ctr,
-                             secs=self.quiet_s * 1.5)
+                             secs=self.quiet_s * 1.5, quorum=self.quorum)
         self.dispatch = Dispatch(self)
         self.orders = Orders(self)
         await self.desk.open(f"{self.boot.ip}:{self.port}")
@@ -140,14 +141,13 @@
         return min(self.others.silent(sid, now), now - max(self.woke, met)) < self.quiet_s
 
     def confirmed(self, run: str, term: int, secs: float) -> bool:
-        """Whether another store said within secs that it knows no higher term of a run."""
+        """Whether so many stores, this one among them, said within secs that they know no higher term of a run that no
+        other can have gathered its holder's right without one of them."""
         if self.shelf.promised.get(run, 0) > term:
             return False
-        now, members = self.clock.now(), self.members()
-        if set(members) <= {self.id}:
-            return True
-        return any(now - at <= secs and promised.get(run, 0) <= term
-                   for sid, (at, promised) in self.proofs.items() if sid in members)
+        now = self.clock.now()
+        good = {sid for sid, (at, promised) in self.proofs.items() if now - at <= secs and promised.get(run, 0) <= term}
+        return self.quorum.enough(good | {self.id}, active(self.members()))
 
     async def ask_store(self, sid, addr, verb, doc):
         """Call a store's verb; None if that very store does not answer."""
--- a/lines/frame/boot.py
+++ b/lines/frame/boot.py
@@ -44,6 +44,8 @@
     fds: int
     disk_mb: int
     tolerate: int
+    tolerate_zones: int
+    tolerate_regions: int
     bounds: dict = field(default_factory=dict)
 
     def secs(self, name: str, ratio: float = 1.0) -> float:
@@ -107,6 +109,11 @@
     seeds = tuple(_addr("SeedPeers", s) for s in _want(doc, "SeedPeers", list, [], must=False))
     listen = {k: _addr(f"Bindings.{k}", v) for k, v in _want(doc, "Bindings", dict, {}, must=False).items()}
     tol = _want(doc, "FaultTolerance", dict, {}, must=False)
+    tolerate = {}
+    for name, dflt in (("Machines", 1), ("Zones", 0), ("Regions", 0)):
+        tolerate[name] = dflt if tol.get(name) is None else tol[name]
+        if isinstance(tolerate[name], bool) or not isinstance(tolerate[name], int) or tolerate[name] < 0:
+            raise BootFault(f"FaultTolerance.{name}", "must be a whole number that is not negative")
     beat = _want(doc, "KeepaliveMs", float, 1200.0, must=False)
     if beat <= 0:
         raise BootFault("KeepaliveMs", "must be above 0")
@@ -117,7 +124,7 @@
         listen=listen, ports=tuple(ports), seeds=seeds, first=_want(doc, "Bootstrap", bool, False, must=False),
         data_dir=_want(doc, "DataDir", str, None, must=False), beat_ms=beat,
         memory_mb=int(lim.get("MemoryMb", 256)), fds=int(lim.get("MaxFds", 1024)), disk_mb=int(lim.get("DiskMb", 0)),
-        tolerate=int(tol.get("Machines", 1)), bounds=_bounds(doc))
+        tolerate=tolerate["Machines"], tolerate_zones=tolerate["Zones"], tolerate_regions=tolerate["Regions"], bounds=_bounds(doc))
 
 
 def read_boot(path: str | None = None) -> Boot:
--- a/lines/supervisor/reign.py
+++ b/lines/supervisor/reign.py
@@ -8,8 +8,7 @@
 import orjson
 from transitions import Machine
 
-from ..tickets import Deposed, Lot, Rec, read_lot
-from ..tickets.copier import COPIES
+from ..tickets import Deposed, Lot, Rec, active, read_lot
 from ..tickets.rec import unpack_many
 from ..trunk import LineFault
 
@@ -20,7 +19,7 @@
 
 
 class Reign:
-    """Begins by reading what all stores but one hold of the run, then serves it until another's term is higher.
+    """Begins by reading what so many stores hold of the run that no acknowledged record can be missed, then serves it until another's term is higher.
 
     >>> # reign = Reign(store, "service", term); await reign.begin()
     """
@@ -71,32 +70,35 @@
         code, doc = await st.news.do("plan", "store.list", {})
         if code != 1000:
             return False
-        addrs = {sid: st.addr_of(m) for sid, m in doc["stores"].items()}
+        members = doc["stores"]
+        addrs = {sid: st.addr_of(m) for sid, m in members.items()}
+        if st.id not in addrs:
+            return False
         got = {}
         tasks = {asyncio.ensure_future(st.ask_store(sid, addr, "shelf.prepare", {"run": self.run, "term": self.term})):
                  sid for sid, addr in addrs.items()}
-        need = max(1, len(addrs) - 1)
-        wait, ok = set(tasks), True
-        while wait and (len(got) < need):
-            done, wait = await asyncio.wait(wait, return_when=asyncio.FIRST_COMPLETED)
-            for t in done:
-                out = t.result()
-                if out is None:
-                    continue
-                if not out["ok"]:
-                    raise Deposed(self.run)
-                got[tasks[t]] = out["lots"]
-                self._heed_orders(out["orders"])
-        for t in wait:
-            t.cancel()
-        if len(got) < need or st.id not in addrs or not ok:
+        wait = set(tasks)
+        try:
+            while wait:
+                sure = st.id in got and st.quorum.heard(got, members)
+                # once it is sure, the others are given a moment: copies that they have need not be made anew
+                done, wait = await asyncio.wait(wait, timeout=st.beat_s if sure else None,
+                                                return_when=asyncio.FIRST_COMPLETED)
+                if not done:
+                    break
+                for t in done:
+                    out = t.result()
+                    if out is None:
+                        continue
+                    if not out["ok"]:
+                        raise Deposed(self.run)
+                    got[tasks[t]] = out["lots"]
+                    self._heed_orders(out["orders"])
+        finally:
+            for t in wait:
+                t.cancel()
+        if st.id not in got or not st.quorum.heard(got, members):
             return False
-        if st.id not in got:
-            out = await st.shelf.prepare(self.run, self.term)
-            if not out["ok"]:
-                raise Deposed(self.run)
-            got[st.id] = out["lots"]
-            self._heed_orders(out["orders"])
         lids = {lid for lots in got.values() for lid in lots}
         for lid in sorted(lids):
             if not await self._adopt(lid, {sid: lots[lid] for sid, lots in got.items() if lid in lots}, addrs):
@@ -111,7 +113,7 @@
             self.order_from[iid] = max(at, self.order_from.get(iid, at))
 
     async def _adopt(self, lid: str, seen: dict, addrs: dict) -> bool:
-        """Take up one lot from what the stores said; positions with one copy are written anew under this term."""
+        """Take up one lot from what the stores said; positions without enough copies are written anew under this term."""
         st = self.st
         if not any(s["lot"] for s in seen.values()):
             return True   # only an end or results without the lot: it was never accepted
@@ -152,11 +154,12 @@
         lot = read_lot(lot_rec.head, lot_rec.body, mine.get("at", st.clock.now()))
         first = Rec(dict(lot_rec.head), lot_rec.body, {sid for sid, s in seen.items() if s["lot"]})
         lot.recs.append(first)
-        again = [first] if len(first.held) < COPIES else []
+        again = [first] if not st.copier.enough(first) else []
+        where = {sid: {tuple(row) for row in s["results"]} for sid, s in seen.items()}
         for pos, (term, item) in enumerate(chosen):
-            held = {sid for sid, s in seen.items() if [pos, term, item] in s["results"]}
+            held = {sid for sid, rows in where.items() if (pos, term, item) in rows}
             rec = Rec(dict(have[pos].head), have[pos].body, held)
-            if len(held) < COPIES:
+            if not st.copier.enough(rec):
                 rec = Rec({**rec.head, "term": self.term}, rec.body)
                 again.append(rec)
             lot.results.append(rec)
@@ -166,7 +169,7 @@
             lot.ended, lot.ended_at = True, st.clock.now()
             rec = Rec(dict(end.head), end.body, {sid for sid, s in seen.items() if s["end"]})
             lot.recs.append(rec)
-            if len(rec.held) < COPIES:
+            if not st.copier.enough(rec):
                 again.append(rec)
         if again:
             st.ctr.add("adopt.again", len(again))
@@ -178,7 +181,7 @@
     # -- serving
 
     def fresh(self) -> bool:
-        """Whether another store said, not long ago, that it knows no higher term: then no other holder has listed."""
+        """Whether enough stores said, not long ago, that they know no higher term: then no other holder has listed."""
         return self.state == "holding" and self.st.confirmed(self.run, self.term, self.st.boot.secs("SettleMs", 0.5))
 
     def may_order(self, iid: str | None = None) -> bool:
@@ -216,12 +219,12 @@
 
     def _advance(self, lot: Lot) -> None:
         """List what has its copies, and all before it."""
-        while lot.listed < len(lot.results) and len(lot.results[lot.listed].held) >= COPIES:
+        while lot.listed < len(lot.results) and self.st.copier.enough(lot.results[lot.listed]):
             lot.listed += 1
         self.st.board.touch(("lot", lot.lid))
 
     async def put(self, head: dict, body: bytes) -> None:
-        """Take a lot, once; returns when two stores have it."""
+        """Take a lot, once; returns when enough stores have it."""
         if head["lot"] in self.lots:
             return
         rec = Rec({"k": "L", "lot": head["lot"], "run": self.run, "host": head["host"], "path": head["path"]}, body)
@@ -232,7 +235,7 @@
         await self._copy([rec], lot)
 
     async def intend(self, iid: str) -> float:
-        """Have two stores know that an order is about to be sent to a replica; the time until which it may be."""
+        """Have enough stores know that an order is about to be sent to a replica; the time until which it may be."""
         began = self.st.clock.now()
         # not a task of the reign: without the one that waits, no order is sent, and the note binds nobody
         await self.st.copier.put(self.run, self.term, [Rec({"k": "O", "lot": "", "run": self.run, "iid": iid})])
@@ -246,11 +249,11 @@
         if rec is None:
             rec = Rec({"k": "E", "lot": lid, "run": self.run})
             lot.recs.append(rec)
-        if len(rec.held) < COPIES:
+        if not self.st.copier.enough(rec):
             await self._copy([rec], lot)
 
     async def list_result(self, lot: Lot, iid: str, doc: dict) -> None:
-        """Give an item its position; it is listed once two stores hold it and all before it are."""
+        """Give an item its position; it is listed once enough stores hold it and all before it are."""
         if iid in lot.done or self.state != "holding" or lot.ended:
             return
         lot.done.add(iid)
@@ -283,31 +286,35 @@
     # -- repair
 
     async def mend(self) -> None:
-        """Bring every record to the stores that should have it; say which leaving stores are not needed any more."""
+        """Bring every record to enough stores in touch; say which leaving stores are not needed any more."""
         st = self.st
         members = st.members()
-        active = {s for s, m in members.items() if m["state"] == "active"}
+        stay = active(members)
+        up = {sid: m for sid, m in stay.items() if st.alive(sid)}
         whole = True
         for lot in list(self.lots.values()):
-            want = [st.id] + [s for s in st.copier.targets(lot.lid) if st.alive(s)][:2]
-            for sid in want:
-                lack = [r for r in lot.recs if sid not in r.held and len(r.held) >= COPIES]
-                if not lack or sid not in active:
+            jobs: dict[str, list] = {}
+            for rec in lot.recs:
+                if _place(rec) in self._copying or st.quorum.enough(rec.held, up):
                     continue
-                st.ctr.add("mend.records", len(lack))
-                if sid == st.id:
-                    await st.copier._here(self.term, lack)
-                else:
-                    await st.copier.send(sid, self.run, self.term, lack)
+                for sid in st.copier.targets(lot.lid, rec.held & up.keys(), silent=False):
+                    jobs.setdefault(sid, []).append(rec)
+            for sid, recs in jobs.items():
+                st.ctr.add("mend.records", len(recs))
+                if await st.copier.send(sid, self.run, self.term, recs) is False:
+                    self.over()
+                    return
             if lot.listed < len(lot.results):
                 self._advance(lot)
-            if any(len(r.held & active) < COPIES for r in lot.recs):
+            # a record that is being copied is acknowledged only when enough stores that stay have it
+            if any(_place(r) not in self._copying and not st.quorum.enough(r.held, stay) for r in lot.recs):
                 whole = False
-        if whole and self.state == "holding":
-            for sid, m in members.items():
-                if m["state"] == "leaving" and self.run not in m["clear"]:
-                    st.log.info("run {}: store {} is not needed any more", self.run, sid)
-                    await st.news.do("plan", "store.clear", {"id": sid, "run": self.run, "term": self.term})
+        if not whole or not self.fresh():
+            return
+        for sid, m in members.items():
+            if m["state"] == "leaving" and self.run not in m["clear"]:
+                st.log.info("run {}: store {} is not needed any more", self.run, sid)
+                await st.news.do("plan", "store.clear", {"id": sid, "run": self.run, "term": self.term})
 
     def forget(self) -> list:
         """Lots that are ended and older than StatusS."""
--- a/lines/switchboard/lotdesk.py
+++ b/lines/switchboard/lotdesk.py
@@ -9,7 +9,7 @@
 from ..frame import Result, fault_result
 from ..sends import ECHO
 from ..sends.heads import HOLD
-from ..tickets import BadLot, check_lot
+from ..tickets import BadLot, Quorum, check_lot
 from ..trunk import LineFault
 
 
@@ -23,6 +23,7 @@
         self.boot, self.news, self.lines, self.ctr, self.clock = boot, news, lines, ctr, clock
         self.port = boot.ports[0] + 1
         self.run_of: dict[str, str] = {}
+        self.quorum = Quorum.of(boot)
 
     def _stores(self) -> dict:
         return (self.news.parts.get("plan") or {}).get("stores", {})
@@ -89,7 +90,7 @@
         return await self._ask("lot.read", {"lot": lid, "after": after, "hold": min(hold, 5.0)}, min(hold, 5.0))
 
     async def _ask(self, verb: str, doc: dict, hold: float) -> Result:
-        """Ask the holders; whoever holds the lot's run answers. 404 only when all but one store say so."""
+        """Ask the holders; whoever holds the lot's run answers. 404 only when enough stores lack it."""
         tens = self._tenures()
         end = self.clock.now() + hold + self.boot.secs("ContactMs", 0.25)
         first = tens.get(self.run_of.get(doc["lot"], ""), {}).get("holder")
@@ -121,7 +122,8 @@
         """Whether so many stores lack the lot that it cannot have been accepted."""
         stores = self._stores()
         tasks = [asyncio.ensure_future(self._lacks(f"{s['ip']}:{self.port}", sid, lid)) for sid, s in stores.items()]
-        return bool(tasks) and sum(await asyncio.gather(*tasks)) >= max(1, len(tasks) - 1)
+        lacks = await asyncio.gather(*tasks)
+        return self.quorum.heard({sid for sid, no in zip(stores, lacks) if no}, stores)
 
     async def _lacks(self, addr: str, sid: str, lid: str) -> bool:
         try:
--- a/lines/tickets/copier.py
+++ b/lines/tickets/copier.py
@@ -5,69 +5,77 @@
 
 from ..directory import rank
 from ..trunk import LineFault
+from .quorum import Quorum, active
 from .rec import Rec, pack_many
 
-COPIES = 2   # synced copies that an acknowledgement stands on
-WISHED = 3   # copies that are made when all is well
-
-
 class Deposed(Exception):
     """Another holds the run under a higher term."""
 
 
 class Copier:
-    """put() returns when two stores have synced the records.
+    """put() returns when enough stores have synced the records.
 
     >>> # await copier.put("run", 3, recs)
     """
 
-    def __init__(self, me, shelf, lines, members, alive, crew, ctr, secs: float):
+    def __init__(self, me, shelf, lines, members, alive, crew, ctr, secs: float, quorum: Quorum):
         self.me, self.shelf, self.lines = me, shelf, lines
         self.members, self.alive = members, alive
         self.crew, self.ctr, self.secs = crew, ctr, secs
+        self.quorum = quorum
         self._inboxes: dict[str, list] = {}
         self._wakes: dict[str, asyncio.Event] = {}
 
-    def targets(self, lid: str) -> list:
-        """Other stores for a lot, the ones that should have it first, those that are silent last."""
-        names = [s for s, m in self.members().items() if m["state"] == "active" and s != self.me]
-        order = rank(lid, names)
-        return [s for s in order if self.alive(s)] + [s for s in order if not self.alive(s)]
+    def enough(self, rec: Rec) -> bool:
+        """Whether a record's copies on stores that stay are enough."""
+        return self.quorum.enough(rec.held, active(self.members()))
+
+    def targets(self, lid: str, held, avoid=(), silent: bool = True) -> list:
+        """The stores that should have a lot's record besides those that hold it: this one, then by rendezvous of the
+        lot's id those in touch, and if these are not enough also silent ones."""
+        members = active(self.members())
+        order = [self.me] + rank(lid, [s for s in members if s != self.me])
+        order = [s for s in order if s not in avoid]
+        out = self.quorum.pick([s for s in order if self.alive(s)], held, members)
+        if silent:
+            out += self.quorum.pick([s for s in order if not self.alive(s)], {*held, *out}, members)
+        return out
 
     async def put(self, run: str, term: int, recs: list[Rec]) -> None:
-        """Append here and elsewhere; Deposed if a store knows a higher term."""
+        """Have enough stores sync the records; Deposed if a store knows a higher term. One that is slow to answer is
+        not waited for: another is asked as well."""
         lid = recs[0].head["lot"]
-        wait = {asyncio.ensure_future(self._here(term, recs)): self.me}
-        left = self.targets(lid)
-        for sid in left[:WISHED - 1]:
-            wait[self.send(sid, run, term, recs)] = sid
-        left = left[WISHED - 1:]
-        good = 0
+        wait: dict[asyncio.Future, tuple] = {}
+        slow: set = set()   # asked, without an answer in time
         pause = 0.05
-        while good < COPIES:
+        while True:
+            lack = [r for r in recs if not self.enough(r)]
+            if not lack:
+                return
+            if self.shelf.promised.get(run, 0) > term:
+                raise Deposed(run)
+            jobs: dict[str, list] = {}
+            for r in lack:
+                coming = {sid for sid, rs in wait.values() if sid not in slow and any(r is x for x in rs)}
+                for sid in self.targets(lid, r.held | coming, avoid=slow):
+                    jobs.setdefault(sid, []).append(r)
+            for sid, rs in jobs.items():
+                wait[self.send(sid, run, term, rs)] = (sid, rs)
             if not wait:
                 await asyncio.sleep(pause)
                 pause = min(0.4, pause * 2)
-                if self.shelf.promised.get(run, 0) > term:
-                    raise Deposed(run)
-                lacking = [s for s in self.targets(lid) if not all(s in r.held for r in recs)]
-                if self.me not in recs[0].held:
-                    wait[asyncio.ensure_future(self._here(term, recs))] = self.me
-                for sid in lacking[:WISHED - 1]:
-                    wait[self.send(sid, run, term, recs)] = sid
-                if not wait:
-                    continue
-            done, _ = await asyncio.wait(wait, return_when=asyncio.FIRST_COMPLETED)
+                slow.clear()
+                continue
+            done, _ = await asyncio.wait(wait, timeout=self.secs / 3, return_when=asyncio.FIRST_COMPLETED)
+            if not done:
+                slow |= {sid for sid, _ in wait.values()}
             for t in done:
-                sid = wait.pop(t)
+                sid, _ = wait.pop(t)
                 out = t.result()
-                if out is True:
-                    good += 1
-                elif out is False:
+                if out is False:
                     raise Deposed(run)
-                elif left:
-                    nxt = left.pop(0)
-                    wait[self.send(nxt, run, term, recs)] = nxt
+                if out is None:
+                    slow.add(sid)
 
     async def _here(self, term: int, recs: list[Rec]):
         out = await self.shelf.append([Rec({**r.head, "by": term}, r.body) for r in recs])
@@ -79,6 +87,8 @@
 
     def send(self, sid: str, run: str, term: int, recs: list[Rec]) -> asyncio.Future:
         """Put records into a store's inbox; True when synced there, False if deposed, None if it does not answer."""
+        if sid == self.me:
+            return asyncio.ensure_future(self._here(term, recs))
         fut = asyncio.get_running_loop().create_future()
         if sid not in self._inboxes:
             self._inboxes[sid], self._wakes[sid] = [], asyncio.Event()
--- a/lines/tickets/shelf.py
+++ b/lines/tickets/shelf.py
@@ -70,15 +70,16 @@
         if term < self.promised.get(run, 0):
             self.ctr.add("shelf.prepare_refused")
             return {"ok": False, "promised": self.promised[run]}
-        if self._promise(run, term):
-            await self.book.append(pack(Rec({"k": "P", "run": run, "term": term})))
-            if self.promised[run] != term:
-                return {"ok": False, "promised": self.promised[run]}
+        fresh = [pack(Rec({"k": "P", "run": run, "term": term}))] if self._promise(run, term) else []
         lots = {}
         for lid, ent in self.lots.items():
             if ent["run"] == run:
                 lots[lid] = {"lot": ent["lot"] is not None, "end": ent["end"] is not None,
                              "results": [[p, r.head["term"], r.head["item"]] for p, r in ent["results"].items()]}
+        # what is told must be on the disk, also when the promise stood before: others count on these copies
+        await self.book.append(*fresh)
+        if self.promised[run] != term:
+            return {"ok": False, "promised": self.promised[run]}
         now = self.clock.now()
         return {"ok": True, "lots": lots, "orders": {i: now - at for i, at in self.orders.get(run, {}).items()}}
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -122,21 +122,21 @@
 class World:
     """A whole system on loopback addresses of its own, in one event loop."""
 
-    def __init__(self, tmp, cores=3, stores=3):
+    def __init__(self, tmp, cores=3, stores=3, tolerate=1):
         self.tmp, net = tmp, next(NETS)
         self.net = f"127.{100 + net % 100}"
         self.base = free_port(f"{self.net}.1.1")
         self.control, self.front, self.ready = (free_port(f"{self.net}.1.1") for _ in range(3))
         self.seeds = [f"{self.net}.1.{i}:{self.control}" for i in range(1, cores + 1)]
         self.cores, self.stores, self.replicas, self.edge = {}, {}, [], None
-        self.ncores, self.nstores = cores, stores
+        self.ncores, self.nstores, self.tolerate = cores, stores, tolerate
 
     def boot(self, kind, ip, first=True):
         listen = {"edge": {"FrontHttp": f"{ip}:{self.front}", "Readiness": f"{ip}:{self.ready}"},
                   "core": {"ControlPlane": f"{ip}:{self.control}"}, "store": {}}[kind]
         return check_boot({"NodeName": f"{kind}-{ip}", "Role": kind, "IpAddress": ip, "Zone": "z1",
                            "Bindings": listen, "InternalPorts": [self.base, self.base + 5], "SeedPeers": self.seeds,
-                           "Bootstrap": first, "DataDir": f"{self.tmp}/{kind}-{ip}"})
+                           "Bootstrap": first, "FaultTolerance": {"Machines": self.tolerate}, "DataDir": f"{self.tmp}/{kind}-{ip}"})
 
     async def start(self):
         for i in range(1, self.ncores + 1):
--- a/tests/test_boot.py
+++ b/tests/test_boot.py
@@ -20,6 +20,9 @@
     ({"InternalPorts": "x"}, "InternalPorts"), ({"SeedPeers": ["nowhere"]}, "SeedPeers"),
     ({"Bindings": {"FrontHttp": "10.0.0.1"}}, "Bindings.FrontHttp"), ({"Bounds": {"ContactMs": "3"}}, "Bounds.ContactMs"),
     ({"Bounds": {"ContactMs": -1}}, "Bounds.ContactMs"), ({"Bounds": {"Fencing": 1}}, "Bounds.Fencing"),
+    ({"FaultTolerance": {"Machines": -1}}, "FaultTolerance.Machines"),
+    ({"FaultTolerance": {"Zones": "1"}}, "FaultTolerance.Zones"),
+    ({"FaultTolerance": {"Regions": True}}, "FaultTolerance.Regions"),
     ({"KeepaliveMs": 0}, "KeepaliveMs"), ({"Bootstrap": "yes"}, "Bootstrap")])
 def test_bad_settings_name_the_field(change, field):
     doc = {k: v for k, v in {**GOOD, **change}.items() if v is not ...}
@@ -28,6 +31,13 @@
     assert e.value.field == field and "\n" not in str(e.value)
 
 
+@pytest.mark.parametrize("doc, machines, zones, regions", [
+    (None, 1, 0, 0), ({}, 1, 0, 0), ({"Machines": 0}, 0, 0, 0), ({"Machines": 2, "Zones": 1, "Regions": None}, 2, 1, 0)])
+def test_what_is_tolerated(doc, machines, zones, regions):
+    boot = check_boot({**GOOD, "FaultTolerance": doc})
+    assert (boot.tolerate, boot.tolerate_zones, boot.tolerate_regions) == (machines, zones, regions)
+
+
 @pytest.mark.parametrize("raw", [b"", b"[1]", b"{", b"\xff"])
 def test_file_that_is_no_settings(tmp_path, raw):
     path = tmp_path / "s.json"
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -87,6 +87,21 @@
     assert do(val, "retire.start", node="nope")[0] == 2008
 
 
+@pytest.mark.parametrize("f, zones, n, code", [
+    (0, 0, 1, 2013), (0, 0, 2, 1000), (1, 0, 3, 2013), (1, 0, 4, 1000), (2, 0, 5, 2013), (2, 0, 6, 1000), (3, 0, 7, 2013),
+    (1, 1, 6, 2013)])
+@pytest.mark.parametrize("cmd, args", [("retire.start", {"node": "n1"}), ("store.leave", {"id": "s1"})])
+@pytest.mark.parametrize("gone", [0, 1])
+def test_enough_stores_must_stay(gone, cmd, args, f, zones, n, code):
+    val = stores(n + gone, runs=["m"])
+    if gone:                       # one that leaves already is none of those that stay
+        val["stores"]["s0"]["state"] = "leaving"
+    if n + gone == 1:
+        args = {"node": "n0", "id": "s0"}
+    quorum = {"machines": f, "zones": zones, "regions": 0, "region_of": {}}
+    assert do(val, cmd, **args, quorum=quorum)[0] == code
+
+
 def test_retire_is_complete_when_every_run_is_clear():
     val = stores(4, runs=["m", "k"])
     do(val, "retire.start", node="n1")
--- /dev/null
+++ b/tests/test_quorum.py
@@ -0,0 +1,329 @@
+"""Copies, gathers and proofs outlive what the settings say may be lost: stores in one process, disks in memory."""
+import itertools
+from types import SimpleNamespace
+
+import orjson
+import pytest
+from conftest import MemBook
+from test_tickets import LOT
+
+from lines.exchange.parts import commands
+from lines.exchange.store import Store
+from lines.frame import Board, Counters, Crew, open_logs
+from lines.frame.boot import check_boot
+from lines.supervisor import Reign
+from lines.supervisor.reign import fetch_over
+from lines.switchboard.lotdesk import LotDesk
+from lines.tickets import Copier, Quorum, Shelf, active
+from lines.tickets.rec import pack_many, unpack_many
+from lines.trunk import LineFault
+
+LOG = open_logs("t", "CRITICAL")
+
+
+def settings(**tolerance):
+    return check_boot({"NodeName": "n", "IpAddress": "1.1.1.1", "InternalPorts": [1, 9],
+                       "FaultTolerance": tolerance})
+
+
+class Site:
+    """Stores by place; what the control nodes agreed on; which places are dark."""
+
+    def __init__(self, clock, boot, n, zones=("z",)):
+        self.clock, self.boot, self.val, self.at, self.dark = clock, boot, {"runs": {"s": 1}}, {}, set()
+        self.ids, self.zones = itertools.count(), zones
+        for i in range(n):
+            self.start(f"p{i}", MemBook())
+
+    def start(self, place, book, sid=None):
+        """A process on this disk; an empty one has a new id and joins."""
+        node = self.at[place] = Node(self, place, book, sid or f"s{next(self.ids)}")
+        zone = self.zones[int(place[1:]) % len(self.zones)]
+        commands.run(self.val, "store.join", {"id": node.id, "name": place, "ip": place, "zone": zone})
+        return node
+
+    def wipe(self, place):
+        return self.start(place, MemBook())
+
+    def power(self, place):
+        """Lose what was not synced, and start again."""
+        old = self.at[place]
+        return self.start(place, old.shelf.book, old.id)
+
+    def holders(self, lid):
+        return [p for p, n in self.at.items() if n.shelf.lots.get(lid, {}).get("lot")]
+
+    def to(self, addr):
+        return SimpleNamespace(call=lambda *a, **kw: self.call(addr, *a, **kw))
+
+    async def call(self, addr, verb, doc, body=b"", secs=1.0):
+        if addr in self.dark:
+            raise LineFault(addr, sent=True)
+        node = self.at[addr]
+        if verb == "shelf.lacks":
+            return 1000, {"me": node.id, "lacks": doc["lot"] not in node.shelf.lots}, b""
+        if doc["to"] != node.id:
+            return 2008, None, b""
+        if verb == "shelf.append":
+            return 1000, await node.shelf.append(unpack_many(body)), b""
+        if verb == "shelf.prepare":
+            return 1000, orjson.loads(orjson.dumps(await node.shelf.prepare(doc["run"], doc["term"]))), b""
+        assert verb == "shelf.fetch"
+        return 1000, None, pack_many(node.shelf.fetch(doc["lot"], doc["poss"], doc["want_lot"]))
+
+
+class Node:
+    """What a reign needs of a store."""
+
+    confirmed, fetch, ask_store = Store.confirmed, Store.fetch, Store.ask_store
+
+    def __init__(self, site, place, book, sid):
+        self.site, self.place, self.id, self.clock, self.boot = site, place, sid, site.clock, site.boot
+        self.log, self.ctr, self.board, self.beat_s, self.quiet_s = LOG, Counters(), Board(), 0.001, 0.05
+        self.shelf = Shelf(book, self.clock, self.ctr)
+        self.shelf.load(book.raws)
+        self.crew, self.lines, self.news, self.quorum = Crew(LOG, self.ctr), site, self, Quorum.of(site.boot)
+        self.copier = Copier(sid, self.shelf, site, self.members, self.alive, self.crew, self.ctr, 0.05, self.quorum)
+        self.proofs: dict = {}
+        self.verbs = SimpleNamespace(table={"shelf.prepare": self._prepare})
+
+    async def _prepare(self, doc, body):
+        return await self.shelf.prepare(doc["run"], doc["term"])
+
+    async def do(self, part, name, args):
+        code, doc, _ = commands.run(self.site.val, name, args)
+        return code, orjson.loads(orjson.dumps(doc))
+
+    def members(self):
+        return {s: {**m, "addr": m["ip"]} for s, m in self.site.val["stores"].items()}
+
+    def addr_of(self, m):
+        return m["ip"]
+
+    def alive(self, sid):
+        m = self.site.val["stores"].get(sid)
+        return m is not None and m["ip"] not in self.site.dark and self.site.at[m["ip"]].id == sid
+
+    def hear(self, names):
+        """What pings would have brought from these stores."""
+        for sid in names:
+            place = self.site.val["stores"][sid]["ip"]
+            self.proofs[sid] = (self.clock.now(), dict(self.site.at[place].shelf.promised))
+
+    async def reign(self, term):
+        reign = Reign(self, "s", term)
+        await reign.begin()
+        self.hear(s for s in self.members() if self.alive(s) and s != self.id)
+        return reign
+
+
+async def accepted(site, at, term=1):
+    """A holder that took a lot and listed a result."""
+    reign = await site.at[at].reign(term)
+    await reign.put({"lot": "l", "run": "s", "host": "h", "path": "/p/"}, orjson.dumps(LOT))
+    await reign.list_result(reign.lots["l"], "i1", {"a": 1})
+    assert reign.lots["l"].listed == 1
+    return reign
+
+
+SIZES = [({"Machines": 0}, 1), ({"Machines": 0}, 3), ({"Machines": 1}, 3), ({"Machines": 1}, 4), ({"Machines": 2}, 5),
+         ({"Machines": 2}, 9), ({"Machines": 3}, 7)]
+IDS = [f"{t['Machines']} of {n}" for t, n in SIZES]
+
+
+@pytest.mark.parametrize("tol, n", SIZES, ids=IDS)
+def test_an_acknowledgement_has_just_enough_copies(run, clock, tol, n):
+    async def go():
+        site = Site(clock, settings(**tol), n)
+        await accepted(site, "p0")
+        assert len(site.holders("l")) == tol["Machines"] + 1 and "p0" in site.holders("l")
+    run(go())
+
+
+@pytest.mark.parametrize("from_end", [False, True], ids=["first copies", "last copies"])
+@pytest.mark.parametrize("tol, n", SIZES, ids=IDS)
+def test_disks_are_wiped_right_after_the_acknowledgement_and_all_others_lose_power(run, clock, tol, n, from_end):
+    async def go():
+        f = tol["Machines"]
+        site = Site(clock, settings(**tol), n)
+        await accepted(site, "p0")
+        # twice: what was repaired must be as good as what was accepted
+        for term in (2, 3):
+            held = site.holders("l")
+            lost = held[len(held) - f:] if from_end else held[:f]
+            for p in list(site.at):
+                (site.wipe if p in lost else site.power)(p)
+            assert sum(m["state"] == "leaving" for m in site.val["stores"].values()) == f
+            new = next(p for p in site.at if p in lost or n == 1 or p not in held)
+            reign = await site.at[new].reign(term)
+            lot = reign.lots["l"]
+            assert lot.listed == 1 and lot.page(0)[0] == [b'{"a":1}']
+            await reign.mend()
+            assert all(m["state"] == "active" for m in site.val["stores"].values()), "repaired, and the old ones cleared"
+            assert all(site.at[new].copier.enough(r) for r in lot.recs)
+            assert len([p for p in site.holders("l") if site.at[p].id in site.val["stores"]]) >= f + 1
+    run(go())
+
+
+@pytest.mark.parametrize("tol, n, dark", [(t, n, d) for t, n in SIZES for d in range(min(n, 5))])
+def test_a_gather_needs_all_but_what_may_be_lost(run, clock, tol, n, dark):
+    async def go():
+        site = Site(clock, settings(**tol), n)
+        await accepted(site, "p0")
+        held = site.holders("l")
+        site.dark = set((held + [p for p in site.at if p not in held])[:dark])
+        at = site.at[next(p for p in reversed(list(site.at)) if p not in site.dark)]
+        reign = Reign(at, "s", 2)
+        assert await reign._gather() is (dark <= tol["Machines"])
+        assert ("l" in reign.lots) is (dark <= tol["Machines"])
+    run(go())
+
+
+# of the lot's copies, so many were wiped, and so many stores are dark; which lot is asked for: one that is there, or not
+NOWHERE = [(f, n, wiped, dark, lot) for f, n in [(0, 3), (1, 3), (1, 4), (2, 5), (2, 9)] for wiped in range(f + 1)
+           for dark in range(n) for lot in ("l", "x")]
+
+
+@pytest.mark.parametrize("f, n, wiped, dark, lot", NOWHERE)
+def test_no_such_lot_is_said_only_when_it_is_sure(run, clock, f, n, wiped, dark, lot):
+    async def go():
+        site = Site(clock, settings(Machines=f), n)
+        await accepted(site, "p0")
+        held = site.holders("l")
+        for p in held[:wiped]:
+            site.wipe(p)
+        site.dark = set(([p for p in held[wiped:]] + [p for p in site.at if p not in held])[:dark])
+        news = SimpleNamespace(parts={"plan": site.val})
+        desk = LotDesk(site.boot, news, site, Counters(), clock)
+        site.to = lambda addr, to=site.to: to(addr.rsplit(":", 1)[0])
+        assert await desk._nowhere(lot) is (lot == "x" and wiped + dark <= f)
+    run(go())
+
+
+@pytest.mark.parametrize("f, n, heard, good", [
+    (0, 1, 0, True), (0, 3, 0, True), (1, 3, 0, False), (1, 3, 1, True), (2, 5, 1, False), (2, 5, 2, True), (2, 9, 1, False),
+    (2, 9, 2, True), (3, 7, 2, False), (3, 7, 3, True)])
+def test_reads_and_orders_need_so_many_others(run, clock, f, n, heard, good):
+    async def go():
+        site = Site(clock, settings(Machines=f), n)
+        reign = await accepted(site, "p0")
+        reign.st.proofs.clear()
+        reign.st.hear([site.at[f"p{i}"].id for i in range(1, heard + 1)])
+        assert reign.fresh() is good and reign.may_order() is good
+        clock.at += 30           # what was said long ago proves nothing
+        assert reign.fresh() is (f == 0) and reign.may_order() is (f == 0)
+    run(go())
+
+
+@pytest.mark.parametrize("f, n", [(1, 3), (2, 5), (2, 9)])
+def test_an_old_holder_is_not_confirmed_by_those_whom_the_new_one_did_not_hear(run, clock, f, n):
+    """The new holder hears all but the old one and as many others as may be lost with it; these confirm the old one."""
+    async def go():
+        site = Site(clock, settings(Machines=f), n)
+        old = await accepted(site, "p0")
+        unheard = [f"p{i}" for i in range(f)]
+        site.dark = set(unheard)
+        new = await site.at[f"p{n - 1}"].reign(2)
+        assert new.state == "holding"
+        site.dark = set()
+        old.st.proofs.clear()
+        old.st.hear([site.at[p].id for p in unheard[1:]])
+        assert not old.fresh() and not old.may_order() and old.state == "holding"
+        old.st.hear([n.id for n in site.at.values()])
+        assert not old.fresh() and not old.may_order()
+        assert new.fresh() and new.may_order()
+    run(go())
+
+
+@pytest.mark.parametrize("why, who, good", [
+    ("a member that leaves proves nothing", "leaving", False), ("one that is no member proves nothing", "gone", False),
+    ("one that knows a higher term proves nothing", "promised", False), ("another does", "well", True)])
+def test_whose_word_counts(run, clock, why, who, good):
+    async def go():
+        site = Site(clock, settings(Machines=1), 4)
+        reign = await accepted(site, "p0")
+        other = site.at["p1"]
+        if who == "promised":
+            await other.shelf.prepare("s", 9)
+        reign.st.proofs.clear()
+        reign.st.hear([other.id])
+        if who == "leaving":
+            site.val["stores"][other.id]["state"] = "leaving"
+        if who == "gone":
+            del site.val["stores"][other.id]
+        assert reign.fresh() is good
+    run(go())
+
+
+@pytest.mark.parametrize("tol, zones, n, want", [
+    ({"Machines": 1, "Zones": 1}, ("x", "y", "v"), 6, 2), ({"Machines": 2, "Zones": 1}, ("x", "y", "v"), 6, 3),
+    ({"Machines": 1, "Zones": 2}, ("x", "y", "v", "u", "t"), 5, 3)])
+def test_a_whole_zone_is_lost(run, clock, tol, zones, n, want):
+    async def go():
+        for lost in itertools.combinations(zones, tol["Zones"]):
+            site = Site(clock, settings(**tol), n, zones)
+            await accepted(site, "p0")
+            assert len(site.holders("l")) == want
+            site.dark = {m["ip"] for m in site.val["stores"].values() if m["zone"] in lost}
+            at = next(p for p in site.at if p not in site.dark)
+            reign = await site.at[at].reign(2)
+            assert reign.lots["l"].listed == 1 and reign.fresh()
+            assert not site.at[at].quorum.enough([site.at[p].id for p in site.dark], active(site.val["stores"]))
+    run(go())
+
+
+def test_a_store_that_is_slow_is_not_waited_for(run, clock):
+    async def go():
+        site = Site(clock, settings(Machines=1), 3)
+        reign = await site.at["p0"].reign(1)
+        first = next(s for s in site.at["p0"].copier.targets("l", {site.at["p0"].id}))
+        place = site.val["stores"][first]["ip"]
+        site.dark = {place}
+        reign.st.alive = reign.st.copier.alive = lambda sid: True     # nobody knows it yet
+        await reign.put({"lot": "l", "run": "s", "host": "h", "path": "/p/"}, orjson.dumps(LOT))
+        assert len(site.holders("l")) == 2 and place not in site.holders("l")
+    run(go())
+
+
+def test_a_silent_copy_is_made_up_for_by_another(run, clock):
+    async def go():
+        site = Site(clock, settings(Machines=1), 4)
+        reign = await accepted(site, "p0")
+        await reign.mend()
+        assert len(site.holders("l")) == 2 and "mend.records" not in reign.st.ctr.all
+        site.dark = {next(p for p in site.holders("l") if p != "p0")}
+        await reign.mend()
+        assert len(site.holders("l")) == 3
+    run(go())
+
+
+REGIONS = {"a1": "a", "a2": "a", "b1": "b", "c1": "c"}
+MEMBERS = {z + n: {"zone": z, "state": "active"} for z in REGIONS for n in ("x", "y")}
+
+
+@pytest.mark.parametrize("q, held, enough", [
+    (Quorum(0), [], False), (Quorum(0), ["a1x"], True), (Quorum(0), ["gone"], False),
+    (Quorum(1), ["a1x", "gone"], False), (Quorum(1), ["a1x", "a1y"], True), (Quorum(2), ["a1x", "a1y"], False),
+    (Quorum(1, 1), ["a1x", "a1y"], False), (Quorum(1, 1), ["a1x", "a2x"], True),
+    (Quorum(1, 1, 1, REGIONS), ["a1x", "a2x"], False), (Quorum(1, 1, 1, REGIONS), ["a1x", "b1x"], True)])
+def test_enough(q, held, enough):
+    assert q.enough(held, MEMBERS) is enough
+
+
+@pytest.mark.parametrize("q", [Quorum(0), Quorum(1), Quorum(2), Quorum(1, 1), Quorum(1, 1, 1, REGIONS), Quorum(2, 2),
+                               Quorum(1, 0, 2, REGIONS)])
+def test_enough_copies_and_a_gather_share_a_store(q):
+    names = sorted(MEMBERS)
+    sets = [set(c) for k in range(len(names) + 1) for c in itertools.combinations(names, k)]
+    small = [s for s in sets if q.enough(s, MEMBERS) and not any(q.enough(s - {x}, MEMBERS) for x in s)]
+    heard = [s for s in sets if q.heard(s, MEMBERS)]
+    assert small and heard and all(a & b for a in small for b in heard)
+
+
+@pytest.mark.parametrize("q, held, order, picked", [
+    (Quorum(1), [], ["a1x", "a1y", "b1x"], ["a1x", "b1x"]),        # other zones before the same
+    (Quorum(1), ["a1x"], ["a1y"], ["a1y"]), (Quorum(0), ["a1x"], ["b1x"], []), (Quorum(2), [], ["a1x"], ["a1x"]),
+    (Quorum(1, 1), ["a1x", "a1y"], ["a1x", "b1x", "c1x"], ["b1x"]), (Quorum(1, 1), ["a1x", "a1y"], ["a1x"], []),
+    (Quorum(1, 1, 1, REGIONS), ["a1x"], ["a2x", "b1x"], ["b1x"]), (Quorum(1), ["a1x"], ["gone", "a2x"], ["a2x"])])
+def test_pick(q, held, order, picked):
+    assert q.pick(order, held, MEMBERS) == picked
--- a/tests/test_reign.py
+++ b/tests/test_reign.py
@@ -9,17 +9,20 @@
 from lines.frame import Board, Counters, Crew, open_logs
 from lines.frame.boot import check_boot
 from lines.supervisor import Reign
-from lines.tickets import Deposed, Rec, Shelf
+from lines.tickets import Deposed, Quorum, Rec, Shelf
 
 BOOT = check_boot({"NodeName": "n", "IpAddress": "1.1.1.1", "InternalPorts": [1, 9]})
 
 
 class FakeCopier:
-    def __init__(self, shelf):
-        self.shelf, self.puts, self.deposed = shelf, [], False
+    def __init__(self, st):
+        self.st, self.puts, self.deposed = st, [], False
         self.gate = asyncio.Event()      # copies arrive while it is set
         self.gate.set()
 
+    def enough(self, rec):
+        return self.st.quorum.enough(rec.held, self.st.members())
+
     async def put(self, run, term, recs):
         self.puts.append((term, recs))
         await self.gate.wait()
@@ -37,16 +40,22 @@
         self.ctr, self.board, self.log, self.beat_s = Counters(), Board(), open_logs("t", "CRITICAL"), 0.01
         self.crew = Crew(self.log, self.ctr)
         self.shelves = {n: Shelf(MemBook(), clock, Counters()) for n in names}
-        self.shelf = self.shelves["me"]
-        self.copier = FakeCopier(self.shelf)
+        self.shelf, self.quorum = self.shelves["me"], Quorum.of(BOOT)
+        self.copier = FakeCopier(self)
         self.news, self.silent, self.proof = self, set(), True
 
     async def do(self, part, name, args):
-        return 1000, {"stores": {n: {"ip": n, "state": "active"} for n in self.shelves}, "runs": {}}
+        return 1000, {"stores": self.members(), "runs": {}}
+
+    def members(self):
+        return {n: {"ip": n, "state": "active", "zone": "z"} for n in self.shelves}
 
     def addr_of(self, m):
         return m["ip"]
 
+    def alive(self, sid):
+        return sid not in self.silent
+
     def confirmed(self, run, term, secs):
         return self.proof
 
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -50,6 +50,33 @@
     run(go())
 
 
+@pytest.mark.parametrize("others", ["stay", "lose power"])
+def test_two_disks_are_lost_at_once_where_two_may_be(run, tmp_path, others):
+    async def go():
+        w = await world(tmp_path, stores=6, tolerate=2)
+        try:
+            assert await w.hand_in("lot1", lot()) == 202
+            rows = await w.read_all("lot1")
+            have = sorted(i for i, s in w.stores.items() if "lot1" in s.shelf.lots)
+            gone = {w.stores[i].id for i in have[:2]}
+            old = {i: w.stores.pop(i) for i in list(w.stores) if others == "lose power" or i in have[:2]}
+            for s in old.values():
+                await w.kill(s)
+            for i, s in old.items():
+                if i in have[:2]:
+                    shutil.rmtree(s.boot.data_dir)
+                await w.add_store(i, first=False)
+            assert await w.read_all("lot1") == rows
+            edge = w.edge
+            await w.until(edge.board, "parts", lambda: not gone & edge.news.parts["plan"]["stores"].keys())
+            assert copies(w, "lot1", 4) >= 3
+            assert await w.hand_in("lot2", lot(name="b")) == 202
+            assert len(await w.read_all("lot2")) == 4
+        finally:
+            await w.end()
+    run(go())
+
+
 def test_a_store_is_emptied_and_taken_away(run, tmp_path):
     async def go():
         w = await world(tmp_path, stores=4)
