--- a/lines/cordboard/leader.py
+++ b/lines/cordboard/leader.py
@@ -116,15 +116,6 @@
             run.journals[part] = WindowJournal(run.reign.run, part)
         return win
 
-    def base(self, run: str, part: str, total: int) -> int:
-        """Offsets for a lot that is about to be taken."""
-        r = self.runs.get(run)
-        if r is None:
-            return 0
-        win = self._window(r, part)
-        at, win.next = win.next, win.next + total
-        return at
-
     def _take_lot(self, run: Run, lot) -> None:
         win = self._window(run, lot.model)
         q = run.queues[lot.lid] = LotQueue(lot.want)
