Repair follows changes instead of walking every record on each beat

Cause: mend() looked at every record of every lot each time, and sent lot after lot, waiting for each. Change: all records are looked at once when the stores that stay, or those of them in touch, change; after that only those that lack copies. Sends go out in bursts, so that they share calls and syncs and new records still get through. A new holder adopts some lots side by side, and looks positions up in sets.

--- a/lines/supervisor/reign.py
+++ b/lines/supervisor/reign.py
@@ -16,6 +16,8 @@
     {"trigger": "gathered", "source": "reading", "dest": "holding"},
     {"trigger": "deposed", "source": "*", "dest": "over"},
 ]
+ABREAST = 8       # lots that are adopted side by side
+BURST = 1 << 18   # bytes of repair under way at a time: new records wait behind them
 
 
 class Reign:
@@ -31,6 +33,9 @@
         self.began = store.clock.now()
         Machine(self, states=["reading", "holding", "over"], initial="reading", transitions=MOVES,
                 auto_transitions=False)
+        self._mended: tuple = ()      # the stores that stay, and those of them in touch, when all records were looked at
+        self._up: dict = {}
+        self._thin: list = []         # records with too few copies on stores in touch, each with its lot
         self._copying: dict[tuple, asyncio.Task] = {}   # what is being copied, by the place of its first record
 
     # -- taking over
@@ -100,10 +105,18 @@
         if st.id not in got or not st.quorum.heard(got, members):
             return False
         lids = {lid for lots in got.values() for lid in lots}
-        for lid in sorted(lids):
-            if not await self._adopt(lid, {sid: lots[lid] for sid, lots in got.items() if lid in lots}, addrs):
-                return False
-        return True
+        # some side by side: what they copy to a store shares calls and syncs; not all, or fetches outlast their time
+        few = asyncio.Semaphore(ABREAST)
+
+        async def adopt(lid):
+            async with few:
+                return await self._adopt(lid, {sid: lots[lid] for sid, lots in got.items() if lid in lots}, addrs)
+        tasks = [asyncio.ensure_future(adopt(lid)) for lid in sorted(lids)]
+        try:
+            return all(await asyncio.gather(*tasks))
+        finally:
+            for t in tasks:
+                t.cancel()
 
     def _heed_orders(self, ages: dict) -> None:
         """An earlier holder meant to order from these replicas: wait out its right to, and then the lease."""
@@ -191,7 +204,7 @@
 
     # -- copying: the reign's own tasks do it, so that it goes on whatever happens to those who wait
 
-    async def _copy(self, recs: list, lot: Lot | None = None) -> None:
+    async def _copy(self, recs: list, lot: Lot | None) -> None:
         """Have records copied; returns when enough stores have them. Whoever asks for the same waits for the same."""
         key = _place(recs[0])
         task = self._copying.get(key)
@@ -213,15 +226,18 @@
             self.lots.setdefault(lot.lid, lot)
             self.st.ctr.add("lot.taken")
             self.st.board.touch("work")
-        elif lot is not None:
+        else:
             self._advance(lot)
+            self.st.board.touch(("lot", lot.lid))
+        self._thin += [(lot, r) for r in recs if not self.st.quorum.enough(r.held, self._up)]
         return True
 
-    def _advance(self, lot: Lot) -> None:
-        """List what has its copies, and all before it."""
+    def _advance(self, lot: Lot) -> bool:
+        """List what has its copies, and all before it; whether there was any."""
+        before = lot.listed
         while lot.listed < len(lot.results) and self.st.copier.enough(lot.results[lot.listed]):
             lot.listed += 1
-        self.st.board.touch(("lot", lot.lid))
+        return lot.listed > before
 
     async def put(self, head: dict, body: bytes) -> None:
         """Take a lot, once; returns when enough stores have it."""
@@ -286,29 +302,38 @@
     # -- repair
 
     async def mend(self) -> None:
-        """Bring every record to enough stores in touch; say which leaving stores are not needed any more."""
+        """Bring records to enough stores in touch; say which leaving stores are not needed any more. All records are
+        looked at when the stores change, after that only those that lack copies."""
         st = self.st
         members = st.members()
         stay = active(members)
         up = {sid: m for sid, m in stay.items() if st.alive(sid)}
-        whole = True
-        for lot in list(self.lots.values()):
-            jobs: dict[str, list] = {}
-            for rec in lot.recs:
-                if _place(rec) in self._copying or st.quorum.enough(rec.held, up):
-                    continue
-                for sid in st.copier.targets(lot.lid, rec.held & up.keys(), silent=False):
-                    jobs.setdefault(sid, []).append(rec)
-            for sid, recs in jobs.items():
-                st.ctr.add("mend.records", len(recs))
-                if await st.copier.send(sid, self.run, self.term, recs) is False:
-                    self.over()
-                    return
-            if lot.listed < len(lot.results):
-                self._advance(lot)
-            # a record that is being copied is acknowledged only when enough stores that stay have it
-            if any(_place(r) not in self._copying and not st.quorum.enough(r.held, stay) for r in lot.recs):
-                whole = False
+        if (stay.keys(), up.keys()) != self._mended:
+            self._mended, self._up = (stay.keys(), up.keys()), up
+            self._thin = self._without_copies(up)
+        thin, self._thin = [x for x in self._thin if self.lots.get(x[0].lid) is x[0]], []
+        st.ctr.add("mend.looked", len(thin))
+        sends, size, picks = [], 0, {}
+        for lot, rec in thin:
+            if _place(rec) in self._copying:
+                continue   # its own task sees to it, and acknowledges it only when enough stores that stay have it
+            have = frozenset(rec.held & up.keys())
+            if (lot.lid, have) not in picks:
+                picks[lot.lid, have] = st.copier.targets(lot.lid, have, silent=False)
+            for sid in picks[lot.lid, have]:
+                sends.append(st.copier.send(sid, self.run, self.term, [rec]))
+                size += len(rec.body) + 200
+            if size > BURST:
+                await self._sent(sends)
+                sends, size = [], 0
+        await self._sent(sends)
+        for lot in {id(lot): lot for lot, _ in thin}.values():
+            if self._advance(lot):
+                st.board.touch(("lot", lot.lid))
+        # what ended its copying meanwhile, without enough stores in touch, was put into the new list
+        left = {id(r): (lot, r) for lot, r in thin + self._thin if not st.quorum.enough(r.held, up)}
+        self._thin = list(left.values())
+        whole = all(_place(r) in self._copying or st.quorum.enough(r.held, stay) for _, r in self._thin)
         if not whole or not self.fresh():
             return
         for sid, m in members.items():
@@ -316,6 +341,26 @@
                 st.log.info("run {}: store {} is not needed any more", self.run, sid)
                 await st.news.do("plan", "store.clear", {"id": sid, "run": self.run, "term": self.term})
 
+    def _without_copies(self, members: dict) -> list:
+        """Every record that these stores have too few copies of, with its lot."""
+        out, known = [], {}
+        for lot in self.lots.values():
+            for rec in lot.recs:
+                held = frozenset(rec.held)   # few different sets, many records
+                if held not in known:
+                    known[held] = self.st.quorum.enough(held, members)
+                if not known[held]:
+                    out.append((lot, rec))
+            self.st.ctr.add("mend.looked", len(lot.recs))
+        return out
+
+    async def _sent(self, sends: list) -> None:
+        if not sends:
+            return
+        self.st.ctr.add("mend.records", len(sends))
+        if False in await asyncio.gather(*sends):
+            self.over()
+
     def forget(self) -> list:
         """Lots that are ended and older than StatusS."""
         now, keep = self.st.clock.now(), self.st.boot.secs("StatusS")
--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -297,6 +297,79 @@
     run(go())
 
 
+@pytest.mark.parametrize("why, change, looked, sent", [
+    ("nothing changed", lambda site: None, 0, 0),
+    ("a store came", lambda site: site.start("p4", MemBook()), 3, 0),
+    ("a store without copies fell silent", lambda site: site.dark.add(without(site)), 3, 0),
+    ("a store with copies fell silent", lambda site: site.dark.add(with_copies(site)), 3, 2),
+    ("a store with copies lost its disk", lambda site: site.wipe(with_copies(site)), 3, 2),
+    ("a store with copies is to leave", lambda site: site.val["stores"][site.at[with_copies(site)].id].update(
+        state="leaving"), 3, 2)])
+def test_repair_looks_at_all_records_only_when_the_stores_change(run, clock, why, change, looked, sent):
+    async def go():
+        site = Site(clock, settings(Machines=1), 4)
+        reign = await accepted(site, "p0")
+        ctr = reign.st.ctr.all
+        await reign.mend()
+        before = ctr["mend.looked"], ctr.get("mend.records", 0)
+        change(site)
+        for _ in range(3):
+            await reign.mend()
+        # the lot and its result once in the walk, and what lacks copies once more to send it
+        assert (ctr["mend.looked"] - before[0], ctr.get("mend.records", 0) - before[1]) == (looked and 2 + sent, sent)
+        assert not reign._thin
+        await reign.list_result(reign.lots["l"], "i2", {})       # new records need no look
+        await reign.mend()
+        assert ctr["mend.looked"] - before[0] == (looked and 2 + sent) and reign.lots["l"].listed == 2
+    run(go())
+
+
+def with_copies(site):
+    return next(p for p in site.holders("l") if p != "p0")
+
+
+def without(site):
+    return next(p for p in site.at if p not in site.holders("l"))
+
+
+@pytest.mark.parametrize("answers", [True, False])
+def test_what_could_not_be_repaired_is_tried_again(run, clock, answers):
+    async def go():
+        site = Site(clock, settings(Machines=1), 3)
+        reign = await accepted(site, "p0")
+        gone, spare = with_copies(site), without(site)
+        old = site.at[gone].id
+        site.wipe(gone)
+        site.dark = {gone, spare}
+        reign.st.alive = reign.st.copier.alive = lambda sid: True
+        await reign.mend()
+        assert len(reign._thin) == 2 and site.val["stores"][old]["state"] == "leaving"
+        if answers:
+            site.dark = set()
+            await reign.mend()
+        assert (old not in site.val["stores"]) is answers and bool(reign._thin) is not answers
+    run(go())
+
+
+def test_repair_of_many_lots_shares_its_calls(run, clock):
+    async def go():
+        site = Site(clock, settings(Machines=1), 3)
+        reign = await accepted(site, "p0")
+        for n in range(40):
+            await reign.put({"lot": f"l{n}", "run": "s", "host": "h", "path": "/p/"}, orjson.dumps(LOT))
+        gone, calls = with_copies(site), []
+        site.wipe(gone)
+        real = site.call
+
+        async def call(addr, verb, *a, **kw):
+            calls.append((addr, verb))
+            return await real(addr, verb, *a, **kw)
+        site.call = call
+        await reign.mend()
+        assert not reign._thin and len(calls) <= 4
+    run(go())
+
+
 REGIONS = {"a1": "a", "a2": "a", "b1": "b", "c1": "c"}
 MEMBERS = {z + n: {"zone": z, "state": "active"} for z in REGIONS for n in ("x", "y")}
 
