Replicas are judged by results against their peers; full is load, beats are hints

Cause: a replica that failed part of its requests with a good health answer was never told from a well one (a 500 of its own counted as served, any success cleared all doubt), one that was full counted as faulty, beats that came back ended every rest, and one that came back from a rest was in doubt until others were full. 'late' (lost a race) and pace against the peers lessen a replica's part up to a bound. 'shed' is load: it is left alone for half a second, longer each time. A beat that returns ends only a rest for want of contact. Picker.judge folds an answer for all callers (live requests, reward calls). What may run only once is no trial. A stream whose client left is no fault of the replica and is not sent again. Excluded: sharing verdicts among edges; slow start of an engine on trial in the dispatcher.

--- a/lines/directory/__init__.py
+++ b/lines/directory/__init__.py
@@ -2,9 +2,9 @@
 from .rendezvous import pick, rank
 from .roll import Roll
 from .neighbours import Neighbours
-from .fitness import Fitness
+from .fitness import Fitness, Peers
 
-__all__ = ["pick", "rank", "Roll", "Neighbours", "Fitness"]
+__all__ = ["pick", "rank", "Roll", "Neighbours", "Fitness", "Peers"]
 from .newsreader import Newsreader
 from .livebook import LiveBook
 from .rendezvous import part_of
--- a/lines/sends/picker.py
+++ b/lines/sends/picker.py
@@ -3,11 +3,20 @@
 
 from dataclasses import dataclass, field
 
-from ..directory import Fitness
+from ..directory import Fitness, Peers
+from .caller import Answer, Ran
+from .heads import LOAD
 from .subset import Subset
 
 ZONE = 0.08      # costs, as shares of a replica's places: a send to another zone
 COLD = 0.05      # a new connection
+SLOW = 0.15      # one time more than its peers take,
+MOST_SLOW = 3.0  # ... up to so many: one that is slow and idle is still better than most that are busy
+FAILS = 2.1      # a failure, times their share: one among the last ten counts just under a place
+SILENT = 0.5     # no beats came lately, and no answers
+TRIAL_EACH = 2   # picks of a service between trials of a replica that had a rest, for each trial that it still needs
+MOST_SHEDS = 4   # a replica that is full again and again is left alone for twice as long each time, so often
+HALF_RESTS = 4   # what was seen of a replica's pace counts half after so many rests
 HEARD_S = 0.5    # how long a replica's own word on its load holds
 
 
@@ -25,9 +34,28 @@
     pace: float = 0.0
     load: float = 0.0
     load_at: float = float("-inf")
+    pace_at: float = 0.0
+    served_at: float = float("-inf")
+    sheds: int = 0                      # times that it was full, since it served
+    full_until: float = float("-inf")
+    trial_at: int = -1000               # the service's count of picks at the last trial
     fitness: Fitness = field(default_factory=Fitness)
 
 
+class _Pool:
+    """What is kept for a service: its replicas in their order, how they do together, and how often one was picked."""
+
+    def __init__(self, me: str, zone: str):
+        self.subset, self.peers = Subset(me, zone), Peers()
+        self.picks, self.pace, self.paces = 0, 0.0, 0
+
+    def fold_pace(self, pace: float) -> None:
+        self.paces += 1
+        if self.paces > 10:
+            pace = min(pace, 1.5 * self.pace)   # a few slow ones must not make the measure
+        self.pace += max(0.02, 1.0 / self.paces) * (pace - self.pace)
+
+
 class Picker:
     """Replicas by service, kept up to date from the roll; idle(address) tells where a connection is kept.
 
@@ -45,7 +73,7 @@
         self.all: dict[str, Trunkline] = {}
         self.by_service: dict[str, dict] = {}
         self.by_addr: dict[str, Trunkline] = {}
-        self.subsets: dict[str, Subset] = {}
+        self.pools: dict[str, _Pool] = {}
 
     def fold(self, entries: list) -> None:
         """Take up changed entries of the roll."""
@@ -59,10 +87,10 @@
                 t = self._add(ent)
             if ent["state"] == "draining" and not t.draining:
                 t.draining = True
-                self.subsets[t.service].drop(t.iid)
+                self._leave(t)
             was, t.silent = t.silent, bool(ent.get("silent"))
             if was and not t.silent:
-                t.fitness.until = 0.0
+                t.fitness.hint()
 
     def _add(self, ent: dict) -> Trunkline:
         t = Trunkline(ent["id"], ent["addr"], ent["service"], ent["zone"], ent["slots"])
@@ -71,64 +99,125 @@
             self._drop(old)
         self.all[t.iid] = self.by_addr[t.addr] = t
         self.by_service.setdefault(t.service, {})[t.iid] = t
-        subset = self.subsets.get(t.service)
-        if subset is None:
-            subset = self.subsets[t.service] = Subset(self.me, self.zone)
-        subset.add(t.iid, t.zone, t)
+        pool = self.pools.get(t.service)
+        if pool is None:
+            pool = self.pools[t.service] = _Pool(self.me, self.zone)
+        pool.subset.add(t.iid, t.zone, t)
+        t.fitness = Fitness(pool.peers)
         return t
 
     def _drop(self, t: Trunkline) -> None:
         del self.all[t.iid]
         self.by_service[t.service].pop(t.iid, None)
-        self.subsets[t.service].drop(t.iid)
+        self._leave(t)
         if self.by_addr.get(t.addr) is t:
             del self.by_addr[t.addr]
 
-    def pick(self, service: str, tried: set, now: float) -> Trunkline | None:
-        """The best replica that was not tried yet, of as few as will do."""
-        subset = self.subsets.get(service)
-        if subset is None:
+    def _leave(self, t: Trunkline) -> None:
+        pool = self.pools[t.service]
+        pool.subset.drop(t.iid)
+        pool.peers.leave(t.fitness)
+
+    def pick(self, service: str, tried: set, now: float, sure: bool = False) -> Trunkline | None:
+        """The best replica that was not tried yet, of as few as will do. sure: the request may run only once, so it is
+        no trial of a replica that had a rest."""
+        pool = self.pools.get(service)
+        if pool is None:
             return None
         best, best_cost, n = None, None, 0
-        for block in subset.blocks():
+        for block in pool.subset.blocks():
             for t in block:
                 n += 1
                 if t.iid in tried or t.draining:
                     continue
-                cost = self._cost(t, now) + 0.001 * n
+                cost = self._cost(t, pool, now, sure) + 0.001 * n
                 if best is None or cost < best_cost:
                     best, best_cost = t, cost
-            if best is not None and self._free(best, now):
+            if best is not None and (best_cost < 0.0 or self._free(best, pool, now)):
                 break
+        pool.picks += 1
+        if best is not None and best.fitness.trials:
+            best.trial_at = pool.picks
         return best
 
-    def _free(self, t: Trunkline, now: float) -> bool:
-        return not t.silent and self._busy(t, now) <= self.widen * t.slots and t.fitness.look(now) == "fit"
+    def _free(self, t: Trunkline, pool: _Pool, now: float) -> bool:
+        return (self._busy(t, now) <= self.widen * t.slots and t.fitness.state == "fit" and not self._dark(t, now)
+                and self._slow(t, pool, now) < 1.0)
 
     def _busy(self, t: Trunkline, now: float) -> float:
+        if now < t.full_until:
+            return t.under_way + t.slots
         return t.under_way + (t.load if now - t.load_at < HEARD_S else 0.0)
 
-    def _cost(self, t: Trunkline, now: float) -> float:
-        cost = self._busy(t, now) / max(1, t.slots) * (1.0 + t.pace)
+    def _dark(self, t: Trunkline, now: float) -> bool:
+        """Neither beats nor answers came lately. A missing beat alone is a hint that an answer refutes."""
+        return t.silent and now - t.served_at > self.rest_s
+
+    def _slow(self, t: Trunkline, pool: _Pool, now: float) -> float:
+        """How many times more than its peers it takes; what was seen long ago counts less."""
+        if t.pace <= pool.pace:
+            return 0.0
+        return (t.pace - pool.pace) / max(1.0, pool.pace) * self._left(t, now)
+
+    def _left(self, t: Trunkline, now: float) -> float:
+        """How much of what was seen of its pace still counts."""
+        return 0.5 ** (max(0.0, now - t.pace_at) / (HALF_RESTS * self.rest_s))
+
+    def _cost(self, t: Trunkline, pool: _Pool, now: float, sure: bool) -> float:
+        slow = self._slow(t, pool, now)
+        cost = self._busy(t, now) / max(1, t.slots) * (1.0 + slow) + SLOW * min(MOST_SLOW, slow)
         if t.zone != self.zone:
             cost += ZONE
         if self.idle is not None and not self.idle(t.addr):
             cost += COLD
-        state = t.fitness.look(now)
+        if self._dark(t, now):
+            cost += SILENT
+        fit = t.fitness
+        state = fit.look(now)
+        if state == "fit":
+            return cost + FAILS * fit.share(now)
         if state == "resting":
-            cost += 100.0
-        elif state == "doubtful":
+            return cost + 100.0
+        if fit.trials:
+            if not sure and not t.under_way and pool.picks - t.trial_at >= TRIAL_EACH * fit.trials:
+                return cost - 2.0   # a trial: ahead of all others
             cost += 1.0
-        if t.silent:
-            cost += 0.5
-        return cost
+        return cost + FAILS * fit.share(now) * (2.0 if sure else 1.0)
+
+    def judge(self, t: Trunkline, ans: Answer, now: float, took: float, typical: float) -> None:
+        """Fold what an answer shows of a replica: its health, its pace and its load.
+
+        >>> # picker.judge(line, ans, clock.now(), 0.02, lane.aim_s * 0.3)
+        """
+        for name, val in ans.heads:
+            if name.lower() == LOAD.lower():
+                self.note_load(t, val, now)
+        if ans.ran is Ran.YES and ans.status < 500:
+            self.note(t, "served", now, took, typical)
+        elif ans.ran is Ran.NO and ans.status in (429, 503):
+            self._shed(t, now)
+        elif ans.ran is Ran.NO or ans.silent:
+            self.note(t, "vanished", now)
+        else:
+            self.note(t, "faulted", now)
+
+    def _shed(self, t: Trunkline, now: float) -> None:
+        """It was full: load, no ill health."""
+        t.fitness.note("shed", now, self.rest_s)
+        t.full_until = now + HEARD_S * 2 ** min(t.sheds, MOST_SHEDS)
+        t.sheds += 1
 
     def note(self, t: Trunkline, what: str, now: float, took: float | None = None, typical: float = 0.1) -> None:
         """Fold what a send showed."""
         t.fitness.note(what, now, self.rest_s)
+        if what == "served":
+            t.served_at, t.sheds, t.full_until = now, 0, float("-inf")
         if took is not None:
-            rel = min(10.0, took / max(typical, 1e-3))
+            rel, pool = min(10.0, took / max(typical, 1e-3)), self.pools[t.service]
+            t.pace = pool.pace + (t.pace - pool.pace) * self._left(t, now)
             t.pace += 0.2 * (rel - t.pace)
+            t.pace_at = now
+            pool.fold_pace(rel)
 
     def note_load(self, t: Trunkline, head: str, now: float) -> None:
         """Fold a replica's own word on its load: running, waiting, slots."""
--- a/lines/supervisor/engines.py
+++ b/lines/supervisor/engines.py
@@ -3,7 +3,7 @@
 
 from dataclasses import dataclass, field
 
-from ..directory import Fitness
+from ..directory import Fitness, Peers
 
 
 @dataclass
@@ -49,6 +49,7 @@
     def __init__(self):
         self.all: dict[str, Engine] = {}
         self.by_addr: dict[str, Engine] = {}
+        self.peers: dict[str, Peers] = {}
         self._listed: dict[str, list] = {}   # service -> its engines; made anew when `all` changed
         self._count = 0
 
@@ -66,18 +67,20 @@
                 old = self.by_addr.get(ent["addr"])
                 if old is not None:   # a new life at an address ends the one that was there
                     self._drop(old)
-                e = Engine(ent["id"], ent["addr"], ent["service"], ent["zone"], ent["slots"])
+                peers = self.peers.setdefault(ent["service"], Peers())
+                e = Engine(ent["id"], ent["addr"], ent["service"], ent["zone"], ent["slots"], fitness=Fitness(peers))
                 self.all[e.iid] = self.by_addr[e.addr] = e
                 self._listed.clear()
             e.draining = ent["state"] == "draining"
             was, e.silent = e.silent, bool(ent.get("silent"))
             if was and not e.silent:
-                e.fitness.until = 0.0
+                e.fitness.hint()
             for model, rev in ent["models"].items():
                 e.proven(model, rev)
 
     def _drop(self, e: Engine) -> None:
         self.all.pop(e.iid, None)
+        self.peers[e.service].leave(e.fitness)
         if self.by_addr.get(e.addr) is e:
             del self.by_addr[e.addr]
         self._listed.clear()
@@ -89,6 +92,8 @@
         []
         """
         if self._count != len(self.all):   # others take an engine out of `all` that turned out to be another life
+            for e in [e for e in self.by_addr.values() if e.iid not in self.all]:
+                self._drop(e)
             self._listed.clear()
             self._count = len(self.all)
         if not self._listed:
--- a/lines/supervisor/scoring.py
+++ b/lines/supervisor/scoring.py
@@ -83,8 +83,5 @@
             line.under_way -= 1
             st.board.touch("score")
         now = st.clock.now()
-        if ans.ran is Ran.YES:
-            st.picker.note(line, "served", now, now - began, lane.aim_s * 0.3)
-        else:
-            st.picker.note(line, "vanished" if ans.silent else "faulted", now)
+        st.picker.judge(line, ans, now, now - began, lane.aim_s * 0.3)
         return ans
--- a/lines/switchboard/forward.py
+++ b/lines/switchboard/forward.py
@@ -4,7 +4,7 @@
 import asyncio
 
 from ..frame import Result, fault_result
-from ..sends import DEADLINE, ECHO, LOAD, Ran, pass_on
+from ..sends import DEADLINE, ECHO, Ran, pass_on
 
 EARLY = 0.5      # of the aim: a repeatable request that is still out then goes to a second replica too
 SHORT = 0.9      # of the deadline: what a send may use, so that an answer gets back in time
@@ -57,7 +57,7 @@
                 break
             sent = len(self.tried)
             if sent < lane.sends and now >= next_at and (not self.out or self.again):
-                line = self.fwd.picker.pick(self.service, self.tried, now)
+                line = self.fwd.picker.pick(self.service, self.tried, now, sure=not self.again)
                 if line is not None:
                     self._send(line, now)
                     next_at = now + max(0.02, EARLY * lane.aim_s)
@@ -72,14 +72,13 @@
             for task in done:
                 res = self._judge(task)
                 if res is not None:
-                    self._drop()
+                    self._drop("late")
                     return res
                 next_at = 0.0
                 if self.may_have_run and not self.again:
-                    self._drop()
                     return self._pass(self.last) if self.last.ran is Ran.YES else fault_result(4001)
         had = bool(self.out)
-        self._drop()
+        self._drop("faulted")
         if self.last is not None and self.last.ran is Ran.YES:
             return self._pass(self.last)
         if had or self.may_have_run:
@@ -100,36 +99,25 @@
     def _judge(self, task) -> Result | None:
         line, at = self.out.pop(task)
         line.under_way -= 1
-        now, ans, picker = self.fwd.clock.now(), task.result(), self.fwd.picker
-        for k, v in ans.heads:
-            if k.lower() == LOAD.lower():
-                picker.note_load(line, v, now)
+        now, ans = self.fwd.clock.now(), task.result()
+        self.fwd.picker.judge(line, ans, now, now - at, self.lane.aim_s * 0.3)
         if ans.ran is Ran.YES and ans.status < 500:
-            picker.note(line, "served", now, now - at, self.lane.aim_s * 0.3)
             return self._pass(ans)
         self.fwd.ctr.add(f"send.{ans.ran.value}.{ans.status}")
-        if ans.ran is Ran.NO and ans.status in (429, 503):
-            picker.note(line, "faulted", now, None)
-        elif ans.ran is Ran.NO and ans.status == 421:
-            picker.note(line, "vanished", now)
-        elif ans.ran is Ran.NO:
-            picker.note(line, "vanished", now)
-        elif ans.ran is Ran.MAYBE:
-            self.may_have_run = True
-            picker.note(line, "faulted", now)
-        else:
-            picker.note(line, "served", now)
+        if ans.ran is not Ran.NO:
             self.may_have_run = True
         if self.last is None or ans.ran is Ran.YES:
             self.last = ans
         return None
 
-    def _drop(self) -> None:
+    def _drop(self, what: str) -> None:
+        """Break off what is still under way; what says what that shows of the replicas."""
         now = self.fwd.clock.now()
         for task, (line, at) in self.out.items():
             task.cancel()
             line.under_way -= 1
-            self.fwd.picker.note(line, "faulted", now, now - at, self.lane.aim_s * 0.3)
+            soon = now - at < self.lane.aim_s   # its time was too short to prove more than that
+            self.fwd.picker.note(line, "late" if soon else what, now, now - at, self.lane.aim_s * 0.3)
         self.out.clear()
 
     def _pass(self, ans) -> Result:
--- a/lines/switchboard/relay.py
+++ b/lines/switchboard/relay.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from ..frame import Result, fault_result
-from ..sends import DEADLINE, ECHO, NOT_RUN, SEAL, pass_on
+from ..sends import DEADLINE, ECHO, NOT_RUN, SEAL, Answer, Ran, pass_on
 from ..sends.events import EventReader
 from ..sends.heads import LAST_ID
 
@@ -40,7 +40,7 @@
     async def _relay(self, req, lane, body, rid, service, end):
         out, last, tried, ran = None, None, set(), False
         for _ in range(lane.sends):
-            line = self.picker.pick(service, tried, self.clock.now())
+            line = self.picker.pick(service, tried, self.clock.now(), sure=not lane.resumable)
             left = end - self.clock.now()
             if line is None or left <= 0:
                 break
@@ -52,7 +52,7 @@
             try:
                 async with self.caller.ask(line.addr, line.iid, req.method, req.raw_path, heads, body, left) as resp:
                     if NOT_RUN in resp.headers or resp.status == 421:
-                        self.picker.note(line, "faulted", self.clock.now())
+                        self.picker.judge(line, Answer(Ran.NO, resp.status), self.clock.now(), 0.0, 1.0)
                         continue
                     ran = True
                     if resp.headers.get(ECHO) != rid or (resp.status < 300 and SEAL not in resp.headers):
@@ -60,6 +60,7 @@
                         raise ValueError("answer of another request")
                     if resp.status >= 300:
                         data = await resp.read()
+                        self.picker.note(line, "faulted" if resp.status >= 500 else "served", self.clock.now())
                         if out is not None:
                             break
                         return web_answer(resp, data)
@@ -78,8 +79,11 @@
                     await out.write_eof()
                     return out
             except (aiohttp.ClientError, OSError, ValueError, asyncio.TimeoutError, TimeoutError) as e:
-                ran = ran or not isinstance(e, aiohttp.ClientConnectorError)
-                self.picker.note(line, "faulted", self.clock.now())
+                if req.transport is None or req.transport.is_closing():
+                    return out if out is not None else fault_result(4001)   # it is the client that left
+                unreached = isinstance(e, aiohttp.ClientConnectorError)
+                ran = ran or not unreached
+                self.picker.note(line, "vanished" if unreached else "faulted", self.clock.now())
                 if ran and not lane.resumable:
                     break
             finally:
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -92,7 +92,7 @@
 @pytest.mark.parametrize("what", ["full", "resting", "tried", "draining"])
 def test_more_are_used_when_all_of_the_subset_are(what):
     p = picker("e", 40)
-    first = list(next(iter(p.subsets["s"].blocks())))
+    first = list(next(iter(p.pools["s"].subset.blocks())))
     tried = {t.iid for t in first} if what == "tried" else set()
     for t in first:
         if what == "full":
@@ -122,7 +122,7 @@
     kept = set()
     p = picker("e", 12, idle=lambda addr: addr in kept)
     first = p.pick("s", set(), 0.0)
-    other = next(t for t in next(iter(p.subsets["s"].blocks())) if t is not first and t.zone == zone)
+    other = next(t for t in next(iter(p.pools["s"].subset.blocks())) if t is not first and t.zone == zone)
     other.under_way = under_way
     if warm:
         kept.add(other.addr)
