Forgotten connections: what may run once meets none, the rest goes out again at once

Cause: a replica may forget an idle connection without notice and reset what comes on it. A request that may run only once was then lost (it may have run), one that may be repeated cost a send and counted as ill health. Change: KeptConnector (a connector subclass; two sessions would have split the pool) learns for each address the stated Keep-Alive, the longest idle time after which a connection served and the shortest after which one was reset, the last two for 30 s. Requests say AGAIN or ONCE through a context variable: ONCE takes a kept connection only up to the idle time that served lately, else a new one; AGAIN goes out once more when a kept connection is reset at once after some idle time. Such resets are Answer.stale or StaleConnection and no ill health. A connection that never came up (time-out while connecting) is now known not to have carried the request. Excluded: repeating orders and items unseen (no mode: as before, but StaleConnection tells). Measured: case tests against a stand-in that forgets idle connections; times by a clock moved by hand.

--- a/lines/sends/caller.py
+++ b/lines/sends/caller.py
@@ -4,6 +4,8 @@
 import asyncio
 import enum
 import socket
+import time
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -11,7 +13,7 @@
 from yarl import URL
 
 from .heads import DEADLINE, ECHO, EXPECT_ID, NOT_RUN, SEAL, pass_on
-from .kept import KeptConnector
+from .kept import AGAIN, USE, KeptConnector, Use
 
 _QUIET = frozenset({"Accept", "Accept-Encoding", "User-Agent", "Content-Type"})
 
@@ -35,6 +37,7 @@
     body: bytes = b""
     why: str = ""
     silent: bool = False
+    stale: bool = False   # a kept connection was reset: it had been forgotten, which is no ill health
 
     @property
     def good(self) -> bool:
@@ -50,14 +53,19 @@
     return sock
 
 
+class StaleConnection(aiohttp.ServerDisconnectedError):
+    """A kept connection was reset before any answer: the replica had forgotten it. The request may have run."""
+
+
 class Caller:
     """Holds the connections to replicas; sends requests as they are, byte for byte.
 
     >>> # ans = await caller.send("10.0.0.9:8080", "i-1", "POST", "/a/b", heads, body, rid="r", secs=1.0)
     """
 
-    def __init__(self, per_host: int = 0):
-        self.kept = KeptConnector(limit=0, limit_per_host=per_host, keepalive_timeout=30,
+    def __init__(self, per_host: int = 0, now=time.monotonic):
+        self.now = now
+        self.kept = KeptConnector(now, limit=0, limit_per_host=per_host, keepalive_timeout=30,
                                   enable_cleanup_closed=False, use_dns_cache=False, force_close=False,
                                   socket_factory=_socket)
         self.session = aiohttp.ClientSession(
@@ -75,29 +83,53 @@
         """
         return self.kept.idle(addr)
 
-    def ask(self, addr: str, iid: str, method: str, target: str, heads, body: bytes, secs: float):
-        """A request in the making: an async context that gives the raw response."""
+    @asynccontextmanager
+    async def ask(self, addr: str, iid: str, method: str, target: str, heads, body: bytes, secs: float, mode: str = ""):
+        """A request in the making: an async context that gives the raw response.
+
+        mode AGAIN: it may be repeated; when a kept connection turns out to be forgotten, it goes out once more at once.
+        mode ONCE: it may run only once; it goes on a kept connection only where that is proven safe. Otherwise any kept
+        connection is used, and StaleConnection tells that it was forgotten.
+        """
         out = CIMultiDict(pass_on(heads))
         out[EXPECT_ID] = iid
-        if secs > 0:
-            out[DEADLINE] = str(max(1, int(secs * 1000)))
-        return self.session.request(
-            method, URL(f"http://{addr}{target}", encoded=True), headers=out, data=body if body else None,
-            allow_redirects=False,
-            timeout=aiohttp.ClientTimeout(total=secs if secs > 0 else None, sock_connect=min(1.0, secs or 1.0)))
+        end = self.now() + secs
+        while True:
+            left = max(0.001, end - self.now())
+            if secs > 0:
+                out[DEADLINE] = str(max(1, int(left * 1000)))
+            use, resp = Use(mode), None
+            USE.set(use)
+            try:
+                async with self.session.request(
+                        method, URL(f"http://{addr}{target}", encoded=True), headers=out, data=body if body else None,
+                        allow_redirects=False, timeout=aiohttp.ClientTimeout(
+                            total=left if secs > 0 else None, sock_connect=min(1.0, secs or 1.0))) as resp:
+                    self.kept.served(addr, use, resp.headers.get("Keep-Alive", ""))
+                    yield resp
+                    return
+            except aiohttp.ClientConnectorError:
+                raise
+            except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as e:
+                if resp is not None or not self.kept.was_reset(addr, use):
+                    raise
+                if mode != AGAIN:
+                    raise StaleConnection(repr(e)) from e
 
     async def send(self, addr: str, iid: str, method: str, target: str, heads, body: bytes, rid: str,
-                   secs: float) -> Answer:
-        """Send and read the whole answer; says what is certain about it."""
+                   secs: float, mode: str = "") -> Answer:
+        """Send and read the whole answer; says what is certain about it. The modes are those of ask()."""
         try:
-            async with self.ask(addr, iid, method, target, heads, body, secs) as resp:
+            async with self.ask(addr, iid, method, target, heads, body, secs, mode) as resp:
                 if resp.headers.get(ECHO, rid) != rid or (ECHO not in resp.headers and resp.status < 300):
                     resp.close()
                     return Answer(Ran.MAYBE, why="answer of another request")
                 data = await resp.read()
                 return judge(resp.status, list(resp.headers.items()), data)
-        except aiohttp.ClientConnectorError as e:
-            return Answer(Ran.NO, why=repr(e), silent=True)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as e:
+            return Answer(Ran.NO, why=repr(e), silent=True)   # there was no connection to send it on
+        except StaleConnection as e:
+            return Answer(Ran.MAYBE, why=repr(e), stale=True)
         except (asyncio.TimeoutError, TimeoutError) as e:
             return Answer(Ran.MAYBE, why=repr(e), silent=True)
         except (aiohttp.ClientError, OSError, ValueError) as e:
--- a/lines/sends/picker.py
+++ b/lines/sends/picker.py
@@ -196,6 +196,8 @@
             self.note(t, "served", now, took, typical)
         elif ans.ran is Ran.NO and ans.status in (429, 503):
             self._shed(t, now)
+        elif ans.stale:
+            pass   # it forgot a connection; its health is not in question
         elif ans.ran is Ran.NO or ans.silent:
             self.note(t, "vanished", now)
         else:
--- a/lines/switchboard/forward.py
+++ b/lines/switchboard/forward.py
@@ -4,7 +4,7 @@
 import asyncio
 
 from ..frame import Result, fault_result
-from ..sends import DEADLINE, ECHO, Ran, pass_on
+from ..sends import AGAIN, DEADLINE, ECHO, ONCE, Ran, pass_on
 
 EARLY = 0.5      # of the aim: a repeatable request that is still out then goes to a second replica too
 SHORT = 0.9      # of the deadline: what a send may use, so that an answer gets back in time
@@ -93,7 +93,8 @@
         if self.out:
             self.fwd.ctr.add("send.early")
         task = asyncio.ensure_future(self.fwd.caller.send(
-            line.addr, line.iid, self.method, self.target, self.heads, self.body, self.rid, self.end - now))
+            line.addr, line.iid, self.method, self.target, self.heads, self.body, self.rid, self.end - now,
+            AGAIN if self.again else ONCE))
         self.out[task] = (line, now)
 
     def _judge(self, task) -> Result | None:
--- a/lines/switchboard/relay.py
+++ b/lines/switchboard/relay.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from ..frame import Result, fault_result
-from ..sends import DEADLINE, ECHO, NOT_RUN, SEAL, Answer, Ran, pass_on
+from ..sends import AGAIN, DEADLINE, ECHO, NOT_RUN, ONCE, SEAL, Answer, Ran, StaleConnection, pass_on
 from ..sends.events import EventReader
 from ..sends.heads import LAST_ID
 
@@ -50,7 +50,8 @@
             if last is not None:
                 heads.append((LAST_ID, last))
             try:
-                async with self.caller.ask(line.addr, line.iid, req.method, req.raw_path, heads, body, left) as resp:
+                async with self.caller.ask(line.addr, line.iid, req.method, req.raw_path, heads, body, left,
+                                           AGAIN if lane.resumable else ONCE) as resp:
                     if NOT_RUN in resp.headers or resp.status == 421:
                         self.picker.judge(line, Answer(Ran.NO, resp.status), self.clock.now(), 0.0, 1.0)
                         continue
@@ -81,9 +82,10 @@
             except (aiohttp.ClientError, OSError, ValueError, asyncio.TimeoutError, TimeoutError) as e:
                 if req.transport is None or req.transport.is_closing():
                     return out if out is not None else fault_result(4001)   # it is the client that left
-                unreached = isinstance(e, aiohttp.ClientConnectorError)
+                unreached = isinstance(e, (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError))
                 ran = ran or not unreached
-                self.picker.note(line, "vanished" if unreached else "faulted", self.clock.now())
+                if not isinstance(e, StaleConnection):
+                    self.picker.note(line, "vanished" if unreached else "faulted", self.clock.now())
                 if ran and not lane.resumable:
                     break
             finally:
