--- a/lines/cordboard/worker.py
+++ b/lines/cordboard/worker.py
@@ -89,6 +89,17 @@
             self.lull.heed(st.news.busy)
             turn = await st.board.news("work", turn, st.beat_s)
 
+    async def leave(self) -> None:
+        """Give everything back at once: what runs is released with what was made of it, what is whole is committed."""
+        for desk in self.desks.values():
+            for job in list(desk.jobs.values()):
+                if job.state == "running" and job.task is not None:
+                    job.task.cancel()
+        end = self.st.clock.now() + self.st.quiet_s
+        while self.st.clock.now() < end and any(j.row is not None or j.state == "running"
+                                                for d in self.desks.values() for j in d.jobs.values()):
+            await asyncio.sleep(self.st.beat_s * 0.1)
+
     def _leader(self, run: str):
         ten = self.st.tenures().get(run)
         member = self.st.members().get(ten["holder"]) if ten else None
--- a/lines/exchange/store.py
+++ b/lines/exchange/store.py
@@ -17,6 +17,9 @@
 from ..trunk import Desk, LineFault, Lines, Refusal, Verbs
 
 
+SLOW = 4.0   # times later than the middle one's timers: a node that should not lead
+
+
 class Store:
     """Everything a store node does.
 
@@ -46,6 +49,7 @@
         self.live_services: set = set()
         self.ready = False
         self.leaving = False
+        self.lags: dict[str, float] = {}
         self.lag = 0.0     # how late this node's timers are, lately
         self.verbs = Verbs()
         self._register()
@@ -99,6 +103,7 @@
                 reign.over()
                 self.leader.sync()
                 await self._name_successor(reign)
+        await self.worker.leave()
         await asyncio.sleep(self.beat_s)
         await self.crew.end()
         await self.desk.close()
@@ -189,7 +194,7 @@
         @on("store.ping")
         async def _ping(doc, body):
             self.others.hear(doc["card"], self.clock.now())
-            return {"card": self._card(), "promised": self.shelf.promised}
+            return {"card": self._card(), "promised": self.shelf.promised, "lag": self.lag}
 
         @on("shelf.prepare")
         async def _prepare(doc, body):
@@ -343,6 +348,7 @@
         if code == 1000 and doc["card"]["id"] == sid:
             self.others.hear(doc["card"], self.clock.now())
             self.proofs[sid] = (at, doc["promised"])
+            self.lags[sid] = doc["lag"]
 
     async def _watch_loop(self) -> None:
         while True:
@@ -360,6 +366,10 @@
         if ten and ten["holder"] == self.id and ten["life"] == self.life:
             if reign is None or reign.term < ten["term"]:
                 self._begin(run, ten["term"])
+            elif reign.state == "holding" and self._slow() and self.clock.now() - reign.began > self.quiet_s * 8:
+                self.log.info("run {}: this node is slow (its timers are {:.3f}s late): another is to lead", run, self.lag)
+                self.ctr.add("lead.handed_on")
+                await self._name_successor(reign)
             return
         if reign is not None and ten and ten["term"] > reign.term:
             reign.over()
@@ -367,7 +377,7 @@
                 or not self.alive(ten["holder"]) or ten["holder"] == self.id)
         if not gone:
             return
-        names = [s for s, m in members.items() if m["state"] == "active" and self.alive(s)]
+        names = self._prompt([s for s, m in members.items() if m["state"] == "active" and self.alive(s)])
         if ten is not None and ten["holder"] != self.id:
             names = [s for s in names if s != ten["holder"]]
         if rank(run, names)[:1] != [self.id] and not (ten and ten["holder"] == self.id):
@@ -387,6 +397,18 @@
         if code == 1000 and holder == self.id:
             self._begin(run, ten["term"])
 
+    def _slow(self) -> bool:
+        """Whether this node's timers are far later than those of most others that it hears."""
+        others = sorted(v for s, v in self.lags.items() if s in self.members() and self.alive(s))
+        return bool(others) and self.lag > max(SLOW * others[len(others) // 2], self.beat_s * 0.4)
+
+    def _prompt(self, names: list) -> list:
+        """Those of the names that are not slow by their own word; all of them if none is left."""
+        lags = {**{s: self.lags.get(s, 0.0) for s in names}, self.id: self.lag}
+        row = sorted(lags[s] for s in names)
+        bound = max(SLOW * row[len(row) // 2], self.beat_s * 0.4) if row else 0.0
+        return [s for s in names if lags[s] <= bound] or names
+
     def _begin(self, run, term) -> None:
         old = self.reigns.get(run)
         if old is not None:
@@ -399,7 +421,7 @@
     async def _name_successor(self, reign: Reign) -> None:
         members = self.members()
         names = [s for s, m in members.items() if m["state"] == "active" and s != self.id and self.alive(s)]
-        for sid in rank(reign.run, names)[:1]:
+        for sid in rank(reign.run, self._prompt(names))[:1]:
             life = self.others.cards.get(sid, {}).get("life")
             if life:
                 await self._claim(reign.run, reign.term, sid, life)
