--- a/lines/cordboard/leader.py
+++ b/lines/cordboard/leader.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass, field
 
 import orjson
@@ -14,6 +15,7 @@
 from .queue import LotQueue
 from .window import BadMove, Entry, State, Window
 
+DOUBTFUL = 3   # a replica in doubt has one place in so many
 LAG = 4.0   # a worker whose node lags this many times more than the middle one drives no replica
 
 
@@ -218,10 +220,14 @@
         return self.lull.places(e.service, e.slots, self.st.engines.count(e.service))
 
     def _open(self, e, now: float) -> int:
-        """Free places of an engine that may have items."""
-        if e.draining or e.pause_until > now or e.fitness.look(now) == "resting":
+        """Free places of an engine that may have items; one in doubt gets few until it has proven itself."""
+        if e.draining or e.pause_until > now:
             return 0
-        return self._places(e) - e.busy()
+        health = e.fitness.look(now)
+        if health == "resting":
+            return 0
+        places = self._places(e)
+        return (min(places, max(1, places // DOUBTFUL)) if health == "doubtful" else places) - e.busy()
 
     def _wake(self) -> None:
         """Let the polls look again whose engines have room."""
@@ -385,11 +391,13 @@
         """Acquire entries for the free places of the engines that this worker drives."""
         if not run.reign.fresh() or not self._settled_in(run, now):
             return []
-        room: dict = {}
-        for e in self.st.engines.of(run.reign.run):
-            free = self._open(e, now)
-            if free > 0 and self.driver(run, e) == seat.worker:
-                room[e.iid] = [e, free]
+        waiting = sum(q.waiting[0] + q.waiting[1] + len(q.later) for q in run.queues.values())
+        if not waiting:
+            return []
+        free = [(e, n) for e in self.st.engines.of(run.reign.run) if (n := self._open(e, now)) > 0]
+        # while there are more places than entries, whoever asks first must not fill his engines and leave others idle
+        share = math.ceil(waiting / max(1, len(free)))
+        room = {e.iid: [e, min(n, share)] for e, n in free if self.driver(run, e) == seat.worker}
         out: list = []
         for surplus in (False, True):
             for _, lid, lot, lane, owner in self.due:
