Hedging goes to well replicas only, and the slower send is not broken off

Cause: an early second send went wherever the pick led, also to a replica at rest, full or slow, and the send that lost was cancelled: its connection closed (a new one for the next request), its replica's work was thrown away, and a replica that was slow looked like one that failed. Change: pick(early=True) gives only a replica that is fit, not full, not dark and not slow, else none. The slower send ends by itself behind the answer; its answer, or its silence to the deadline, is judged as any other. Checked: never more replicas than MaxAttempts, never two sends out of what may run once (tests/test_hedging.py). Excluded: early sends to replicas with a kept connection only: edges get so few requests that there would be none.

--- a/lines/sends/picker.py
+++ b/lines/sends/picker.py
@@ -118,9 +118,12 @@
         pool.subset.drop(t.iid)
         pool.peers.leave(t.fitness)
 
-    def pick(self, service: str, tried: set, now: float, sure: bool = False) -> Trunkline | None:
-        """The best replica that was not tried yet, of as few as will do. sure: the request may run only once, so it is
-        no trial of a replica that had a rest."""
+    def pick(self, service: str, tried: set, now: float, sure: bool = False, early: bool = False) -> Trunkline | None:
+        """The best replica that was not tried yet, of as few as will do.
+
+        sure: the request may run only once, so it is no trial of a replica that had a rest. early: it is out already;
+        a second replica must be well and have places free, or none is given.
+        """
         pool = self.pools.get(service)
         if pool is None:
             return None
@@ -130,18 +133,24 @@
                 n += 1
                 if t.iid in tried or t.draining:
                     continue
-                cost = self._cost(t, pool, now, sure) + 0.001 * n
+                cost = self._cost(t, pool, now, sure or early) + 0.001 * n
                 if best is None or cost < best_cost:
                     best, best_cost = t, cost
             if best is not None and (best_cost < 0.0 or self._free(best, pool, now)):
                 break
+        if early and (best is None or not self._well(best, pool, now)):
+            return None
         pool.picks += 1
         if best is not None and best.fitness.trials:
             best.trial_at = pool.picks
         return best
 
     def _free(self, t: Trunkline, pool: _Pool, now: float) -> bool:
-        return (self._busy(t, now) <= self.widen * t.slots and t.fitness.state == "fit" and not self._dark(t, now)
+        return self._busy(t, now) <= self.widen * t.slots and self._well(t, pool, now)
+
+    def _well(self, t: Trunkline, pool: _Pool, now: float) -> bool:
+        """It does well, and has a place free."""
+        return (t.fitness.state == "fit" and self._busy(t, now) < t.slots and not self._dark(t, now)
                 and self._slow(t, pool, now) < 1.0)
 
     def _busy(self, t: Trunkline, now: float) -> float:
--- a/lines/switchboard/forward.py
+++ b/lines/switchboard/forward.py
@@ -6,7 +6,7 @@
 from ..frame import Result, fault_result
 from ..sends import AGAIN, DEADLINE, ECHO, ONCE, Ran, pass_on
 
-EARLY = 0.5      # of the aim: a repeatable request that is still out then goes to a second replica too
+EARLY = 0.5      # of the aim: a repeatable request that is still out then goes to a second replica too (hedging)
 SHORT = 0.9      # of the deadline: what a send may use, so that an answer gets back in time
 
 
@@ -18,6 +18,7 @@
 
     def __init__(self, caller, picker, clock, ctr, live):
         self.caller, self.picker, self.clock, self.ctr, self.live = caller, picker, clock, ctr, live
+        self.outlived: set = set()   # holds the sends whose request was answered by another
 
     async def run(self, req, lane, body: bytes) -> Result:
         began = self.clock.now()
@@ -57,7 +58,7 @@
                 break
             sent = len(self.tried)
             if sent < lane.sends and now >= next_at and (not self.out or self.again):
-                line = self.fwd.picker.pick(self.service, self.tried, now, sure=not self.again)
+                line = self.fwd.picker.pick(self.service, self.tried, now, sure=not self.again, early=bool(self.out))
                 if line is not None:
                     self._send(line, now)
                     next_at = now + max(0.02, EARLY * lane.aim_s)
@@ -72,13 +73,13 @@
             for task in done:
                 res = self._judge(task)
                 if res is not None:
-                    self._drop("late")
+                    self._let_end()
                     return res
                 next_at = 0.0
                 if self.may_have_run and not self.again:
                     return self._pass(self.last) if self.last.ran is Ran.YES else fault_result(4001)
         had = bool(self.out)
-        self._drop("faulted")
+        self._drop()
         if self.last is not None and self.last.ran is Ran.YES:
             return self._pass(self.last)
         if had or self.may_have_run:
@@ -111,14 +112,31 @@
             self.last = ans
         return None
 
-    def _drop(self, what: str) -> None:
-        """Break off what is still under way; what says what that shows of the replicas."""
+    def _let_end(self) -> None:
+        """Another send was faster. What is still out keeps its connection and shows how its replica does; breaking it
+        off would cost a new connection, and its replica has done most of the work."""
+        for task, (line, at) in self.out.items():
+            rest = asyncio.ensure_future(self._outlive(task, line, at))
+            self.fwd.outlived.add(rest)
+            rest.add_done_callback(self.fwd.outlived.discard)
+        self.out = {}
+
+    async def _outlive(self, task, line, at) -> None:
+        try:
+            ans = await task
+        finally:
+            line.under_way -= 1
+        now = self.fwd.clock.now()
+        self.fwd.picker.judge(line, ans, now, now - at, self.lane.aim_s * 0.3)
+
+    def _drop(self) -> None:
+        """The time is over: break off what is still under way."""
         now = self.fwd.clock.now()
         for task, (line, at) in self.out.items():
             task.cancel()
             line.under_way -= 1
             soon = now - at < self.lane.aim_s   # its time was too short to prove more than that
-            self.fwd.picker.note(line, "late" if soon else what, now, now - at, self.lane.aim_s * 0.3)
+            self.fwd.picker.note(line, "late" if soon else "faulted", now, now - at, self.lane.aim_s * 0.3)
         self.out.clear()
 
     def _pass(self, ans) -> Result:
