--- a/lines/exchange/store.py
+++ b/lines/exchange/store.py
@@ -66,7 +66,7 @@
         self.news = Newsreader(self.boot, self._card(), self.lines, self.board, self.clock, self.ctr)
         self.copier = Copier(self.id, self.shelf, self.lines, self.members, self.alive, self.crew, self.ctr,
                              secs=self.quiet_s * 1.5, quorum=self.quorum)
-        self.leader = Leader(self)
+        self.leader = Leader(self, self.boot.share_lock_s, self.boot.share_locks)
         self.worker = Worker(self)
         self.orders = Orders(self)
         await self.desk.open(f"{self.boot.ip}:{self.port}")
--- a/lines/frame/boot.py
+++ b/lines/frame/boot.py
@@ -47,6 +47,8 @@
     tolerate_zones: int
     tolerate_regions: int
     bounds: dict = field(default_factory=dict)
+    share_lock_s: float = 30.0
+    share_locks: int = 200
 
     def secs(self, name: str, ratio: float = 1.0) -> float:
         """A bound in seconds, scaled.
@@ -72,6 +74,13 @@
     return val
 
 
+def _above(doc: dict, name: str, kind, dflt):
+    val = _want(doc, name, kind, dflt, must=False)
+    if not val > 0:
+        raise BootFault(name, "must be above 0")
+    return val
+
+
 def _addr(name: str, val) -> str:
     if not isinstance(val, str) or val.count(":") != 1 or not val.rsplit(":", 1)[1].isdigit():
         raise BootFault(name, f"must be IP:PORT, not {val!r}")
@@ -124,7 +133,9 @@
         listen=listen, ports=tuple(ports), seeds=seeds, first=_want(doc, "Bootstrap", bool, False, must=False),
         data_dir=_want(doc, "DataDir", str, None, must=False), beat_ms=beat,
         memory_mb=int(lim.get("MemoryMb", 256)), fds=int(lim.get("MaxFds", 1024)), disk_mb=int(lim.get("DiskMb", 0)),
-        tolerate=tolerate["Machines"], tolerate_zones=tolerate["Zones"], tolerate_regions=tolerate["Regions"], bounds=_bounds(doc))
+        tolerate=tolerate["Machines"], tolerate_zones=tolerate["Zones"], tolerate_regions=tolerate["Regions"],
+        bounds=_bounds(doc), share_lock_s=_above(doc, "ShareLockS", float, 30.0),
+        share_locks=_above(doc, "ShareLocks", int, 200))
 
 
 def read_boot(path: str | None = None) -> Boot:
--- a/tests/test_boot.py
+++ b/tests/test_boot.py
@@ -23,7 +23,8 @@
     ({"FaultTolerance": {"Machines": -1}}, "FaultTolerance.Machines"),
     ({"FaultTolerance": {"Zones": "1"}}, "FaultTolerance.Zones"),
     ({"FaultTolerance": {"Regions": True}}, "FaultTolerance.Regions"),
-    ({"KeepaliveMs": 0}, "KeepaliveMs"), ({"Bootstrap": "yes"}, "Bootstrap")])
+    ({"ShareLockS": 0}, "ShareLockS"), ({"ShareLockS": "30"}, "ShareLockS"), ({"ShareLocks": -1}, "ShareLocks"),
+    ({"ShareLocks": 1.5}, "ShareLocks"), ({"KeepaliveMs": 0}, "KeepaliveMs"), ({"Bootstrap": "yes"}, "Bootstrap")])
 def test_bad_settings_name_the_field(change, field):
     doc = {k: v for k, v in {**GOOD, **change}.items() if v is not ...}
     with pytest.raises(BootFault) as e:
@@ -31,6 +32,12 @@
     assert e.value.field == field and "\n" not in str(e.value)
 
 
+@pytest.mark.parametrize("change, lock, locks", [({}, 30.0, 200), ({"ShareLockS": 5, "ShareLocks": 12}, 5.0, 12)])
+def test_locks_of_share_groups(change, lock, locks):
+    boot = check_boot({**GOOD, **change})
+    assert (boot.share_lock_s, boot.share_locks) == (lock, locks)
+
+
 @pytest.mark.parametrize("doc, machines, zones, regions", [
     (None, 1, 0, 0), ({}, 1, 0, 0), ({"Machines": 0}, 0, 0, 0), ({"Machines": 2, "Zones": 1, "Regions": None}, 2, 1, 0)])
 def test_what_is_tolerated(doc, machines, zones, regions):
