Late answers, stale terms and other lives are counted; an edge's old news make no 404

And an edge that stood still counted 404s over the members that it remembered; a lot on stores that joined since was said to be gone. Change: counters trunk.late_answer, copy.stale_term, copy.refused.N, ping.other_life, lot.other_life, part.other_life, part.confirm_refused, news.late_part, news.late_entry. A store that lacks a lot also says which members it knows, and the edge counts these in. Tests: the counters; a holder cut off from stores and control nodes while the edge still reaches it; an edge whose news stand still while holder, disk, replica and an address change. Excluded: a beat that comes late to a control node (Roll.beat) is still only refused.

--- a/lines/directory/newsreader.py
+++ b/lines/directory/newsreader.py
@@ -65,17 +65,17 @@
             if got["stamp"] > self.stamps.get(part, 0):
                 self.stamps[part], self.parts[part] = got["stamp"], got["val"]
                 changed = True
+            else:
+                self.ctr.add("news.late_part")
         if doc["busy"] != self.busy:
             self.busy = doc["busy"]
             self.board.touch("work")
         fresh = []
         for ent in doc["roll"]:
             old = self.roll.get(ent["id"])
-            if old is not None and old["state"] == "gone":
-                continue
-            if old is not None and old["state"] == "draining" and ent["state"] == "up":
-                continue
-            if old is not None and ent["seq"] < old["seq"] and ent["state"] == old["state"]:
+            if old is not None and (old["state"] == "gone" or (old["state"] == "draining" and ent["state"] == "up")
+                                    or (ent["seq"] < old["seq"] and ent["state"] == old["state"])):
+                self.ctr.add("news.late_entry")
                 continue
             self.roll[ent["id"]] = ent
             fresh.append(ent)
--- a/lines/exchange/core.py
+++ b/lines/exchange/core.py
@@ -32,7 +32,7 @@
         self.ctr = Counters()
         self.crew = Crew(log, self.ctr)
         self.board = Board()
-        self.lines = Lines()
+        self.lines = Lines(self.ctr)
         self.roll = Roll()
         self.cores = Neighbours()
         self.live = LiveBook(boot.secs("ContactMs", 2 / 3))
--- a/lines/exchange/store.py
+++ b/lines/exchange/store.py
@@ -28,7 +28,7 @@
         self.ctr = Counters()
         self.crew = Crew(log, self.ctr)
         self.board = Board()
-        self.lines = Lines()
+        self.lines = Lines(self.ctr)
         self.port = boot.ports[0] + 1
         self.life = f"{random.getrandbits(48):012x}"
         self.beat_s = boot.secs("ContactMs", 1 / 15)
@@ -163,6 +163,11 @@
     async def fetch(self, sid, addr, lid, poss, lot):
         return await fetch_over(self, sid, addr, lid, poss, lot)
 
+    def lacks(self, lid: str) -> dict:
+        """Whether a lot is not here, and who else may have it as far as this store knows."""
+        return {"me": self.id, "lacks": self.ready and lid not in self.shelf.lots,
+                "stores": {sid: {"zone": m["zone"]} for sid, m in self.members().items()}}
+
     # -- verbs
 
     def _reign_of(self, lid: str) -> Reign:
@@ -209,7 +214,7 @@
 
         @on("shelf.lacks")
         async def _lacks(doc, body):
-            return {"me": self.id, "lacks": self.ready and doc["lot"] not in self.shelf.lots}
+            return self.lacks(doc["lot"])
 
         @on("lot.put")
         async def _put(doc, body):
@@ -326,7 +331,9 @@
             code, doc, _ = await self.lines.to(addr).call("store.ping", {"card": self._card()}, secs=self.quiet_s)
         except LineFault:
             return
-        if code == 1000 and doc["card"]["id"] == sid:
+        if code == 1000 and doc["card"]["id"] != sid:
+            self.ctr.add("ping.other_life")
+        elif code == 1000:
             self.others.hear(doc["card"], self.clock.now())
             self.proofs[sid] = (at, doc["promised"])
 
--- a/lines/partyline/keeper.py
+++ b/lines/partyline/keeper.py
@@ -59,4 +59,6 @@
     async def confirm(self, ballot: tuple) -> dict:
         """Whether nothing higher than this ballot was promised here."""
         async with self._lock:
+            if ballot != self.promised:
+                self.ctr.add("part.confirm_refused")
             return {"ok": ballot == self.promised, "promised": self.promised}
--- a/lines/partyline/owner.py
+++ b/lines/partyline/owner.py
@@ -105,7 +105,9 @@
             done, wait = await asyncio.wait(wait, timeout=left, return_when=asyncio.FIRST_COMPLETED)
             for t in done:
                 ans = t.result()
-                if ans is not None and ans.get("me") == tasks[t]:
+                if ans is not None and ans.get("me") != tasks[t]:
+                    self.ctr.add("part.other_life")
+                elif ans is not None:
                     got[tasks[t]] = ans
                     if not ans.get("ok"):
                         self.top = max(self.top, ans["promised"][0])
--- a/lines/switchboard/edge.py
+++ b/lines/switchboard/edge.py
@@ -36,7 +36,7 @@
         self.ctr = Counters()
         self.crew = Crew(log, self.ctr)
         self.board = Board()
-        self.lines = Lines()
+        self.lines = Lines(self.ctr)
         self.plan: Plan | None = None
         self.limits: dict = {}
         card = {"id": boot.node, "klass": "edge", "name": boot.node, "ip": boot.ip, "zone": boot.zone}
--- a/lines/switchboard/lotdesk.py
+++ b/lines/switchboard/lotdesk.py
@@ -119,15 +119,21 @@
         return fault_result(2007)
 
     async def _nowhere(self, lid: str) -> bool:
-        """Whether so many stores lack the lot that it cannot have been accepted."""
+        """Whether so many stores lack the lot that it cannot have been accepted. Members that only the stores know of
+        count too: the news of an edge that stood still are old."""
         stores = self._stores()
-        tasks = [asyncio.ensure_future(self._lacks(f"{s['ip']}:{self.port}", sid, lid)) for sid, s in stores.items()]
-        lacks = await asyncio.gather(*tasks)
-        return self.quorum.heard({sid for sid, no in zip(stores, lacks) if no}, stores)
+        words = await asyncio.gather(*[self._lacks(f"{s['ip']}:{self.port}", sid, lid) for sid, s in stores.items()])
+        members = dict(stores)
+        for word in words:
+            for sid, m in (word or {"stores": {}})["stores"].items():
+                members.setdefault(sid, m)
+        return self.quorum.heard({sid for sid, word in zip(stores, words) if word and word["lacks"]}, members)
 
-    async def _lacks(self, addr: str, sid: str, lid: str) -> bool:
+    async def _lacks(self, addr: str, sid: str, lid: str) -> dict | None:
         try:
             code, out, _ = await self.lines.to(addr).call("shelf.lacks", {"lot": lid}, secs=0.4)
         except LineFault:
-            return False
-        return code == 1000 and out["me"] == sid and out["lacks"]
+            return None
+        if code == 1000 and out["me"] != sid:
+            self.ctr.add("lot.other_life")
+        return out if code == 1000 and out["me"] == sid else None
--- a/lines/testdesk/doctor.py
+++ b/lines/testdesk/doctor.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from ..frame import CODES, BootFault, read_boot
+from ..frame import CODES, BootFault, Counters, read_boot
 from ..tollbook import read_records
 from ..trunk import LineFault, Lines
 
@@ -124,7 +124,7 @@
 
     @check
     async def _seeds(self) -> list:
-        out, lines = [], Lines()
+        out, lines = [], Lines(Counters())
         for seed in self.boot.seeds:
             addr = f"{seed.rsplit(':', 1)[0]}:{self.boot.ports[0]}"
             try:
--- a/lines/tickets/copier.py
+++ b/lines/tickets/copier.py
@@ -117,6 +117,7 @@
                 code, oks, _ = await self.lines.to(member["addr"]).call("shelf.append", {"to": sid}, pack_many(recs),
                                                                         secs=self.secs)
                 if code != 1000:
+                    self.ctr.add(f"copy.refused.{code}")   # 2008: another life stands there; 3004: it knows no terms yet
                     oks = None
             except LineFault:
                 self.ctr.add("copy.unanswered")
@@ -126,6 +127,8 @@
             if oks is not None:
                 out = all(oks[at:at + len(rs)])
                 at += len(rs)
+                if not out:
+                    self.ctr.add("copy.stale_term")
                 if out:
                     for r in rs:
                         r.held.add(sid)
--- a/lines/trunk/line.py
+++ b/lines/trunk/line.py
@@ -24,8 +24,8 @@
     >>> # code, head, body = await line.call("ping", {"a": 1}, secs=0.5)
     """
 
-    def __init__(self, addr: str, dial_s: float = 0.6, idle_s: float = 1.2):
-        self.addr = addr
+    def __init__(self, addr: str, ctr, dial_s: float = 0.6, idle_s: float = 1.2):
+        self.addr, self.ctr = addr, ctr
         self.dial_s, self.idle_s = dial_s, idle_s
         self._slab = Slab()
         self._wr: asyncio.StreamWriter | None = None
@@ -53,8 +53,10 @@
                 env = await read_frame(rd)
                 self.heard = asyncio.get_running_loop().time()
                 fut = self._slab.take(env.call)
-                if fut is not None and not fut.done():
-                    fut.set_result(env)
+                if fut is None or fut.done():
+                    self.ctr.add("trunk.late_answer")   # nobody waits for it any more, or it came twice
+                    continue
+                fut.set_result(env)
         except (OSError, EOFError, FrameFault, asyncio.IncompleteReadError):
             pass
         finally:
@@ -97,17 +99,18 @@
 class Lines:
     """The lines of a process, one for each address.
 
-    >>> lines = Lines(); lines.to("10.0.0.1:7380") is lines.to("10.0.0.1:7380")
+    >>> lines = Lines(Counters()); lines.to("10.0.0.1:7380") is lines.to("10.0.0.1:7380")
     True
     """
 
-    def __init__(self):
+    def __init__(self, ctr):
+        self.ctr = ctr
         self._all: dict[str, Line] = {}
 
     def to(self, addr: str) -> Line:
         line = self._all.get(addr)
         if line is None:
-            line = self._all[addr] = Line(addr)
+            line = self._all[addr] = Line(addr, self.ctr)
         return line
 
     def end(self) -> None:
--- a/tests/test_partyline.py
+++ b/tests/test_partyline.py
@@ -275,3 +275,36 @@
         net.split = None
         assert await net.do("a", "get") == (1000, 3) and await net.do("b", "get") == (1000, 3)
     run(go())
+
+
+@pytest.mark.parametrize("why, other, count", [
+    ("its answers are those of another life", lambda ans: {**ans, "me": "another"}, "part.other_life"),
+    ("it promised a higher ballot since", lambda ans: {**ans, "ok": False, "promised": [99, "x"]}, None)])
+def test_one_that_answers_for_another_or_another_ballot_is_not_counted_in(run, why, other, count):
+    async def go():
+        net = Net(["a", "b", "c"])
+        net.cut = {"c"}
+        own = net.nodes["a"]["owner"]
+        assert (await own.do("put", {"v": 1}))[0] == 1000
+        ask = own._ask
+
+        async def turned(addr, verb, doc):
+            ans = await ask(addr, verb, doc)
+            return other(ans) if addr == "b" and ans is not None else ans
+        own._ask = turned
+        with pytest.raises(Unclear):
+            await own.do("put", {"v": 2})
+        assert count is None or net.nodes["a"]["ctr"].all[count] >= 1
+        own._ask = ask
+        assert await own.do("put", {"v": 3}) == (1000, 3)
+    run(go())
+
+
+@pytest.mark.parametrize("ballot, ok", [((1, "a"), False), ((2, "a"), True), ((3, "a"), False)])
+def test_a_confirmation_under_another_ballot_is_counted(run, ballot, ok):
+    async def go():
+        ctr = Counters()
+        keeper = Keeper("p", MemBook(), ctr)
+        await keeper.prepare((2, "a"))
+        assert (await keeper.confirm(ballot))["ok"] is ok and ctr.all["part.confirm_refused"] == (not ok)
+    run(go())
--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -7,6 +7,7 @@
 from conftest import MemBook
 from test_tickets import LOT
 
+from lines.directory import Neighbours
 from lines.exchange.parts import commands
 from lines.exchange.store import Store
 from lines.frame import Board, Counters, Crew, open_logs
@@ -14,7 +15,7 @@
 from lines.supervisor import Reign
 from lines.supervisor.reign import fetch_over
 from lines.switchboard.lotdesk import LotDesk
-from lines.tickets import Copier, Quorum, Shelf, active
+from lines.tickets import Copier, Quorum, Rec, Shelf, active
 from lines.tickets.rec import pack_many, unpack_many
 from lines.trunk import LineFault
 
@@ -60,8 +61,10 @@
         if addr in self.dark:
             raise LineFault(addr, sent=True)
         node = self.at[addr]
+        if verb == "store.ping":
+            return 1000, {"card": node._card(), "promised": dict(node.shelf.promised)}, b""
         if verb == "shelf.lacks":
-            return 1000, {"me": node.id, "lacks": doc["lot"] not in node.shelf.lots}, b""
+            return 1000, Store.lacks(node, doc["lot"]), b""
         if doc["to"] != node.id:
             return 2008, None, b""
         if verb == "shelf.append":
@@ -75,7 +78,7 @@
 class Node:
     """What a reign needs of a store."""
 
-    confirmed, fetch, ask_store = Store.confirmed, Store.fetch, Store.ask_store
+    confirmed, fetch, ask_store, ping = Store.confirmed, Store.fetch, Store.ask_store, Store._ping_one
 
     def __init__(self, site, place, book, sid):
         self.site, self.place, self.id, self.clock, self.boot = site, place, sid, site.clock, site.boot
@@ -84,7 +87,7 @@
         self.shelf.load(book.raws)
         self.crew, self.lines, self.news, self.quorum = Crew(LOG, self.ctr), site, self, Quorum.of(site.boot)
         self.copier = Copier(sid, self.shelf, site, self.members, self.alive, self.crew, self.ctr, 0.05, self.quorum)
-        self.proofs: dict = {}
+        self.proofs, self.ready, self.others = {}, True, Neighbours()
         self.verbs = SimpleNamespace(table={"shelf.prepare": self._prepare})
 
     async def _prepare(self, doc, body):
@@ -94,6 +97,9 @@
         code, doc, _ = commands.run(self.site.val, name, args)
         return code, orjson.loads(orjson.dumps(doc))
 
+    def _card(self):
+        return {"id": self.id}
+
     def members(self):
         return {s: {**m, "addr": m["ip"]} for s, m in self.site.val["stores"].items()}
 
@@ -200,6 +206,29 @@
     run(go())
 
 
+def test_an_edge_with_old_news_does_not_say_that_a_lot_is_gone(run, clock):
+    async def go():
+        site = Site(clock, settings(Machines=1), 3)
+        old = orjson.loads(orjson.dumps(site.val))
+        for p in ("p3", "p4"):
+            site.start(p, MemBook())
+        site.dark = {"p0", "p1", "p2"}
+        site.at["p4"].copier.alive = site.at["p4"].alive
+        reign = Reign(site.at["p4"], "s", 1)
+        reign.gathered()                            # the lot comes to stores that the edge has not heard of
+        await reign.put({"lot": "l", "run": "s", "host": "h", "path": "/p/"}, orjson.dumps(LOT))
+        assert site.holders("l") == ["p3", "p4"]
+        site.dark = set()
+        site.to = lambda addr, to=site.to: to(addr.rsplit(":", 1)[0])
+        desk = LotDesk(site.boot, SimpleNamespace(parts={"plan": old}), site, Counters(), clock)
+        assert not await desk._nowhere("l")
+        desk.news.parts["plan"] = site.val
+        assert not await desk._nowhere("l") and await desk._nowhere("x")
+        site.at["p0"].id = "another"                # what stands there now is not the member that was asked
+        assert await desk._lacks("p0:9", "s0", "x") is None and desk.ctr.all["lot.other_life"] == 1
+    run(go())
+
+
 @pytest.mark.parametrize("f, n, heard, good", [
     (0, 1, 0, True), (0, 3, 0, True), (1, 3, 0, False), (1, 3, 1, True), (2, 5, 1, False), (2, 5, 2, True), (2, 9, 1, False),
     (2, 9, 2, True), (3, 7, 2, False), (3, 7, 3, True)])
@@ -400,3 +429,35 @@
     (Quorum(1, 1, 1, REGIONS), ["a1x"], ["a2x", "b1x"], ["b1x"]), (Quorum(1), ["a1x"], ["gone", "a2x"], ["a2x"])])
 def test_pick(q, held, order, picked):
     assert q.pick(order, held, MEMBERS) == picked
+
+
+@pytest.mark.parametrize("why, change, count, out", [
+    ("a higher term was promised", lambda site: site.at["p1"].shelf.promised.update(s=9), "copy.stale_term", False),
+    ("another life stands there", lambda site: setattr(site.at["p1"], "id", "other"), "copy.refused.2008", None),
+    ("it is dark", lambda site: site.dark.add("p1"), "copy.unanswered", None),
+    ("all is well", lambda site: None, None, True)])
+def test_what_a_copy_meets_is_counted(run, clock, why, change, count, out):
+    async def go():
+        site = Site(clock, settings(Machines=1), 3)
+        st = site.at["p0"]
+        change(site)
+        rec = Rec({"k": "E", "lot": "l", "run": "s"})
+        assert await st.copier.send("s1", "s", 1, [rec]) is out
+        got = {k: v for k, v in st.ctr.all.items() if k.startswith("copy.")}
+        assert got == ({count: 1} if count else {}) and ("s1" in rec.held) is (out is True)
+    run(go())
+
+
+@pytest.mark.parametrize("change, proven, counted", [
+    (lambda site: None, True, 0), (lambda site: setattr(site.at["p1"], "id", "another"), False, 1),
+    (lambda site: site.dark.add("p1"), False, 0)])
+def test_a_ping_that_another_life_answers_proves_nothing(run, clock, change, proven, counted):
+    async def go():
+        site = Site(clock, settings(Machines=1), 3)
+        reign = await accepted(site, "p0")
+        st = reign.st
+        st.proofs.clear()
+        change(site)
+        await st.ping("s1", "p1")
+        assert reign.fresh() is proven and st.ctr.all["ping.other_life"] == counted
+    run(go())
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -7,6 +7,9 @@
 from standins import lot, plan
 from test_system import holder, world
 
+from lines.tickets import Deposed
+from lines.trunk import LineFault
+
 
 def copies(w, lid, total):
     return sum(1 for s in w.stores.values() if s.shelf.lots.get(lid, {}).get("lot") is not None
@@ -286,6 +289,100 @@
     run(go())
 
 
+class Cut:
+    """Makes calls to some addresses fail, for the lines of one node."""
+
+    def __init__(self, node, far):
+        self.real, self.far, self.node = node.lines.to, far, node
+        node.lines.to = self.to
+        for addr, line in node.lines._all.items():    # what is under way is lost too: a held question for news, say
+            if far(addr.rsplit(":", 1)[0]):
+                line.hang_up()
+
+    def to(self, addr):
+        return self if self.far(addr.rsplit(":", 1)[0]) else self.real(addr)
+
+    async def call(self, *a, **kw):
+        await asyncio.sleep(0)
+        raise LineFault("cut", sent=True)
+
+    def heal(self):
+        self.node.lines.to = self.real
+
+
+def test_a_holder_that_is_cut_off_neither_reads_nor_orders_while_another_holds(run, tmp_path):
+    async def go():
+        w = await world(tmp_path)
+        try:
+            assert await w.hand_in("lot1", lot()) == 202
+            rows = await w.read_all("lot1")
+            old = holder(w)
+            reign = next(r for r in old.reigns.values() if r.state == "holding")
+            ip = old.boot.ip
+            # the edge still reaches it; stores and control nodes do not, nor it them
+            cuts = [Cut(old, lambda a: True)] + [Cut(n, lambda a: a == ip)
+                                                 for n in [*w.stores.values(), *w.cores.values()] if n is not old]
+            rest = [s for s in w.stores.values() if s is not old]
+
+            def taken_over():
+                new = next((r for s in rest for r in s.reigns.values() if r.state == "holding"), None)
+                if new is not None:
+                    assert new.term > reign.term and not reign.fresh()
+                return new
+            await w.until(rest[0].board, "work", taken_over)
+            put = asyncio.ensure_future(reign.put({"lot": "lot9", "run": reign.run, "host": "h.example", "path": "/roll/x"},
+                                                  orjson.dumps(lot(name="z"))))
+            note = asyncio.ensure_future(reign.intend(w.replicas[0].iid))     # without which it sends no order
+            assert await w.hand_in("lot2", lot(name="b")) == 202
+            assert await w.read_all("lot1") == rows
+            assert len(await w.read_all("lot2")) == 4
+            assert reign.state == "holding" and not put.done() and not note.done()   # it acknowledged nothing
+            await w.until(rest[0].board, "nothing", lambda: not reign.may_order())
+            for c in cuts:
+                c.heal()
+            for task in (put, note):
+                with pytest.raises(Deposed):
+                    await task
+            assert reign.state == "over"
+            assert await w.read_all("lot1") == rows
+        finally:
+            await w.end()
+    run(go())
+
+
+def test_an_edge_that_stood_still_passes_nothing_wrong_on(run, tmp_path):
+    async def go():
+        w = await world(tmp_path, stores=4)
+        try:
+            assert await w.hand_in("lot1", lot()) == 202
+            rows = await w.read_all("lot1")
+            edge = w.edge
+            fold, edge.news.fold = edge.news.fold, lambda doc: None      # what it knows stands still
+            stamps = dict(edge.news.stamps)
+            # meanwhile: another holder on another disk, a replica that ended, an address that serves another life
+            i = next(i for i, s in w.stores.items() if s is holder(w))
+            await lose_disk(w, i)
+            new = await w.add_replica("quote")
+            await w.replicas[2].stop()
+            assert (await w.call("DELETE", f"/api/instances/{w.replicas[2].iid}"))[0] == 200
+            w.replicas[0].iid = "i-somebody-else"
+            await w.until(edge.board, "nothing", lambda: holder(w) is not None)
+            assert edge.news.stamps == stamps
+            for _ in range(3):
+                status, body, _ = await w.ask("GET", "/api/lots/lot1?StartAfter=0")
+                assert status == 503 or (status == 200 and orjson.loads(body)["ResultList"] == rows)
+            status, _, _ = await w.ask("POST", "/s/x", b"b", rid="st", heads={"X-Archhatch-Model": "m"})
+            assert status == 200 and "st" not in [r[0] for r in w.replicas[0].runs]
+            assert (await w.ask("POST", "/q/x", b"b"))[0] in (502, 503)   # nobody it knows is there
+            edge.news.fold = fold
+            await w.until(edge.board, "roll", lambda: new.iid in edge.picker.all)
+            assert (await w.ask("POST", "/q/x", b"b"))[:2] == (200, b"answer to b")
+            assert await w.read_all("lot1") == rows
+        finally:
+            await w.end()
+    run(go())
+
+
 def test_the_time_of_day_is_read_nowhere():
     """Clocks of machines jump: nothing may hang on them."""
     import os
--- a/tests/test_trunk.py
+++ b/tests/test_trunk.py
@@ -81,7 +81,7 @@
     async def go():
         desk, ctr = build()
         await desk.open("127.0.0.1:0")
-        lines = Lines()
+        lines = Lines(ctr)
         line = lines.to(f"127.0.0.1:{desk.port()}")
         outs = await asyncio.gather(*(line.call("echo", {"n": n}, b"%d" % n) for n in range(20)))
         assert [(c, d["n"], b) for c, d, b in outs] == [(1000, n, b"%d" % n) for n in range(20)]
@@ -100,7 +100,7 @@
     async def go():
         desk, ctr = build()
         await desk.open("127.0.0.1:0")
-        lines = Lines()
+        lines = Lines(ctr)
         good = lines.to(f"127.0.0.1:{desk.port()}")
         await good.call("echo", 1)
         rd, wr = await asyncio.open_connection("127.0.0.1", desk.port())
@@ -122,10 +122,36 @@
 
     async def go():
         srv = await asyncio.start_server(serve, "127.0.0.1", 0)
-        lines = Lines()
+        ctr = Counters()
+        lines = Lines(ctr)
         line = lines.to(f"127.0.0.1:{srv.sockets[0].getsockname()[1]}")
         assert (await line.call("x"))[1] == 1
         assert (await line.call("x"))[1] == 2
+        assert ctr.all["trunk.late_answer"] == 3     # another turn's, the doubled one, the first call's once more
+        lines.end()
+        srv.close()
+    run(go())
+
+
+def test_an_answer_behind_its_time_is_counted_and_the_next_call_is_not_mistaken(run):
+    async def go():
+        gate = asyncio.Event()
+
+        async def serve(rd, wr):
+            late = await read_frame(rd)
+            env = await read_frame(rd)
+            await gate.wait()
+            for call, head in ((late.call, b"1"), (env.call, b"2")):
+                wr.write(pack(Envelope(call=call, code=1000, head=head)))
+        srv = await asyncio.start_server(serve, "127.0.0.1", 0)
+        ctr = Counters()
+        lines = Lines(ctr)
+        line = lines.to(f"127.0.0.1:{srv.sockets[0].getsockname()[1]}")
+        with pytest.raises(LineFault):
+            await line.call("x", secs=0.01)
+        nxt = asyncio.ensure_future(line.call("y", secs=30))
+        gate.set()
+        assert (await nxt)[1] == 2 and ctr.all["trunk.late_answer"] == 1
         lines.end()
         srv.close()
     run(go())
@@ -138,6 +164,6 @@
         srv.close()
         await srv.wait_closed()
         with pytest.raises(LineFault) as e:
-            await Lines().to(f"127.0.0.1:{port}").call("x")
+            await Lines(Counters()).to(f"127.0.0.1:{port}").call("x")
         assert not e.value.sent
     run(go())
