--- a/lines/exchange/store.py
+++ b/lines/exchange/store.py
@@ -32,7 +32,7 @@
         self.ctr = Counters()
         self.crew = Crew(log, self.ctr)
         self.board = Board()
-        self.lines = Lines()
+        self.lines = Lines(self.ctr)
         self.port = boot.ports[0] + 1
         self.life = f"{random.getrandbits(48):012x}"
         self.beat_s = boot.secs("ContactMs", 1 / 15)
@@ -173,6 +173,15 @@
     async def fetch(self, sid, addr, lid, poss, lot):
         return await fetch_over(self, sid, addr, lid, poss, lot)
 
+    def word(self) -> dict:
+        """What others are told at a ping. A store that has not read all terms yet proves nothing about them."""
+        return {"card": self._card(), "promised": self.shelf.promised if self.ready else None, "lag": self.lag}
+
+    def lacks(self, lid: str) -> dict:
+        """Whether a lot is not here, and who else may have it as far as this store knows."""
+        return {"me": self.id, "lacks": self.ready and lid not in self.shelf.lots,
+                "stores": {sid: {"zone": m["zone"]} for sid, m in self.members().items()}}
+
     # -- verbs
 
     def _reign_of(self, lid: str) -> Reign:
@@ -194,7 +203,7 @@
         @on("store.ping")
         async def _ping(doc, body):
             self.others.hear(doc["card"], self.clock.now())
-            return {"card": self._card(), "promised": self.shelf.promised, "lag": self.lag}
+            return self.word()
 
         @on("shelf.prepare")
         async def _prepare(doc, body):
@@ -219,7 +228,7 @@
 
         @on("shelf.lacks")
         async def _lacks(doc, body):
-            return {"me": self.id, "lacks": self.ready and doc["lot"] not in self.shelf.lots}
+            return self.lacks(doc["lot"])
 
         @on("share.fetch")
         async def _fetch_share(doc, body):
@@ -345,9 +354,12 @@
             code, doc, _ = await self.lines.to(addr).call("store.ping", {"card": self._card()}, secs=self.quiet_s)
         except LineFault:
             return
-        if code == 1000 and doc["card"]["id"] == sid:
+        if code == 1000 and doc["card"]["id"] != sid:
+            self.ctr.add("ping.other_life")
+        elif code == 1000:
             self.others.hear(doc["card"], self.clock.now())
-            self.proofs[sid] = (at, doc["promised"])
+            if doc["promised"] is not None:
+                self.proofs[sid] = (at, doc["promised"])
             self.lags[sid] = doc["lag"]
 
     async def _watch_loop(self) -> None:
