Placement policy: reading, agreed facts on regions, and one place that all senders ask

Cause: operators cannot say in which regions routes may run, nor which takes over when one is out. Change: lines/areacodes (TOML by tomllib and marshmallow, commands on the plan part, Placement, RegionWatch, RegionDuty, the command line's desk); Picker.pick takes the lane and keeps to Placement.zones; Dispatch asks Placement.allows; control nodes serve /api/policy and /api/regions. Off while no policy is set. The whole suite is yet to be run on this.

--- /dev/null
+++ b/lines/areacodes/desk.py
@@ -0,0 +1,202 @@
+"""The operator's side of a placement policy: check, put, get and explain it, and a word on a region."""
+from __future__ import annotations
+
+import asyncio
+import sys
+from urllib.parse import quote
+
+import aiohttp
+import orjson
+
+from ..dialplan import Plan, PlanFault, check_plan
+from ..frame import Boot, BootFault, read_boot
+from .explain import explain
+from .facts import policy_view
+from .faults import PolicyFault
+from .reader import read_policy
+
+USE = """archhatch: policy: say one of
+  policy check FILE                 look for faults, by file and line
+  policy put FILE [--match=N]       make it the policy in force, on top of version N (else the newest)
+  policy get                        the policy in force, as it was written
+  policy explain [FILE] --route=NAME | --host=H --path=P [--out=REGION,...] [--plan=plan.json]
+  policy regions                    which regions are in or out, since when and why
+  policy out REGION --reason=WHY    an operator's word: nothing new goes there
+  policy in REGION --reason=WHY     it is in again, for all rules"""
+
+
+class DeskFault(Exception):
+    """What keeps a command from being done: one line."""
+
+
+class ControlPlane:
+    """Calls control nodes, one seed after the other, until one gives a clear answer.
+
+    >>> # async with ControlPlane(boot) as cp: status, doc = await cp.call("GET", "/api/policy")
+    """
+
+    ROUNDS = 3
+
+    def __init__(self, boot: Boot):
+        self.boot = boot
+
+    async def __aenter__(self):
+        self.http = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=self.boot.secs("AckTimeoutMs", 0.5)))
+        return self
+
+    async def __aexit__(self, *exc):
+        await self.http.close()
+
+    async def call(self, method: str, path: str, body: bytes | None = None, heads: dict | None = None) -> tuple:
+        why = "SeedPeers is empty"
+        for _ in range(self.ROUNDS):
+            for seed in self.boot.seeds:
+                try:
+                    async with self.http.request(method, f"http://{seed}{path}", data=body, headers=heads) as resp:
+                        data = await resp.read()
+                        if resp.status < 500:
+                            return resp.status, orjson.loads(data)
+                        why = f"{seed}: status {resp.status}"
+                except (aiohttp.ClientError, asyncio.TimeoutError, orjson.JSONDecodeError) as e:
+                    why = f"{seed}: {e or type(e).__name__}"
+        raise DeskFault(f"no control node gives a clear answer; the last: {why}")
+
+
+def _text(path: str) -> str:
+    try:
+        with open(path, encoding="utf-8") as f:
+            return f.read()
+    except OSError as e:
+        raise DeskFault(f"{path}: {e.strerror}") from e
+    except UnicodeDecodeError as e:
+        raise DeskFault(f"{path}:1: (file): is not UTF-8") from e
+
+
+def _good(got: tuple) -> dict:
+    status, doc = got
+    if status != 200:
+        raise DeskFault(f"code {doc.get('Error')} {doc.get('Says')}: {doc.get('Why')}")
+    return doc
+
+
+class PolicyDesk:
+    """Runs one command; its status: 0 done, 1 a fault, 2 wrong use.
+
+    >>> # status = PolicyDesk(FLAGS).run(["check", "policy.toml"])
+    """
+
+    def __init__(self, opts):
+        self.opts = opts
+        self.table = {("check", 1): self._check, ("put", 1): self._put, ("get", 0): self._get,
+                      ("explain", 0): self._explain, ("explain", 1): self._explain, ("regions", 0): self._regions,
+                      ("out", 1): self._out, ("in", 1): self._in}
+
+    def run(self, args: list) -> int:
+        fn = self.table.get((args[0], len(args) - 1)) if args else None
+        if fn is None:
+            print(USE, file=sys.stderr)
+            return 2
+        try:
+            return asyncio.run(fn(*args[1:]))
+        except BootFault as e:
+            print(f"archhatch: {e}", file=sys.stderr)
+        except DeskFault as e:
+            print(f"archhatch: policy: {e}", file=sys.stderr)
+        except PolicyFault as e:
+            for row in e.faults:
+                print(row, file=sys.stderr)
+        return 1
+
+    def _boot(self) -> Boot:
+        return read_boot(self.opts.settings)
+
+    async def _check(self, path: str) -> int:
+        text, zones = _text(path), {}
+        if self.opts.settings:
+            zones = self._boot().zones
+        doc = read_policy(text, path, set(zones.values()))
+        print(f"sound: version {doc['version']}, {len(doc['rules'])} rules; "
+              + ("regions checked against the settings" if zones else "regions not checked: no --settings with Zones"))
+        return 0
+
+    async def _put(self, path: str) -> int:
+        boot, text = self._boot(), _text(path)
+        read_policy(text, path, set(boot.zones.values()))
+        async with ControlPlane(boot) as cp:
+            match = self.opts.match
+            if match is None:
+                status, doc = await cp.call("GET", "/api/policy")
+                match = doc["Version"] if status == 200 else 0
+            doc = _good(await cp.call("PUT", "/api/policy", text.encode(), {"If-Match": str(match)}))
+        print(f"version {doc['Version']} is in force")
+        return 0
+
+    async def _get(self) -> int:
+        async with ControlPlane(self._boot()) as cp:
+            print(_good(await cp.call("GET", "/api/policy"))["Text"], end="")
+        return 0
+
+    async def _regions(self) -> int:
+        async with ControlPlane(self._boot()) as cp:
+            doc = _good(await cp.call("GET", "/api/regions"))
+        for row in doc["RegionTable"]:
+            print(f"{row['Name']}: {row['OperState']}, epoch {row['Epoch']}, zones {', '.join(row['ZoneList']) or 'none'}")
+            for o in row["OutTable"]:
+                print(f"  out for {'all rules' if o['Rule'] == '*' else o['Rule']} since epoch {o['Epoch']}, "
+                      f"by {o['By']}: {o['Reason']}")
+        return 0
+
+    async def _word(self, region: str, state: str) -> int:
+        doc = orjson.dumps({"OperState": state, "Reason": self.opts.reason or ""})
+        async with ControlPlane(self._boot()) as cp:
+            got = _good(await cp.call("POST", f"/api/regions/{quote(region, safe='')}", doc))
+        print(f"{region} is {state}, epoch {got['Epoch']}")
+        return 0
+
+    async def _out(self, region: str) -> int:
+        return await self._word(region, "out")
+
+    async def _in(self, region: str) -> int:
+        return await self._word(region, "in")
+
+    async def _explain(self, path: str | None = None) -> int:
+        opts = self.opts
+        if not opts.route and not (opts.host and opts.path):
+            print(USE, file=sys.stderr)
+            return 2
+        plan, val = await self._facts(path)
+        if opts.route:
+            lane = next((x for x in plan.lanes() if x.name == opts.route), None)
+        else:
+            lane = plan.lane(opts.host, opts.path)
+        if lane is None:
+            raise DeskFault("the configuration has no such route")
+        for row in explain(val, lane, opts.out or []):
+            print(row)
+        return 0
+
+    async def _facts(self, path: str | None) -> tuple:
+        """The configuration, and what the news of the 'plan' part would say of policy and regions."""
+        text = _text(path) if path else None
+        boot = self._boot() if not (text and self.opts.plan) or self.opts.settings else None
+        zones = boot.zones if boot else {}
+        if self.opts.plan:
+            try:
+                plan = Plan(check_plan(orjson.loads(_text(self.opts.plan))))
+            except (orjson.JSONDecodeError, PlanFault) as e:
+                raise DeskFault(f"{self.opts.plan}: {e}") from e
+        val: dict = {}
+        if not (text and self.opts.plan):
+            async with ControlPlane(boot) as cp:
+                if not self.opts.plan:
+                    plan = Plan(_good(await cp.call("GET", "/api/config")))
+                status, now = await cp.call("GET", "/api/policy")
+                if status == 200:
+                    val = {"regions": _good(await cp.call("GET", "/api/regions"))["RegionTable"]}
+                    zones, text = now["ZoneMap"], text or now["Text"]
+        regions = {r["Name"]: {"epoch": r["Epoch"], "out": {o["Rule"]: o for o in r["OutTable"]}}
+                   for r in val.get("regions", [])}
+        if text is None:
+            return plan, {}
+        doc = read_policy(text, path or "the policy in force", set(zones.values()))
+        return plan, {**policy_view({"policy": {**doc, "zones": zones}}), "regions": regions}
--- /dev/null
+++ b/lines/areacodes/placement.py
@@ -0,0 +1,87 @@
+"""Where a lane's requests may run now: the one place that all senders ask."""
+from __future__ import annotations
+
+from .policy import Policy, Rule
+
+ALL = "*"   # the scope of an operator's word on a region: it counts for all rules
+
+
+def is_out(facts: dict, region: str, rule: str) -> bool:
+    """Whether a region is out for a rule, by the agreed facts.
+
+    >>> is_out({"a": {"out": {"*": {}}}}, "a", "q"), is_out({"a": {"out": {"q": {}}}}, "a", "r"), is_out({}, "a", "q")
+    (True, False, False)
+    """
+    out = facts.get(region, {}).get("out") or {}
+    return ALL in out or rule in out
+
+
+class Placement:
+    """Folded from the news of the 'plan' part; without a policy everything may run anywhere.
+
+    >>> from types import SimpleNamespace as N
+    >>> p = Placement(); lane = N(name="q", host="h", prefix="/", kind="batch"); p.allows(lane, "z1"), p.zones(lane)
+    (True, None)
+    >>> p.fold({"policy": {"version": 1, "zones": {"z1": "a", "z2": "b"},
+    ...                    "rules": [{"name": "r", "match": [[4, "q"]], "regions": ["a", "b"]}]},
+    ...         "regions": {"a": {"epoch": 1, "out": {"*": {}}}}})
+    >>> p.allows(lane, "z1"), p.rank(lane, "z1"), p.rank(lane, "z2"), p.order(lane), p.allows_store(lane, "z1")
+    (False, None, 0, ['b'], True)
+    """
+
+    def __init__(self):
+        self.policy: Policy | None = None
+        self.region_of: dict[str, str] = {}
+        self.facts: dict = {}
+        self._orders: dict = {}   # lane -> (rule, regions that are in, zones of the first of them)
+
+    def fold(self, val: dict | None) -> None:
+        """Take up the news of the 'plan' part."""
+        doc = (val or {}).get("policy")
+        self.policy = Policy(doc) if doc else None
+        self.region_of = doc["zones"] if doc else {}
+        self.facts = (val or {}).get("regions", {})
+        self._orders = {}
+
+    def _of(self, lane) -> tuple:
+        key = (lane.name, lane.host, lane.prefix, lane.kind)
+        got = self._orders.get(key)
+        if got is None:
+            rule = self.policy.rule(lane)
+            regions = [] if rule is None else [r for r in rule.regions if not is_out(self.facts, r, rule.name)]
+            zones = frozenset(z for z, r in self.region_of.items() if r in regions[:1])
+            got = self._orders[key] = (rule, regions, zones)
+        return got
+
+    def rule(self, lane) -> Rule | None:
+        """The rule that binds a lane; None if none does."""
+        return None if self.policy is None else self._of(lane)[0]
+
+    def order(self, lane) -> list | None:
+        """The regions for a lane that are in, in the policy's order; None if no rule binds it."""
+        return None if self.rule(lane) is None else self._of(lane)[1]
+
+    def zones(self, lane) -> frozenset | None:
+        """The zones where a lane's requests run now: those of the first region that is in. None: anywhere."""
+        if self.policy is None:
+            return None
+        rule, _, zones = self._of(lane)
+        return None if rule is None else zones
+
+    def rank(self, lane, zone: str) -> int | None:
+        """The place of a zone's region in a lane's order, 0 serves now; None if it is out or forbidden."""
+        order = self.order(lane)
+        if order is None:
+            return 0
+        region = self.region_of.get(zone)
+        return order.index(region) if region in order else None
+
+    def allows(self, lane, zone: str) -> bool:
+        """Whether a lane's request may be sent to a zone now."""
+        zones = self.zones(lane)
+        return zones is None or zone in zones
+
+    def allows_store(self, lane, zone: str) -> bool:
+        """Whether records of a lane may lie in a zone: its region is in the rule's list, whether in or out."""
+        rule = self.rule(lane)
+        return rule is None or self.region_of.get(zone) in rule.regions
--- a/lines/dialplan/lanes.py
+++ b/lines/dialplan/lanes.py
@@ -69,6 +69,14 @@
                 return lane
         return None
 
+    def lanes(self) -> list:
+        """All lanes.
+
+        >>> Plan({"Revision": 1, "RouteTable": [], "ServiceTable": []}).lanes()
+        []
+        """
+        return [lane for lanes in self._hosts.values() for lane in lanes]
+
     def live_services(self) -> set:
         """Services to which lanes of live requests lead.
 
--- a/lines/exchange/calls.py
+++ b/lines/exchange/calls.py
@@ -50,6 +50,13 @@
     ask: bool
 
 
+@dataclass(slots=True)
+class OnPolicy:
+    """A call about the placement policy: a command on the part that holds it."""
+    name: str
+    args: dict
+
+
 DECODERS: list = []
 
 
@@ -155,3 +162,40 @@
 @call("GET", r"/api/retire/([^/]+)")
 def _retired(node, heads, body):
     return Retire(node, True)
+
+
+def _match(heads, must: bool) -> int | None:
+    if not must and "If-Match" not in heads:
+        return None
+    try:
+        return int(heads.get("If-Match", "").strip().strip('"'))
+    except ValueError as e:
+        raise BadCall(2015) from e
+
+
+@call("GET", r"/api/policy")
+def _get_policy(heads, body):
+    return OnPolicy("policy.get", {})
+
+
+@call("PUT", r"/api/policy")
+def _put_policy(heads, body):
+    try:
+        return OnPolicy("policy.put", {"text": body.decode(), "match": _match(heads, True)})
+    except UnicodeDecodeError as e:
+        raise BadCall(2101, "is not UTF-8") from e
+
+
+@call("GET", r"/api/regions")
+def _regions(heads, body):
+    return OnPolicy("region.list", {})
+
+
+@call("POST", r"/api/regions/([^/]+)")
+def _region(name, heads, body):
+    doc = _doc(body)
+    state, why = doc.get("OperState"), doc.get("Reason")
+    if state not in ("out", "in") or not isinstance(why, str) or not why.strip():
+        raise BadCall(2001, "OperState must be out or in, and Reason must say why")
+    return OnPolicy("region.out" if state == "out" else "region.back", {
+        "region": name, "rule": "*", "by": "operator", "reason": why[:200], "epoch": _match(heads, False)})
--- a/lines/exchange/core.py
+++ b/lines/exchange/core.py
@@ -7,13 +7,14 @@
 
 import orjson
 
+from ..areacodes.duty import RegionDuty
 from ..counter import Window
 from ..directory import LiveBook, Neighbours, Roll, part_of, rank
 from ..frame import Board, Clock, Counters, Crew, fault_result, json_result
 from ..partyline import Keeper, Owner, Unclear
 from ..tollbook import Tollbook
 from ..trunk import Desk, LineFault, Lines, Refusal, Verbs
-from .calls import BadCall, Beat, GetPlan, Leave, PutPlan, PutVersion, Retire, decode
+from .calls import BadCall, Beat, GetPlan, Leave, OnPolicy, PutPlan, PutVersion, Retire, decode
 from .parts import OTHERS, PARTS, PLAN, commands, news_view
 
 MOST_VOTERS = 5
@@ -49,7 +50,8 @@
         self.acked: dict[str, tuple] = {}
         self.leaving = False
         self.calls = {Beat: self._beat, Leave: self._leave_call, PutPlan: self._put_plan, GetPlan: self._get_plan,
-                      PutVersion: self._put_version, Retire: self._retire}
+                      PutVersion: self._put_version, Retire: self._retire, OnPolicy: self._on_policy}
+        self.regions = RegionDuty(self, PLAN)
         self.verbs = Verbs()
         self._register()
         self.desk = Desk(self.verbs, log, self.ctr)
@@ -81,6 +83,7 @@
                 self.crew.keep("ping", self._ping_loop, f"{ip}:{self.boot.ports[0]}")
         self.crew.keep("sweep", self._sweep_loop)
         self.crew.keep("tend", self._tend_loop)
+        self.crew.keep("regions", self.regions.run)
         self.log.info("control node {} is up; founder={} records={}", self.id, bool(self.founders), self.book.size)
 
     async def _found(self) -> None:
@@ -272,6 +275,8 @@
         doc = {"card": self.card(), "stores": [[c, self.stores.silent(i, now)] for i, c in self.stores.cards.items()],
                "live": self.live.since(now), "stamps": {p: s["stamp"] for p, s in self.known.items()},
                "others": [c for i, c in self.cores.cards.items() if self.cores.silent(i, now) < self.quiet_s * 4]}
+        if self.regions.served:
+            doc["served"] = self.regions.words()
         if addr is not None:
             turn = self.acked.get(addr, ("", 0))[1]
             doc["roll"], doc["turn"] = self.roll.beats_since(turn, now), self.roll.beat_turn
@@ -297,6 +302,7 @@
         if doc.get("roll"):
             self._take_roll(doc["roll"])
         self._heed_live(doc["live"])
+        self.regions.heed(doc.get("served", ()))
         for store, age in doc["stores"]:
             self.stores.hear(store, now - age)
         for part, stamp in doc["stamps"].items():
@@ -359,6 +365,7 @@
         if who["klass"] == "store":
             self.stores.hear(who, now)
         self._heed_live([[who["id"], s, n, 0.0] for s, n in doc["live"].items()])
+        self.regions.heed(doc.get("served", ()))
         end = now + doc["hold"]
         while True:
             if self.leaving or not self.in_touch():
@@ -463,11 +470,20 @@
             if self.board.read(("joined", oid)) is None:
                 self.board.post(("joined", oid), now)
 
-    async def _try(self, part, name, args) -> None:
+    def owns(self, part: str) -> bool:
+        """Whether this node is the one to run a part's commands, as far as it knows."""
+        return self._owners(part)[:1] == [self.id]
+
+    async def attempt(self, part: str, name: str, args: dict):
+        """Run a command of a duty, which comes round again if no majority answers now: (code, document)."""
         try:
-            await self.run_command(part, name, args)
+            return await self.run_command(part, name, args)
         except Refusal:
             self.ctr.add("duty.put_off")
+            return 3003, None
+
+    async def _try(self, part, name, args) -> None:
+        await self.attempt(part, name, args)
 
     async def _rewrite(self) -> None:
         recs = [orjson.dumps({"id": self.id, "founders": self.founders})]
@@ -550,3 +566,8 @@
     async def _retire(self, cmd: Retire):
         code, doc = await self.run_command(PLAN, "retire.get" if cmd.ask else "retire.start", {"node": cmd.node})
         return json_result(1000, doc) if code == 1000 else fault_result(code, str(doc))
+
+    async def _on_policy(self, cmd: OnPolicy):
+        args = {**cmd.args, "zones": self.boot.zones} if cmd.name == "policy.put" else cmd.args
+        code, doc = await self.run_command(PLAN, cmd.name, args)
+        return json_result(1000, doc) if code == 1000 else fault_result(code, str(doc))
--- a/lines/exchange/parts.py
+++ b/lines/exchange/parts.py
@@ -5,6 +5,7 @@
 
 import orjson
 
+from ..areacodes import facts
 from ..dialplan import PlanFault, check_plan, merge
 from ..partyline import Commands
 
@@ -15,6 +16,7 @@
 COPIES = 2
 
 commands = Commands()
+commands.table.update(facts.commands.table)
 
 
 def digest(kind: str, doc: object) -> str:
@@ -210,5 +212,6 @@
     """What of a part's value other nodes need."""
     if part == PLAN:
         return {"plan": val.get("plan"), "stores": val.get("stores", {}), "runs": val.get("runs", {}),
-                "dropped": val.get("dropped", {}), "retired": val.get("retired", {})}
+                "dropped": val.get("dropped", {}), "retired": val.get("retired", {}),
+                **facts.policy_view(val)}
     return val
--- a/lines/exchange/store.py
+++ b/lines/exchange/store.py
@@ -39,6 +39,7 @@
         self.proofs: dict[str, tuple] = {}
         self.engines = Engines()
         self.picker = Picker(boot.zone, boot.zone, rest_s=boot.secs("ContactMs", 0.2))
+        self.placement = self.picker.placement
         self.plan: Plan | None = None
         self.reigns: dict[str, Reign] = {}
         self.live_services: set = set()
@@ -57,6 +58,7 @@
             await self._new_id()
         self.caller = Caller()
         self.news = Newsreader(self.boot, self._card(), self.lines, self.board, self.clock, self.ctr)
+        self.news.proved = self.picker.proved
         self.copier = Copier(self.id, self.shelf, self.lines, self.members, self.alive, self.crew, self.ctr,
                              secs=self.quiet_s * 1.5)
         self.dispatch = Dispatch(self)
@@ -255,6 +257,7 @@
     async def _parts_loop(self) -> None:
         turn = 0
         while True:
+            self.placement.fold(self.news.parts.get("plan"))
             plan = (self.news.parts.get("plan") or {}).get("plan")
             if plan is not None and (self.plan is None or plan["Revision"] > self.plan.stamp):
                 self.plan = Plan(plan)
--- a/lines/frame/commands.py
+++ b/lines/frame/commands.py
@@ -22,11 +22,20 @@
 
 flags.DEFINE_integer("revision", 1, "import: the Revision of the configuration", lower_bound=1)
 
+flags.DEFINE_string("route", None, "policy explain: a route's name")
+flags.DEFINE_string("host", None, "policy explain: the host of a request")
+flags.DEFINE_string("path", None, "policy explain: the path of a request")
+flags.DEFINE_list("out", None, "policy explain: regions that count as out")
+flags.DEFINE_string("plan", None, "policy explain: a configuration file; else the one in force")
+flags.DEFINE_integer("match", None, "policy put: the version that it stands on; else the newest", lower_bound=0)
+flags.DEFINE_string("reason", None, "policy out, policy in: why")
+
 COMMANDS: dict = {}
 USE = {
     "switchboard": "take clients' requests (data plane; role of edge machines)",
     "exchange": "exchange core | exchange store: hold control, or keep lots and run rollouts (control plane)",
     "import": "turn a configuration file of nginx into an operator configuration, on standard output",
+    "policy": "check, put, get or explain the placement policy, and take regions out or in",
     "doctor": "look for common faults of a settings file and of the node that it describes",
 }
 
@@ -148,6 +157,12 @@
     return 1 if found else 0
 
 
+@command("policy")
+def _policy(args) -> int:
+    from ..areacodes.desk import PolicyDesk
+    return PolicyDesk(FLAGS).run(args)
+
+
 @command("import")
 def _import(args) -> int:
     from ..testdesk.importer import Importer, ImportFault
--- a/lines/sends/picker.py
+++ b/lines/sends/picker.py
@@ -3,6 +3,7 @@
 
 from dataclasses import dataclass, field
 
+from ..areacodes import Placement
 from ..directory import Fitness, rank
 
 
@@ -36,6 +37,8 @@
         self.zone, self.me, self.rest_s = zone, me, rest_s
         self.all: dict[str, Trunkline] = {}
         self.by_service: dict[str, dict] = {}
+        self.placement = Placement()
+        self.proofs: dict[tuple, float] = {}   # (service, zone) -> the last answer; kept only under a policy
 
     def fold(self, entries: list) -> None:
         """Take up changed entries of the roll."""
@@ -58,13 +61,14 @@
             if was and not t.silent:
                 t.fitness.until = 0.0
 
-    def pick(self, service: str, tried: set, now: float) -> Trunkline | None:
-        """The best replica that was not tried yet."""
+    def pick(self, service: str, tried: set, now: float, lane=None) -> Trunkline | None:
+        """The best replica that was not tried yet, where the placement policy lets the lane run now."""
         best, best_cost = None, None
+        zones = None if lane is None else self.placement.zones(lane)
         lines = self.by_service.get(service) or {}
         order = None
         for t in lines.values():
-            if t.iid in tried or t.draining:
+            if t.iid in tried or t.draining or (zones is not None and t.zone not in zones):
                 continue
             if order is None:
                 order = {iid: n for n, iid in enumerate(rank(self.me, lines))}
@@ -73,6 +77,18 @@
                 best, best_cost = t, cost
         return best
 
+    def refusal(self, service: str, lane) -> int:
+        """The code for a lane's request that no replica was picked for: whether the policy left none at all."""
+        zones = self.placement.zones(lane)
+        if zones is None or any(t.zone in zones for t in (self.by_service.get(service) or {}).values()):
+            return 3002
+        return 3101
+
+    def proved(self, now: float) -> list:
+        """Answers since the last call, for the control nodes: [service, zone, seconds ago]."""
+        out, self.proofs = [[s, z, now - at] for (s, z), at in self.proofs.items()], {}
+        return out
+
     def _cost(self, t: Trunkline, now: float) -> float:
         busy = t.under_way + (t.load if now - t.load_at < 0.5 else 0.0)
         cost = busy / max(1, t.slots) * (1.0 + t.pace)
@@ -90,6 +106,8 @@
     def note(self, t: Trunkline, what: str, now: float, took: float | None = None, typical: float = 0.1) -> None:
         """Fold what a send showed."""
         t.fitness.note(what, now, self.rest_s)
+        if what == "served" and self.placement.policy is not None:
+            self.proofs[t.service, t.zone] = now
         if took is not None:
             rel = min(10.0, took / max(typical, 1e-3))
             t.pace += 0.2 * (rel - t.pace)
--- a/lines/supervisor/dispatch.py
+++ b/lines/supervisor/dispatch.py
@@ -108,7 +108,8 @@
                 if not reign.fresh():
                     continue
                 engines = [e for s, _ in lane.split for e in free.get(s, ())
-                           if lot.model not in e.held and e.revs.get(lot.model, 1) >= lot.least]
+                           if lot.model not in e.held and e.revs.get(lot.model, 1) >= lot.least
+                           and self.st.placement.allows(lane, e.zone)]
                 if not engines:
                     continue
                 hit = self._match(lid, lot, lane, engines, surplus, now)
--- a/lines/switchboard/edge.py
+++ b/lines/switchboard/edge.py
@@ -43,6 +43,7 @@
         self.news = Newsreader(boot, card, self.lines, self.board, self.clock, self.ctr)
         self.live = self.news.live = Live(self.board, self.clock, boot.secs("ContactMs", 1 / 3))
         self.picker = Picker(boot.zone, boot.zone, rest_s=boot.secs("ContactMs", 0.3))
+        self.placement, self.news.proved = self.picker.placement, self.picker.proved
         self.life = Machine(self, states=["starting", "ready", "leaving"], initial="starting", transitions=MOVES,
                             auto_transitions=False)
         self.window = Window(self._front, log, self.ctr, self.limits)
@@ -77,6 +78,7 @@
     async def _parts_loop(self) -> None:
         turn = 0
         while True:
+            self.placement.fold(self.news.parts.get("plan"))
             doc = (self.news.parts.get("plan") or {}).get("plan")
             if doc is not None and (self.plan is None or doc["Revision"] > self.plan.stamp):
                 self.plan = self.news.plan = Plan(doc)
--- a/lines/switchboard/forward.py
+++ b/lines/switchboard/forward.py
@@ -57,7 +57,7 @@
                 break
             sent = len(self.tried)
             if sent < lane.sends and now >= next_at and (not self.out or self.again):
-                line = self.fwd.picker.pick(self.service, self.tried, now)
+                line = self.fwd.picker.pick(self.service, self.tried, now, lane)
                 if line is not None:
                     self._send(line, now)
                     next_at = now + max(0.02, EARLY * lane.aim_s)
@@ -85,7 +85,7 @@
         if had or self.may_have_run:
             return fault_result(4002 if had else 4001)
         self.fwd.ctr.add("front.refused")
-        return fault_result(3002, after_s=min(0.25, lane.aim_s * 0.5))
+        return fault_result(self.fwd.picker.refusal(self.service, lane), after_s=min(0.25, lane.aim_s * 0.5))
 
     def _send(self, line, now) -> None:
         self.tried.add(line.iid)
--- a/lines/switchboard/relay.py
+++ b/lines/switchboard/relay.py
@@ -40,7 +40,7 @@
     async def _relay(self, req, lane, body, rid, service, end):
         out, last, tried, ran = None, None, set(), False
         for _ in range(lane.sends):
-            line = self.picker.pick(service, tried, self.clock.now())
+            line = self.picker.pick(service, tried, self.clock.now(), lane)
             left = end - self.clock.now()
             if line is None or left <= 0:
                 break
@@ -88,7 +88,9 @@
             if req.transport is not None:
                 req.transport.abort()   # an answer that ends early must not look whole
             return out
-        return fault_result(4001) if ran else fault_result(3002, after_s=min(0.25, lane.aim_s * 0.5))
+        if ran:
+            return fault_result(4001)
+        return fault_result(self.picker.refusal(service, lane), after_s=min(0.25, lane.aim_s * 0.5))
 
 
 def web_answer(resp, data: bytes) -> Result:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -21,8 +21,8 @@
 class Replica:
     """One life of a replica: plain answers, or streams of events under weights."""
 
-    def __init__(self, service, ip, models=None, events=4):
-        self.service, self.ip, self.models, self.events = service, ip, dict(models or {}), events
+    def __init__(self, service, ip, models=None, events=4, zone="z1"):
+        self.service, self.ip, self.models, self.events, self.zone = service, ip, dict(models or {}), events, zone
         self.iid = f"i-{ip}-{next(NETS)}"
         self.seq = self.orders = 0
         self.fences, self.runs, self.seen, self.mood = [], [], [], {}
@@ -41,7 +41,7 @@
 
     def beat(self, state="up"):
         self.seq += 1
-        return {"Service": self.service, "Address": self.addr, "Zone": "z1", "Revision": "v1", "SlotCount": 4,
+        return {"Service": self.service, "Address": self.addr, "Zone": self.zone, "Revision": "v1", "SlotCount": 4,
                 "OperState": state, "WarmupLeftMs": 0, "Sequence": self.seq,
                 "ModelList": [{"Name": k, "Revision": v, "AdapterList": []} for k, v in self.models.items()]}
 
@@ -122,7 +122,8 @@
 class World:
     """A whole system on loopback addresses of its own, in one event loop."""
 
-    def __init__(self, tmp, cores=3, stores=3):
+    def __init__(self, tmp, cores=3, stores=3, **settings):
+        self.settings = settings   # fields of the settings that differ from the usual
         self.tmp, net = tmp, next(NETS)
         self.net = f"127.{100 + net % 100}"
         self.base = free_port(f"{self.net}.1.1")
@@ -136,7 +137,7 @@
                   "core": {"ControlPlane": f"{ip}:{self.control}"}, "store": {}}[kind]
         return check_boot({"NodeName": f"{kind}-{ip}", "Role": kind, "IpAddress": ip, "Zone": "z1",
                            "Bindings": listen, "InternalPorts": [self.base, self.base + 5], "SeedPeers": self.seeds,
-                           "Bootstrap": first, "DataDir": f"{self.tmp}/{kind}-{ip}"})
+                           "Bootstrap": first, "DataDir": f"{self.tmp}/{kind}-{ip}", **self.settings})
 
     async def start(self):
         for i in range(1, self.ncores + 1):
--- /dev/null
+++ b/tests/test_areacodes.py
@@ -0,0 +1,337 @@
+"""The placement policy: reading, the commands on its part, and what a placement allows; in case tables."""
+import copy
+from types import SimpleNamespace
+
+import pytest
+
+from lines.areacodes import Placement
+from lines.areacodes.explain import explain
+from lines.areacodes.faults import PolicyFault
+from lines.areacodes.patterns import fits, meet
+from lines.areacodes.reader import read_policy
+from lines.exchange.parts import commands, news_view
+
+ZONES = {"z1": "attica", "z2": "thessaly", "z3": "crete"}
+GOOD = """version = 1
+
+[[rule]]
+name = "quotes"
+routes = ["quote", "yard-*"]
+regions = ["attica", "thessaly"]
+hysteresis_s = 4
+
+[[rule]]
+name = "rollouts"
+class = "rollout"
+like = "quotes"
+return_after_s = 20
+"""
+
+
+def lane(name="quote", host="h", prefix="/q/", kind="idempotent"):
+    return SimpleNamespace(name=name, host=host, prefix=prefix, kind=kind)
+
+
+@pytest.mark.parametrize("a, b, both", [
+    ("a", "a", True), ("a", "b", False), ("*", "x", True), ("*", "", True), ("?", "", False), ("a*", "*b", True),
+    ("a*", "b*", False), ("a?c", "abc", True), ("a?c", "ac", False), ("*x*", "*y*", True), ("a*c", "ab", False),
+    ("yard-*", "yard-quote-*", True), ("??", "*a", True), ("a*b", "b*a", False)])
+def test_patterns_that_meet(a, b, both):
+    assert meet(a, b) is both and meet(b, a) is both
+    if "*" not in b and "?" not in b:
+        assert fits(a, b) is both
+
+
+def test_good_policy():
+    doc = read_policy(GOOD, known=set(ZONES.values()))
+    assert doc["version"] == 1 and [r["name"] for r in doc["rules"]] == ["quotes", "rollouts"]
+    assert [r["regions"] for r in doc["rules"]] == [["attica", "thessaly"]] * 2
+    assert [r["hysteresis_s"] for r in doc["rules"]] == [4, 4]
+    assert [r["return_after_s"] for r in doc["rules"]] == [None, 20]
+
+
+def test_home_alone_and_home_as_first():
+    assert read_policy('version=1\n[[rule]]\nname="a"\nclass="*"\nhome="x"')["rules"][0]["regions"] == ["x"]
+    assert read_policy('version=1\n[[rule]]\nname="a"\nclass="*"\nhome="x"\nregions=["x","y"]'
+                       )["rules"][0]["regions"] == ["x", "y"]
+    assert read_policy("version = 1\nrule = []")["rules"] == []
+
+
+RULE = '[[rule]]\nname = "a"\nclass = "batch"\nregions = ["attica"]\n'
+BAD = {   # what: (text, line, field, a word of why)
+    "no toml": ('version = 1\n[[rule]\n', 2, "(file)", "TOML"),
+    "empty": ("", 1, "rule", "Missing"),
+    "no version": (RULE, 1, "version", "Missing"),
+    "version is text": ('version = "1"\n' + RULE, 1, "version", "integer"),
+    "version is true": ("version = true\n" + RULE, 1, "version", "whole number"),
+    "version is 0": ("version = 0\n" + RULE, 1, "version", "greater"),
+    "unknown field at the top": ("version = 1\nvresion = 2\n" + RULE, 2, "vresion", "Unknown"),
+    "unknown field of a rule": ("version = 1\n" + RULE + 'regoins = ["x"]\n', 6, "rule 1: regoins", "Unknown"),
+    "rule is no list": ('version = 1\nrule = "x"\n', 2, "rule", "list"),
+    "rule is no table": ("version = 1\nrule = [5]\n", 2, "rule 1", "Invalid"),
+    "no name": ('version = 1\n[[rule]]\nclass = "batch"\nhome = "attica"\n', 2, "rule 1: name", "Missing"),
+    "empty list": ('version = 1\n[[rule]]\nname = "a"\nclass = "batch"\nregions = []\n', 5, "rule 1: regions", "Shorter"),
+    "region is no text": ('version = 1\n[[rule]]\nname = "a"\nclass = "batch"\nregions = [1]\n', 5, "rule 1: regions",
+                          "string"),
+    "empty routes": ('version = 1\n[[rule]]\nname = "a"\nroutes = []\nregions = ["attica"]\n', 4, "rule 1: routes",
+                     "Shorter"),
+    "unknown region": ("version = 1\n" + RULE + RULE.replace('"a"', '"b"').replace("batch", "rollout")
+                       .replace("attica", "sparta"), 9, "rule 2: regions", "sparta"),
+    "unknown home": ('version = 1\n[[rule]]\nname = "a"\nclass = "batch"\nhome = "sparta"\n', 5, "rule 1: home", "sparta"),
+    "region twice": ("version = 1\n" + RULE.replace('["attica"]', '["attica", "crete", "attica"]'), 5,
+                     "rule 1: regions", "twice"),
+    "home is not first": ("version = 1\n" + RULE + 'home = "crete"\n', 6, "rule 1: home", "first"),
+    "no region": ('version = 1\n[[rule]]\nname = "a"\nclass = "batch"\n', 3, "rule 1: name", "either"),
+    "like and regions": ("version = 1\n" + RULE + 'like = "a"\n', 6, "rule 1: like", "either"),
+    "no match": ('version = 1\n[[rule]]\nname = "a"\nhome = "attica"\n', 3, "rule 1: name", "exactly one"),
+    "two matches": ("version = 1\n" + RULE + 'host = "h"\n', 3, "rule 1: name", "exactly one"),
+    "prefix without host": ("version = 1\n" + RULE + 'prefix = "/a/"\n', 6, "rule 1: prefix", "host"),
+    "prefix without slash": ('version = 1\n[[rule]]\nname = "a"\nhost = "h"\nprefix = "/a"\nhome = "attica"\n', 5,
+                             "rule 1: prefix", "slash"),
+    "unknown class": ("version = 1\n" + RULE.replace("batch", "quotes"), 4, "rule 1: class", "one of"),
+    "set of characters": ('version = 1\n[[rule]]\nname = "a"\nroutes = ["a[bc]"]\nhome = "attica"\n', 4,
+                          "rule 1: routes", "only * and ?"),
+    "seconds are text": ("version = 1\n" + RULE + 'hysteresis_s = "5"\n', 6, "rule 1: hysteresis_s", "number"),
+    "seconds are negative": ("version = 1\n" + RULE + "return_after_s = -1\n", 6, "rule 1: return_after_s", "greater"),
+    "seconds are nan": ("version = 1\n" + RULE + "return_after_s = nan\n", 6, "rule 1: return_after_s", "nan"),
+    "name twice": ("version = 1\n" + RULE + RULE.replace("batch", "rollout"), 7, "rule 2: name", "twice"),
+    "like nobody": ('version = 1\n[[rule]]\nname = "a"\nclass = "batch"\nlike = "z"\n', 5, "rule 1: like", "no rule z"),
+    "like itself": ('version = 1\n[[rule]]\nname = "a"\nclass = "batch"\nlike = "a"\n', 5, "rule 1: like", "circle"),
+    "like in a circle": ('version = 1\n[[rule]]\nname = "a"\nclass = "batch"\nlike = "b"\n[[rule]]\nname = "b"\n'
+                         'class = "rollout"\nlike = "a"\n', 5, "rule 1: like", "circle"),
+    "same class": ("version = 1\n" + RULE + RULE.replace('"a"', '"b"'), 8, "rule 2: class", "overlaps with rule a"),
+    "patterns that meet": ('version = 1\n[[rule]]\nname = "a"\nroutes = ["yard-*"]\nhome = "attica"\n[[rule]]\n'
+                           'name = "b"\nroutes = ["x", "*-quote"]\nhome = "crete"\n', 8, "rule 2: routes", "overlaps"),
+    "same route": ('version = 1\n[[rule]]\nname = "a"\nroutes = ["q"]\nhome = "attica"\n[[rule]]\nname = "b"\n'
+                   'routes = ["q"]\nhome = "crete"\n', 8, "rule 2: routes", "overlaps"),
+    "same host and prefix": ('version = 1\n[[rule]]\nname = "a"\nhost = "h"\nhome = "attica"\n[[rule]]\nname = "b"\n'
+                             'host = "H"\nprefix = "/"\nhome = "crete"\n', 8, "rule 2: host", "overlaps"),
+    "route twice in a rule": ('version = 1\n[[rule]]\nname = "a"\nroutes = ["q", "q"]\nhome = "attica"\n', 4,
+                              "rule 1: routes", "overlaps")}
+
+
+@pytest.mark.parametrize("what", sorted(BAD))
+def test_faults_name_file_line_and_field(what):
+    text, line, field, word = BAD[what]
+    with pytest.raises(PolicyFault) as e:
+        read_policy(text, "p.toml", known=set(ZONES.values()))
+    hits = [f for f in e.value.faults if f.startswith(f"p.toml:{line}: {field}: ")]
+    assert hits and any(word in f for f in hits), e.value.faults
+    assert all("\n" not in f for f in e.value.faults)
+
+
+def test_all_faults_are_named_at_once():
+    with pytest.raises(PolicyFault) as e:
+        read_policy('version = 0\n[[rule]]\nname = ""\nclass = "batch"\nregions = []\n', "p")
+    assert [f.split(": ")[0] for f in e.value.faults] == ["p:1", "p:3", "p:5"]
+
+
+def test_too_large():
+    with pytest.raises(PolicyFault):
+        read_policy("#" * 70_000 + "\nversion = 1\nrule = []")
+
+
+# -- commands
+
+def do(val, cmd, /, **args):
+    return commands.run(val, cmd, args)
+
+
+def put(val, text=GOOD, match=0):
+    code, _, did = do(val, "policy.put", text=text, match=match, zones=ZONES)
+    return code, did
+
+
+def version(n, text=GOOD):
+    return text.replace("version = 1", f"version = {n}")
+
+
+def out(val, region="attica", rule="quotes", **kw):
+    return do(val, "region.out", region=region, rule=rule, by="watch", reason="quiet", **kw)
+
+
+def back(val, region="attica", rule="quotes", **kw):
+    return do(val, "region.back", region=region, rule=rule, by="watch", reason="well", **kw)
+
+
+def test_put_once_and_again():
+    val = {}
+    assert put(val) == (1000, True) and put(val) == (1000, False)
+    assert put(val, version(5), 1) == (1000, True)
+    assert put(val) == (1000, False) and val["policy"]["version"] == 5      # taken long ago, another stands on it
+    assert do(val, "policy.get")[1]["Text"] == version(5)
+
+
+@pytest.mark.parametrize("ver, match, code", [(4, 2, 1000), (4, 1, 2011), (4, 3, 2011), (2, 2, 2005), (1, 2, 2005)])
+def test_match_and_version(ver, match, code):
+    val = {}
+    put(val, version(2))
+    got, did = put(val, version(ver) + "# other\n", match)
+    assert got == code and did is (code == 1000) and val["policy"]["version"] == (ver if did else 2)
+
+
+def test_race_on_one_version_has_one_winner():
+    val = {}
+    put(val)
+    assert put(val, version(2), 1) == (1000, True) and put(val, version(3), 1) == (2011, False)
+    assert val["policy"]["version"] == 2
+
+
+@pytest.mark.parametrize("what", sorted(BAD))
+def test_invalid_is_never_in_force(what):
+    val = {}
+    put(val)
+    before = copy.deepcopy(val)
+    assert put(val, BAD[what][0].replace("version = 1", "version = 9"), 1) == (2101, False)
+    assert val == before
+
+
+@pytest.mark.parametrize("name, args", [("policy.get", {}), ("region.list", {}), ("policy.zones", {"zones": {"z": "a"}}),
+                                        ("region.out", {"region": "attica", "rule": "*", "by": "x", "reason": "y"}),
+                                        ("region.back", {"region": "attica", "rule": "*", "by": "x", "reason": "y"})])
+def test_without_a_policy_nothing_is_kept(name, args):
+    val = {"plan": {"Revision": 1}}
+    assert do(val, name, **args)[0] == 2103 and val == {"plan": {"Revision": 1}}
+    assert "policy" not in news_view("plan", val) and "regions" not in news_view("plan", val)
+
+
+def test_out_and_back_raise_the_epoch_once():
+    val = {}
+    put(val)
+    assert out(val) == (1000, {"Epoch": 1}, True) and out(val) == (1000, {"Epoch": 1}, False)
+    assert back(val) == (1000, {"Epoch": 2}, True) and back(val) == (1000, {"Epoch": 2}, False)
+    assert [row[:3] for row in val["regions"]["attica"]["log"]] == [[1, "quotes", "out"], [2, "quotes", "in"]]
+    row = next(r for r in do(val, "region.list")[1]["RegionTable"] if r["Name"] == "attica")
+    assert row["OperState"] == "in" and row["Log"][0]["Reason"] == "quiet" and row["ZoneList"] == ["z1"]
+
+
+@pytest.mark.parametrize("cmd, before, epoch, code", [
+    (out, [], 0, 1000), (out, [], 1, 2011), (out, [out, back], 2, 1000), (out, [out, back], 0, 2011),
+    (back, [out], 1, 1000), (back, [out], 0, 2011), (back, [out, back, out], 1, 2011)])
+def test_a_word_on_an_old_epoch_counts_for_nothing(cmd, before, epoch, code):
+    val = {}
+    put(val)
+    for b in before:
+        b(val)
+    was = copy.deepcopy(val)
+    got, _, did = cmd(val, epoch=epoch)
+    assert got == code and did is (code == 1000) and (did or val == was)
+
+
+def test_unknown_region():
+    val = {}
+    put(val)
+    assert out(val, "sparta")[0] == 2102 and back(val, "sparta")[0] == 2102 and "regions" not in val
+
+
+def test_flaps_are_counted_up_to_a_most_and_forgotten_when_calm():
+    val, seen = {}, []
+    put(val)
+    for n in range(7):
+        out(val)
+        seen.append(val["regions"]["attica"]["flaps"]["quotes"])
+        back(val)
+    assert seen == [1, 2, 3, 4, 5, 5, 5]
+    out(val, calm=True)
+    assert val["regions"]["attica"]["flaps"]["quotes"] == 1
+
+
+def test_operators_word_stands_against_the_watch_and_ends_its_findings():
+    val = {}
+    put(val)
+    out(val, rule="*")
+    back(val)
+    assert set(val["regions"]["attica"]["out"]) == {"*"}
+    out(val)
+    assert set(val["regions"]["attica"]["out"]) == {"*", "quotes"}
+    assert back(val, rule="*")[2] and val["regions"]["attica"]["out"] == {}
+    assert val["regions"]["attica"]["epoch"] == 4
+
+
+def test_a_new_version_drops_findings_that_have_no_place_any_more():
+    val = {}
+    put(val)
+    out(val), out(val, rule="rollouts"), out(val, rule="*")
+    put(val, version(2).replace('name = "quotes"', 'name = "prices"').replace('like = "quotes"', 'like = "prices"'), 1)
+    assert set(val["regions"]["attica"]["out"]) == {"rollouts", "*"} and val["regions"]["attica"]["epoch"] == 4
+
+
+def test_zones_are_added_and_never_moved():
+    val = {}
+    put(val)
+    assert do(val, "policy.zones", zones={"z1": "crete", "z9": "crete"})[2] is True
+    assert val["policy"]["zones"] == {**ZONES, "z9": "crete"} and do(val, "policy.zones", zones={"z9": "x"})[2] is False
+
+
+# -- placement
+
+def placement(text=GOOD, **facts):
+    val = {}
+    put(val, text)
+    for region, rule in facts.items():
+        out(val, region, rule)
+    p = Placement()
+    p.fold(news_view("plan", val))
+    return p
+
+
+@pytest.mark.parametrize("facts, zones, ranks", [
+    ({}, {"z1"}, [0, 1, None]), ({"attica": "quotes"}, {"z2"}, [None, 0, None]), ({"attica": "*"}, {"z2"}, [None, 0, None]),
+    ({"thessaly": "quotes"}, {"z1"}, [0, None, None]), ({"crete": "*"}, {"z1"}, [0, 1, None]),
+    ({"attica": "rollouts"}, {"z1"}, [0, 1, None]), ({"attica": "*", "thessaly": "quotes"}, set(), [None, None, None])])
+def test_first_region_that_is_in_serves(facts, zones, ranks):
+    p = placement(**facts)
+    assert p.zones(lane()) == zones and [p.rank(lane(), z) for z in ZONES] == ranks
+    assert [p.allows(lane(), z) for z in ZONES] == [z in zones for z in ZONES]
+    assert [p.allows_store(lane(), z) for z in ZONES] == [True, True, False]
+
+
+@pytest.mark.parametrize("zone", ["", "z9"])
+def test_a_zone_of_no_known_region_is_forbidden(zone):
+    p = placement()
+    assert not p.allows(lane(), zone) and p.rank(lane(), zone) is None and not p.allows_store(lane(), zone)
+
+
+@pytest.mark.parametrize("what, rule", [
+    (lane(), "quotes"), (lane("yard-1"), "quotes"), (lane("x", kind="rollout"), "rollouts"),
+    (lane("quote", kind="rollout"), "quotes"), (lane("x"), None), (lane("Quote"), None)])
+def test_the_narrower_rule_binds(what, rule):
+    p = placement()
+    got = p.rule(what)
+    assert (got.name if got else None) == rule
+    if rule is None:
+        assert p.zones(what) is None and p.allows(what, "nowhere") and p.rank(what, "nowhere") == 0
+        assert p.allows_store(what, "nowhere") and p.order(what) is None
+
+
+RANKS = 'version = 1\n' + "".join(f'[[rule]]\nname = "{n}"\n{m}\nhome = "attica"\n' for n, m in [
+    ("all", 'class = "*"'), ("class", 'class = "batch"'), ("host", 'host = "H"'), ("place", 'host = "h"\nprefix = "/a/"'),
+    ("pattern", 'routes = ["r*"]'), ("name", 'routes = ["r1"]')])
+
+
+@pytest.mark.parametrize("what, rule", [
+    (lane("x", "i"), "all"), (lane("x", "i", kind="batch"), "class"), (lane("x", kind="batch"), "host"),
+    (lane("x", prefix="/a/b/"), "place"), (lane("r2", prefix="/a/"), "pattern"), (lane("r1"), "name")])
+def test_ranks_of_matches(what, rule):
+    assert placement(RANKS).rule(what).name == rule
+
+
+def test_off_without_a_policy_and_after_it_is_withdrawn():
+    p = placement()
+    assert not p.allows(lane(), "z3")
+    p.fold({"plan": {}})
+    assert p.policy is None and p.allows(lane(), "z3") and p.zones(lane()) is None
+    p.fold(None)
+    assert p.allows(lane(), "z3")
+
+
+@pytest.mark.parametrize("facts, asked, last", [
+    ({}, [], "runs in attica"), ({"attica": "quotes"}, [], "runs in thessaly"), ({}, ["attica"], "runs in thessaly"),
+    ({"thessaly": "*"}, ["attica"], "runs nowhere: refused with 3101 until a region of the rule is in")])
+def test_explain(facts, asked, last):
+    val = {}
+    put(val)
+    for region, rule in facts.items():
+        out(val, region, rule)
+    rows = explain(news_view("plan", val), lane(), asked)
+    assert rows[-1] == last and "rule quotes of policy version 1" in rows[0] and "  never: crete" in rows
