Tests: a whole region with its nodes goes; no majority; replicas that only the core cannot hear

Cause: a region that fails takes nodes of the system with it. Change: cases in tests/test_regions.py.

--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -37,8 +37,8 @@
 
 
 class RegionReplica(Replica):
-    """A replica that can be cut off with its region: killed (its connections reset) or dark (it takes requests and
-    neither runs nor answers them until its region is back)."""
+    """A replica that can be cut off with its region: killed (its connections reset), killed with the nodes beside it
+    (whole), or dark (it takes requests and neither runs nor answers them until its region is back)."""
 
     def __init__(self, *args, **kw):
         super().__init__(*args, **kw)
@@ -235,6 +235,11 @@
     for r in w.of("attica"):
         w.up.discard(r)
         await r.cut(how)
+    if how == "whole":                                   # the owner of the policy's part, and the holder of the runs
+        core = next(i for i, c in w.cores.items() if c.owns("plan"))
+        store = next(i for i, s in w.stores.items() if any(x.state == "holding" for x in s.reigns.values()))
+        await w.kill(w.cores.pop(core))
+        await w.kill(w.stores.pop(store))
     await w.load_until("cut", w.all_know("attica", RULES, True))
     await held
 
@@ -246,6 +251,9 @@
     for r in w.of("attica"):
         await r.heal(how)
         w.up.add(r)
+    if how == "whole":
+        await w.add_core(core, first=False)
+        await w.add_store(store, first=False)
     await w.all_know("attica", RULES, False)
     assert not stream.done()
     for r in w.of("thessaly", "llm"):
@@ -259,7 +267,7 @@
 PHASES = ["before", "cut", "away", "held", "after"]
 
 
-@pytest.mark.parametrize("how", ["killed", "dark"])
+@pytest.mark.parametrize("how", ["killed", "dark", "whole"])
 def test_live_day(run, tmp_path, how):
     async def go():
         w = await Day(str(tmp_path), Zones=ZONES, KeepaliveMs=200).begin()
@@ -286,6 +294,51 @@
     run(go(), 100)
 
 
+def test_a_region_that_only_the_core_cannot_hear_stays_in(run, tmp_path):
+    async def go():
+        w = await Day(str(tmp_path), Zones=ZONES, KeepaliveMs=200).begin()
+        try:
+            assert (await w.put_policy(POLICY, 0))[0] == 200
+            await w.all_know("attica", RULES, False)
+            home, quiet_s = w.of("attica"), w.cores[1].regions.watch.quiet_s
+            await w.load("before", lambda k: k >= 4)
+            for r in home:
+                w.up.discard(r)                          # no more beats, and requests still reach them
+            await w.load_until("deaf", w.until(w.edge.board, "nothing", lambda: all(
+                c.clock.now() - c.roll.heard[r.iid] > 1.5 * quiet_s for c in w.cores.values() for r in home)))
+            assert w.regions_of("deaf") == {"attica"}
+            assert all(row["Epoch"] == 0 for row in (await w.call("GET", "/api/regions"))[1]["RegionTable"])
+        finally:
+            await w.finish()
+    run(go(), 60)
+
+
+def test_without_a_majority_nodes_go_on_and_nothing_is_lost_with_the_power(run, tmp_path):
+    async def go():
+        w = await Day(str(tmp_path), Zones=ZONES).begin()
+        try:
+            assert (await w.put_policy(POLICY, 0))[0] == 200
+            assert (await w.call("POST", "/api/regions/attica", {"OperState": "out", "Reason": "works"}))[0] == 200
+            await w.all_know("attica", ["*"], True)
+            for i in (2, 3):
+                await w.kill(w.cores.pop(i))
+            await w.until(w.cores[1].board, "news", lambda: not w.cores[1].in_touch())
+            status, doc = await w.call("POST", "/api/regions/attica", {"OperState": "in", "Reason": "x"}, core=1, ok=(503,))
+            assert (status, doc["Error"]) == (503, 3003)
+            for n in range(6):
+                await w.one("q", "alone", n, n % 2)
+            assert w.regions_of("alone") == {"thessaly"}
+            await w.kill(w.cores.pop(1))
+            for i in (1, 2, 3):
+                await w.add_core(i, first=False)
+            assert (await w.call("GET", "/api/policy"))[1]["Text"] == POLICY
+            rows = {r["Name"]: r for r in (await w.call("GET", "/api/regions"))[1]["RegionTable"]}
+            assert (rows["attica"]["OperState"], rows["attica"]["Epoch"]) == ("out", 1)
+        finally:
+            await w.finish()
+    run(go(), 60)
+
+
 def test_operators_word_and_refusals(run, tmp_path):
     async def go():
         w = await Day(str(tmp_path), Zones=ZONES, cores=1).begin()
