--- a/lines/cordboard/leader.py
+++ b/lines/cordboard/leader.py
@@ -416,7 +416,7 @@
         win = run.windows[lot.model]
         services = {s for s, _ in lane.split}
         fit = [iid for iid, (e, _) in room.items() if e.service in services and lot.model not in e.held
-               and e.revs.get(lot.model, 1) >= lot.least]
+               and e.revs.get(lot.model, 1) >= lot.least and self.st.placement.allows(lane, e.zone)]
         fit.sort(key=lambda i: (room[i][0].busy() / room[i][0].slots, room[i][0].pace))
         while fit:
             for iid in list(fit):
--- a/lines/sends/picker.py
+++ b/lines/sends/picker.py
@@ -3,6 +3,7 @@
 
 from dataclasses import dataclass, field
 
+from ..areacodes import Placement
 from ..directory import Fitness, Peers
 from .caller import Answer, Ran
 from .heads import LOAD
@@ -74,6 +75,8 @@
         self.by_service: dict[str, dict] = {}
         self.by_addr: dict[str, Trunkline] = {}
         self.pools: dict[str, _Pool] = {}
+        self.placement = Placement()
+        self.proofs: dict[tuple, float] = {}   # (service, zone) -> the last answer; kept only under a policy
 
     def fold(self, entries: list) -> None:
         """Take up changed entries of the roll."""
@@ -118,20 +121,23 @@
         pool.subset.drop(t.iid)
         pool.peers.leave(t.fitness)
 
-    def pick(self, service: str, tried: set, now: float, sure: bool = False, early: bool = False) -> Trunkline | None:
+    def pick(self, service: str, tried: set, now: float, sure: bool = False, early: bool = False,
+             lane=None) -> Trunkline | None:
         """The best replica that was not tried yet, of as few as will do.
 
         sure: the request may run only once, so it is no trial of a replica that had a rest. early: it is out already;
-        a second replica must be well and have places free, or none is given.
+        a second replica must be well and have places free, or none is given. lane: only where the placement policy lets
+        it run now.
         """
         pool = self.pools.get(service)
         if pool is None:
             return None
+        zones = None if lane is None else self.placement.zones(lane)
         best, best_cost, n = None, None, 0
         for block in pool.subset.blocks():
             for t in block:
                 n += 1
-                if t.iid in tried or t.draining:
+                if t.iid in tried or t.draining or (zones is not None and t.zone not in zones):
                     continue
                 cost = self._cost(t, pool, now, sure or early) + 0.001 * n
                 if best is None or cost < best_cost:
@@ -145,6 +151,18 @@
             best.trial_at = pool.picks
         return best
 
+    def refusal(self, service: str, lane) -> int:
+        """The code for a lane's request that no replica was picked for: whether the policy left none at all."""
+        zones = self.placement.zones(lane)
+        if zones is None or any(t.zone in zones for t in (self.by_service.get(service) or {}).values()):
+            return 3002
+        return 3101
+
+    def proved(self, now: float) -> list:
+        """Answers since the last call, for the control nodes: [service, zone, seconds ago]."""
+        out, self.proofs = [[s, z, now - at] for (s, z), at in self.proofs.items()], {}
+        return out
+
     def _free(self, t: Trunkline, pool: _Pool, now: float) -> bool:
         return self._busy(t, now) <= self.widen * t.slots and self._well(t, pool, now)
 
@@ -223,6 +241,8 @@
         t.fitness.note(what, now, self.rest_s)
         if what == "served":
             t.served_at, t.sheds, t.full_until = now, 0, float("-inf")
+        if what == "served" and self.placement.policy is not None:
+            self.proofs[t.service, t.zone] = now
         if took is not None:
             rel, pool = min(10.0, took / max(typical, 1e-3)), self.pools[t.service]
             t.pace = pool.pace + (t.pace - pool.pace) * self._left(t, now)
