--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -89,7 +89,7 @@
         self.shelf.load(book.raws)
         self.crew, self.lines, self.news, self.quorum = Crew(LOG, self.ctr), site, self, Quorum.of(site.boot)
         self.copier = Copier(sid, self.shelf, site, self.members, self.alive, self.crew, self.ctr, 0.05, self.quorum)
-        self.proofs, self.ready, self.others = {}, True, Neighbours()
+        self.proofs, self.ready, self.others, self.lag, self.lags = {}, True, Neighbours(), 0.0, {}
         self.verbs = SimpleNamespace(table={"shelf.prepare": self._prepare})
 
     async def _prepare(self, doc, body):
