--- /dev/null
+++ b/lines/erlang/measure.py
@@ -0,0 +1,74 @@
+"""Measures all probes, fits their lines, and writes them with the commit and the samples."""
+from __future__ import annotations
+
+import json
+import os
+import platform
+import subprocess
+import sys
+import time
+from dataclasses import asdict
+
+from . import probes  # noqa: F401  (fills the table of probes)
+from .fit import fit_line
+from .meter import Meter
+from .needs import Missing
+from .probe import PROBES
+
+BUDGET_S = 60.0
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+
+
+class Measure:
+    """run() gives one document; what could not be measured stands under Absent with the name that lacks.
+
+    >>> # doc = Measure().run(); doc["Fits"]["roll.beat"]["slope"]
+    """
+
+    def __init__(self, names=None, repeats: int = 3, say=lambda line: None, budget_s: float = BUDGET_S):
+        self.names, self.repeats, self.say, self.budget_s = names, repeats, say, budget_s
+
+    def run(self) -> dict:
+        """Measure; no probe is begun once the time is up."""
+        began, fits, absent = time.monotonic(), {}, {}
+        meter = Meter(self.repeats)
+        for name, pr in PROBES.items():
+            if self.names is not None and name not in self.names:
+                continue
+            if time.monotonic() - began > self.budget_s:
+                absent[name] = f"not begun: {self.budget_s:g} s were up"
+                continue
+            try:
+                samples = meter.samples(pr)
+            except (Missing, AttributeError, TypeError, KeyError, ValueError) as e:
+                absent[name] = str(e) if isinstance(e, Missing) else f"what it measures has changed: {e!r}"
+                self.say(f"{name}: {absent[name]}")
+                continue
+            fit = fit_line(samples)
+            fits[name] = {"kind": pr.kind, "what": pr.what, "x": pr.x, **asdict(fit), "samples": samples}
+            self.say(f"{name}: {fit.slope:.3e} each, {fit.intercept:.3e} at none, residual {fit.residual:.1%}")
+        return {"Commit": _git("rev-parse", "--short=12", "HEAD"), "Dirty": bool(_git("status", "--porcelain", "lines")),
+                "Python": platform.python_version(), "Command": "archhatch.py capacity measure", "Repeats": self.repeats,
+                "TookS": round(time.monotonic() - began, 1), "PeakMb": _peak_mb(), "Fits": fits, "Absent": absent}
+
+
+def write(doc: dict, path: str | None) -> None:
+    """The document into a file, or to standard output."""
+    text = json.dumps(doc, indent=1)
+    if path is None:
+        sys.stdout.write(text + "\n")
+        return
+    with open(path, "w") as f:
+        f.write(text + "\n")
+
+
+def _git(*args) -> str:
+    try:
+        return subprocess.run(["git", *args], cwd=ROOT, capture_output=True, text=True, timeout=5).stdout.strip()
+    except (OSError, subprocess.TimeoutExpired):
+        return ""
+
+
+def _peak_mb() -> float:
+    import resource
+    return round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024, 1)
--- /dev/null
+++ b/lines/erlang/probes/control.py
@@ -0,0 +1,208 @@
+"""What control nodes do: beats, rolls, pings between them, and the news for others."""
+from __future__ import annotations
+
+import itertools
+
+import orjson
+
+from ..needs import need
+from ..probe import probe
+from .made import Quiet, Sink, beat_body, boot, entry, plan
+
+SOME = (1000, 3000, 9000)
+
+
+def full_roll(n: int):
+    roll = need("directory.roll", "Roll", "beat", "since", "sweep", "beats_since")()
+    for i in range(n):
+        roll.beat(entry(i), 0.0)
+    return roll
+
+
+def core(n: int, routes: int = 0):
+    """A control node's object that was never started, with a roll of n and a majority of one."""
+    one = need("exchange.core", "Core", "_ping_doc", "_heed", "in_touch")(boot(), Quiet())
+    one.id = "f-127.0.0.1"
+    keeper = need("partyline", "Keeper")
+    one.keepers = {p: keeper(p, None, one.ctr) for p in need("exchange.parts", "PARTS")}
+    one.known["plan"] = {"stamp": 5, "val": {"plan": plan(routes)} if routes else {}, "prev": None,
+                         "voters": {one.id: one.addr}}
+    for i in range(n):
+        one.roll.beat(entry(i), one.clock.now())
+    return one
+
+
+async def serve(one, verb: str, doc: dict) -> int:
+    """Answer one call as the desk does, encoded and framed; the bytes of the answer."""
+    desk, env = need("trunk", "Desk", "_run"), need("trunk", "Envelope")
+    if not isinstance(one.desk, desk):
+        raise TypeError("Core.desk is no Desk")
+    sink = Sink()
+    await one.desk._run(env(call=1, verb=verb, head=orjson.dumps(doc)), sink)
+    return sink.size
+
+
+def ask(turn: int, life: str, stamps: dict, hold: float = 0.0) -> dict:
+    """An edge's question for news."""
+    return {"live": {}, "busy": [], "who": {"id": "e", "klass": "edge", "name": "e", "ip": "127.0.0.1", "zone": "z"},
+            "stamps": stamps, "life": life, "turn": turn, "hold": hold}
+
+
+@probe("roll.beat", "cpu", "fold one beat into the roll", "beats", SOME)
+async def _beat(n):
+    roll = full_roll(n)
+    again = [entry(i, 2) for i in range(n)]
+
+    def fn():
+        for ent in again:
+            roll.beat(ent, 1.0)
+    yield fn, 1
+
+
+@probe("roll.since", "cpu", "look for changed entries, none changed", "replicas", SOME)
+async def _since(n):
+    roll = full_roll(n)
+
+    def fn():
+        for _ in range(20):
+            roll.since(roll.turn)
+    yield fn, 20
+
+
+@probe("roll.sweep", "cpu", "one sweep for silent replicas", "replicas", SOME)
+async def _sweep(n):
+    roll = full_roll(n)
+
+    def fn():
+        for _ in range(10):
+            roll.sweep(1.0, 3.0)
+    yield fn, 10
+
+
+@probe("roll.memory", "memory", "a roll in a control node", "replicas", (1000, 4000))
+async def _memory(n):
+    yield (lambda: full_roll(n)), 1
+
+
+@probe("ping.make", "cpu", "make, encode and frame a ping with beats", "beats", (100, 400, 1600))
+async def _ping(n):
+    one, pack, env = core(n), need("trunk.framing", "pack"), need("trunk", "Envelope")
+
+    def fn():
+        for _ in range(10):
+            pack(env(call=1, verb="core.ping", head=orjson.dumps(one._ping_doc("10.0.0.2:1"))))
+    yield fn, 10
+
+
+@probe("ping.take", "cpu", "read a ping with beats and fold it", "beats", (100, 400, 1600))
+async def _take(n):
+    here, there = core(0), core(n)
+    there.id = here.id  # the card of the same node: no second ping loop is begun
+    raws = []
+    for k in range(5):
+        for i in range(n):
+            there.roll.beat(entry(i, k + 2), there.clock.now())
+        raws.append(orjson.dumps(there._ping_doc("10.0.0.2:1")))
+
+    def fn():
+        for raw in raws:
+            here._heed(orjson.loads(raw))
+    yield fn, 5
+    await here.crew.end()
+
+
+@probe("ping.bytes", "bytes", "a framed ping with beats", "beats", (100, 400, 1600))
+async def _ping_bytes(n):
+    one, pack, env = core(n), need("trunk.framing", "pack"), need("trunk", "Envelope")
+    yield (lambda: len(pack(env(call=1, verb="core.ping", head=orjson.dumps(one._ping_doc("10.0.0.2:1")))))), 1
+
+
+@probe("ping.live_bytes", "bytes", "words about live requests in a ping", "words", (50, 200, 800))
+async def _live_bytes(n):
+    one = core(0)
+    for i in range(n):
+        one.live.put(f"edge-region-{i % 421}", {f"service-{i // 421:02d}": 3.25}, one.clock.now())
+    yield (lambda: len(orjson.dumps(one._ping_doc("10.0.0.2:1")))), 1
+
+
+@probe("news.whole", "cpu", "answer a new reader with the whole roll", "replicas", (500, 1500, 4500))
+async def _whole(n):
+    one = core(n)
+
+    async def fn():
+        for _ in range(5):
+            await serve(one, "news", ask(0, "", {}))
+    yield fn, 5
+
+
+@probe("news.one", "cpu", "answer a reader with one changed entry", "replicas", SOME)
+async def _one(n):
+    one = core(n)
+
+    async def fn():
+        for _ in range(30):
+            await serve(one, "news", ask(one.roll.turn - 1, one.life, {"plan": 5}))
+    yield fn, 30
+
+
+@probe("news.bytes", "bytes", "an answer with changed entries", "entries", (100, 400, 1600))
+async def _bytes(n):
+    one = core(n)
+    yield (lambda: serve(one, "news", ask(0, one.life, {"plan": 5}))), 1
+
+
+@probe("news.plan_bytes", "bytes", "an answer with the whole configuration", "routes", (50, 200, 800))
+async def _plan_bytes(n):
+    one = core(0, n)
+    yield (lambda: serve(one, "news", ask(0, one.life, {}))), 1
+
+
+@probe("news.plan", "cpu", "answer a reader with the whole configuration", "routes", (50, 200, 800))
+async def _plan(n):
+    one = core(0, n)
+
+    async def fn():
+        for _ in range(10):
+            await serve(one, "news", ask(0, one.life, {}))
+    yield fn, 10
+
+
+@probe("beat.call", "cpu", "decode, fold and answer a beat, without its HTTP", "beats", (500, 1000, 2000))
+async def _call(n):
+    one, decode = core(n), need("exchange.calls", "decode")
+    need("exchange.core", "Core", "_beat")
+    raws = [(f"/api/instances/{entry(i)['id']}", beat_body(i, 9)) for i in range(n)]
+
+    async def fn():
+        for path, raw in raws:
+            await one._beat(decode("PUT", path, {}, raw))
+    yield fn, 1
+
+
+@probe("news.fold", "cpu", "fold changed entries at a reader", "entries", SOME)
+async def _fold(n):
+    reader = made_reader()
+    seqs = itertools.count(1)
+
+    def fn():
+        reader.fold({"life": "x", "turn": next(seqs), "cores": [], "parts": {}, "busy": {}, "roll": fresh})
+    fresh = [entry(i) for i in range(n)]
+    yield fn, 1
+
+
+def made_reader():
+    """A reader of news that asks nobody."""
+    b, frame = boot(), "frame"
+    return need("directory", "Newsreader", "fold", "take_roll")(
+        b, {"id": "e"}, None, need(frame, "Board")(), need(frame, "Clock")(), need(frame, "Counters")())
+
+
+@probe("news.memory", "memory", "a roll in a reader of news", "replicas", (1000, 4000))
+async def _reader_memory(n):
+    def fn():
+        reader = made_reader()
+        raw = orjson.dumps([entry(i) for i in range(n)])
+        reader.fold({"life": "x", "turn": 1, "cores": [], "parts": {}, "busy": {}, "roll": orjson.loads(raw)})
+        reader.take_roll()
+        return reader
+    yield fn, 1
--- /dev/null
+++ b/lines/erlang/probes/lots.py
@@ -0,0 +1,177 @@
+"""What stores do: lots read in, records copied and kept, samples streamed, items given to engines."""
+from __future__ import annotations
+
+import types
+
+import orjson
+
+from ..needs import need
+from ..probe import probe
+from .made import SERVICES, Quiet, entry, folder, lot, plan, prose, settle
+
+SOME = (128, 512, 2048)
+
+
+@probe("lot.check", "cpu", "check a lot at an edge", "items", SOME)
+async def _check(n):
+    check, raw = need("tickets", "check_lot"), orjson.dumps(lot(n))
+    yield (lambda: check("a", raw)), 1
+
+
+@probe("lot.read", "cpu", "read a lot in at its holder", "items", SOME)
+async def _read(n):
+    read, raw = need("tickets", "read_lot"), orjson.dumps(lot(n))
+    head = {"lot": "a", "run": "service-00", "host": "h", "path": "/roll/"}
+    yield (lambda: read(head, raw, 0.0)), 1
+
+
+@probe("lot.bytes", "bytes", "a lot as it is handed in", "items", SOME)
+async def _bytes(n):
+    yield (lambda: len(orjson.dumps(lot(n)))), 1
+
+
+@probe("lot.memory", "memory", "a lot in hand beside its bytes", "items", (512, 2048))
+async def _memory(n):
+    read = need("tickets", "read_lot")
+
+    def fn():
+        raw = orjson.dumps(lot(n))
+        return read({"lot": "a", "run": "service-00", "host": "h", "path": "/roll/"}, raw, 0.0), raw
+    yield fn, 1
+
+
+def sample(n: int, size: int = 4000):
+    """One result's record with a text of size bytes, as read from a frame: its bytes have no spare room."""
+    return need("tickets", "Rec")(
+        {"k": "R", "lot": "a", "run": "service-00", "pos": n, "term": 1, "item": f"it-{n:06d}", "by": 1},
+        bytes(bytearray(orjson.dumps({"InstanceId": f"it-{n:06d}", "OperState": "complete", "Text": prose(size, n),
+                                      "WeightVersions": [7], "Score": "0.5"}))))
+
+
+@probe("result.memory", "memory", "results of 4,000 bytes as records", "results", (200, 800))
+async def _result_memory(n):
+    yield (lambda: [sample(i) for i in range(n)]), 1
+
+
+@probe("records.pack", "cpu", "pack results of 4,000 bytes for another store", "results", (50, 200, 800))
+async def _pack(n):
+    pack, recs = need("tickets.rec", "pack_many"), [sample(i) for i in range(n)]
+    yield (lambda: [pack(recs) for _ in range(5)]), 5
+
+
+@probe("records.unpack", "cpu", "unpack them", "results", (50, 200, 800))
+async def _unpack(n):
+    raw = need("tickets.rec", "pack_many")([sample(i) for i in range(n)])
+    unpack = need("tickets.rec", "unpack_many")
+    yield (lambda: [unpack(raw) for _ in range(5)]), 5
+
+
+class Kept:
+    """A shelf over a tollbook in a folder that goes."""
+
+    def __init__(self):
+        self.tmp, frame = folder(), "frame"
+        self.ctr = need(frame, "Counters")()
+        self.book = need("tollbook", "Tollbook", "load", "start")(self.tmp.name, "store", Quiet())
+        self.shelf = need("tickets", "Shelf", "append", "load")(self.book, need(frame, "Clock")(), self.ctr)
+
+    def open(self):
+        self.shelf.load(self.book.load())
+        self.book.start()
+        return self
+
+    async def close(self):
+        await self.book.close()
+        self.tmp.cleanup()
+
+
+@probe("shelf.append", "cpu", "take records of 4,000 bytes, one sync for all", "results", (50, 200, 800))
+async def _append(n):
+    kept = Kept().open()
+    recs = [sample(i) for i in range(n)]
+    yield (lambda: kept.shelf.append(recs)), 1
+    await kept.close()
+
+
+@probe("copier.put", "cpu", "copy results of 4,000 bytes to 3 stores in one process, each by itself", "results",
+       (20, 60, 180))
+async def _copy(n):
+    kept = [Kept().open() for _ in range(3)]
+    unpack, frame = need("tickets.rec", "unpack_many"), "frame"
+
+    class Line:
+        def __init__(self, to):
+            self.to = to
+
+        async def call(self, verb, doc, body, secs):
+            return 1000, await self.to.shelf.append(unpack(body)), b""
+
+    lines = types.SimpleNamespace(to=lambda addr: Line(kept[int(addr)]))
+    crew = need(frame, "Crew")(Quiet(), kept[0].ctr)
+    members = {f"s{i}": {"state": "active", "addr": str(i)} for i in range(3)}
+    copier = need("tickets", "Copier", "put")("s0", kept[0].shelf, lines, lambda: members, lambda sid: True, crew,
+                                             kept[0].ctr, 5.0)
+    recs = [sample(i) for i in range(n)]
+
+    async def fn():
+        for rec in recs:
+            await copier.put("service-00", 1, [rec])
+    yield fn, 1
+    await settle("Copier._here")
+    await crew.end()
+    for k in kept:
+        await k.close()
+
+
+@probe("events.read", "cpu", "cut events of a stream, each come alone", "events", (500, 2000, 8000))
+async def _events(n):
+    reader = need("sends.events", "EventReader", "feed")()
+    raws = [b"id: %d\ndata: token%d\n\n" % (i, i) for i in range(n)]
+
+    def fn():
+        for raw in raws:
+            reader.feed(raw)
+    yield fn, 1
+
+
+@probe("engines.memory", "memory", "engines at a store", "replicas", (500, 1500))
+async def _engines_memory(n):
+    yield (lambda: engines(n)), 1
+
+
+def engines(n: int):
+    """Engines of n replicas."""
+    one = need("supervisor", "Engines", "fold")()
+    one.fold([entry(i) for i in range(n)])
+    return one
+
+
+@probe("engines.new", "cpu", "fold one engine that is new among those known", "replicas known", (500, 1000, 2000))
+async def _engines_new(n):
+    one = engines(n)
+    fresh = [entry(n + i) for i in range(100)]
+    yield (lambda: one.fold(fresh)), 100
+
+
+@probe("dispatch.place", "cpu", "give one waiting item to an engine, for each replica known", "replicas known",
+       (250, 1000, 2000))
+async def _place(n):
+    made = need("supervisor", "Dispatch", "_sync", "_place_one")
+    frame, read = "frame", need("tickets", "read_lot")
+    head = {"lot": "a", "run": "service-03", "host": "host3.example", "path": "/path3/x"}
+    whole = read(head, orjson.dumps({**lot(2048, 64), "Model": "model-03"}), 0.0)
+    reign = types.SimpleNamespace(state="holding", lots={"a": whole}, fresh=lambda: True, run="service-03")
+    store = types.SimpleNamespace(
+        engines=engines(n), plan=need("dialplan", "Plan")(plan(SERVICES)), reigns={"service-03": reign},
+        clock=need(frame, "Clock")(), board=need(frame, "Board")(), news=types.SimpleNamespace(busy={}),
+        crew=types.SimpleNamespace(once=lambda *a: None, keep=lambda *a: None), ctr=need(frame, "Counters")(), beat_s=0.2,
+        live_services=set())
+    one = made(store)
+    one._sync()
+    times = 2
+
+    def fn():
+        for _ in range(times):
+            if not one._place_one():
+                raise ValueError("no item was placed")
+    yield fn, times * n
--- /dev/null
+++ b/lines/erlang/probes/process.py
@@ -0,0 +1,77 @@
+"""What a process costs before it does anything, and what a call over a trunk costs."""
+from __future__ import annotations
+
+import asyncio
+import os
+import subprocess
+import sys
+
+from ..needs import need
+from ..probe import probe
+from .made import Quiet, prose
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__)))))
+SHOW = ("import sys; sys.path[:0] = {path!r}\nimport {mod}\n"
+        "print([r for r in open('/proc/self/status') if r.startswith('VmRSS')][0].split()[1])")
+
+
+def resident(mod: str) -> int:
+    """Bytes in memory of a fresh process that loaded a module."""
+    out = subprocess.run([sys.executable, "-c", SHOW.format(path=[os.path.join(ROOT, "target", "deps"), ROOT], mod=mod)],
+                         capture_output=True, text=True, timeout=20)
+    if out.returncode:
+        raise ValueError(f"{mod} cannot be loaded: {out.stderr.strip().splitlines()[-1:]}")
+    return int(out.stdout) * 1024
+
+
+def _resident(name: str, mod: str) -> None:
+    @probe(name, "bytes", f"a process that loaded {mod} and holds nothing (the same at each size)", "nothing", (0, 1))
+    async def _one(n):
+        yield (lambda: resident(mod)), 1
+
+
+for _name, _mod in (("resident.core", "lines.exchange.core"), ("resident.store", "lines.exchange.store"),
+                    ("resident.edge", "lines.switchboard.edge")):
+    _resident(_name, _mod)
+
+
+@probe("trunk.call", "cpu", "calls over loopback with small heads, both ends together", "calls", (200, 400, 800))
+async def _call(n):
+    verbs = need("trunk", "Verbs")()
+
+    @verbs.on("ping")
+    async def _ping(doc, body):
+        return {"ok": True}
+
+    desk = need("trunk", "Desk", "open", "port", "close")(verbs, Quiet(), need("frame", "Counters")())
+    await desk.open("127.0.0.1:0")
+    lines = need("trunk", "Lines", "to", "end")()
+    line = lines.to(f"127.0.0.1:{desk.port()}")
+    await line.call("ping", {})
+
+    async def fn():
+        for _ in range(n):
+            await line.call("ping", {"a": 1}, secs=5.0)
+    yield fn, 1
+    lines.end()
+    await desk.close()
+    await asyncio.sleep(0)
+
+
+@probe("trunk.pack", "cpu", "frame an envelope with a body, deflated", "bytes", (4096, 65536, 524288))
+async def _pack(n):
+    pack, env, body = need("trunk.framing", "pack"), need("trunk", "Envelope"), prose(n).encode()
+    yield (lambda: [pack(env(call=1, verb="x", body=body)) for _ in range(3)]), 3
+
+
+@probe("trunk.read", "cpu", "read a framed envelope with a deflated body", "bytes", (4096, 65536, 524288))
+async def _read(n):
+    pack, read, env = need("trunk.framing", "pack"), need("trunk.framing", "read_frame"), need("trunk", "Envelope")
+    raw = pack(env(call=1, verb="x", body=prose(n).encode()))
+
+    async def fn():
+        for _ in range(5):
+            rd = asyncio.StreamReader(limit=1 << 24)
+            rd.feed_data(raw)
+            await read(rd)
+    yield fn, 5
--- /dev/null
+++ b/lines/erlang/roles/worker.py
@@ -0,0 +1,64 @@
+"""A store as worker: samples streamed from replicas, committed to their leader. As landed the holder does this itself."""
+from ..reckon import row
+
+WORKER = "store as worker"
+
+
+def running(q) -> float:
+    """Samples under way on one store: what the rate and the length of a sample make."""
+    return q.rate * q.s.sample_s / q.s.stores
+
+
+@row(WORKER, "state: samples under way", "", "batches of share.fetch, held by process")
+def _state(q):
+    return running(q), running(q)
+
+
+@row(WORKER, "messages out: fetches and commits", "/s", "share.fetch and share.commit, a batch each")
+def _out(q):
+    return 0, 2 * q.rate / q.s.stores / q.s.batch
+
+
+@row(WORKER, "messages in: events of samples", "/s", "one for each token; the protocol allows several tokens in one")
+def _in(q):
+    n = q.sample_events / q.s.stores
+    return n, n
+
+
+@row(WORKER, "bytes in: events of samples", "B/s", "about 30 bytes of frame an event", budget=lambda s: s.machine_mb_s * 1e6)
+def _bytes(q):
+    n = q.sample_events / q.s.stores * (30 + q.s.token_bytes * q.s.tokens_event)
+    return n, n
+
+
+@row(WORKER, "processor time: events, as an edge's (upper bound)", "core", "several worker processes on a store machine",
+     budget=lambda s: s.machine_core)
+def _cpu(q):
+    n = q.sample_events / q.s.stores * q.per("edge.event")
+    return n, n / q.s.processes
+
+
+@row(WORKER, "processor time: cutting the events alone (lower bound)", "core", "the same",
+     budget=lambda s: s.machine_core)
+def _cut(q):
+    n = q.sample_events / q.s.stores * q.per("events.read")
+    return n, n / q.s.processes
+
+
+@row(WORKER, "memory: texts under way", "B", "half of a text each, on the mean; beside the process",
+     budget=lambda s: s.machine_mb * 1e6)
+def _memory(q):
+    # an event's text is a string of its own in a list, 60 bytes at least
+    n = running(q) * q.s.sample_tokens / q.s.tokens_event / 2 * 60
+    rest = q.at("resident.store", 0)
+    return rest + n, q.s.processes * rest + running(q) * q.sample_bytes / 2
+
+
+@row(WORKER, "disk", "B", "none: what is not committed runs again")
+def _disk(q):
+    return 0, 0
+
+
+@row(WORKER, "connections", "", "one for each sample under way", budget=lambda s: s.machine_fds)
+def _conns(q):
+    return running(q), running(q) + q.s.processes * q.s.stores
--- /dev/null
+++ b/lines/erlang/table.py
@@ -0,0 +1,112 @@
+"""The table of the roles and the ways hop by hop, as markdown; and whether a page still holds the same."""
+from __future__ import annotations
+
+import math
+
+from . import roles  # noqa: F401  (fills the rows)
+from .hops import WAYS
+from .reckon import Reckoner
+
+BEGIN = "<!-- capacity table: made by `archhatch.py capacity table`, not by hand -->"
+END = "<!-- end of the capacity table -->"
+UNITS = {"core": (100, "% of a core"), "s": (1, " s")}
+
+
+def shown(val: float | None, unit: str) -> str:
+    """A figure in words that fit a table.
+
+    >>> shown(0.021, "core"), shown(15_250_000, "B/s"), shown(None, ""), shown(8333.3, "/s")
+    ('2.1% of a core', '15.2 MB/s', '-', '8,333 /s')
+    """
+    if val is None or math.isinf(val):
+        return "-" if val is None else "no end"
+    if unit in ("B", "B/s"):
+        for size, name in ((1e9, "GB"), (1e6, "MB"), (1e3, "KB")):
+            if val >= size:
+                return f"{_short(val / size)} {name}{unit[1:]}"
+        return f"{_short(val)} {unit}"
+    scale, name = UNITS.get(unit, (1, f" {unit}" if unit else ""))
+    return f"{_short(val * scale)}{name}"
+
+
+def _short(val: float) -> str:
+    if val >= 100 or val == int(val):
+        return f"{val:,.0f}"
+    return f"{val:.1f}" if val >= 1 else f"{val:.2g}"
+
+
+def verdict(val: float | None, bound: float | None) -> str:
+    """over or under, plainly.
+
+    >>> verdict(2.0, 1.0), verdict(1.0, 1.0), verdict(1.0, None)
+    ('**over**', 'under', '')
+    """
+    if val is None or bound is None:
+        return ""
+    return "**over**" if val > bound else "under"
+
+
+class Table:
+    """text() gives the markdown between the page's markers.
+
+    >>> # Table(read_size(), read_slopes(path), path).text()
+    """
+
+    def __init__(self, size, slopes: dict, path: str = "slopes"):
+        self.size, self.slopes = size, slopes
+        self.reckon = Reckoner(size, slopes["Fits"], path)
+
+    def text(self) -> str:
+        """The whole block, markers included."""
+        out, used = [BEGIN, ""], {}
+        rows = self.reckon.rows()
+        for role in dict.fromkeys(r.role for r in rows):
+            out += [f"### {role[0].upper()}{role[1:]}", "",
+                    "| figure | budget | as landed | | with what is to be built | | what carries it | from |",
+                    "|---|---|---|---|---|---|---|---|"]
+            for r in (r for r in rows if r.role == role):
+                used.update(dict.fromkeys(r.used))
+                names = ", ".join(f"`{n}`" for n in r.used) or "the size alone"
+                out.append(f"| {r.figure} | {shown(r.budget, r.unit) if r.budget is not None else 'none'} "
+                           f"| {shown(r.landed, r.unit)} | {verdict(r.landed, r.budget)} | {shown(r.built, r.unit)} "
+                           f"| {verdict(r.built, r.budget)} | {r.how} | {names} |")
+            out.append("")
+        self.reckon.used = []
+        for way in (w(self.reckon) for w in WAYS):
+            landed, built = way.sums()
+            out += [f"### Hop by hop: {way.name}", "", "| hop | as landed | with what is to be built |", "|---|---|---|"]
+            out += [f"| {h.what} | {shown(h.landed, 's')} | {shown(h.built, 's')} |" for h in way.hops]
+            out += [f"| **in all, of {way.bound:g} s** | {shown(landed, 's')}: {verdict(landed, way.bound)} "
+                    f"| {shown(built, 's')}: {verdict(built, way.bound)} |", ""]
+        used.update(dict.fromkeys(self.reckon.used))
+        return "\n".join(out + self._slopes(used) + [END])
+
+    def _slopes(self, used) -> list:
+        s = self.slopes
+        out = ["### The slopes", "",
+               f"`{s.get('Command', '')}` on commit {s['Commit']}"
+               f"{' with changes not committed' if s.get('Dirty') else ''}, Python {s['Python']}, best of "
+               f"{s.get('Repeats')} repeats, {s.get('TookS')} s. Residual: root mean square of what the line leaves, as "
+               "a part of the mean figure.", "", "| name | what | unit | at none | each more | of | residual |",
+               "|---|---|---|---|---|---|---|"]
+        for name in sorted(used):
+            f = s["Fits"][name]
+            time = f["kind"] in ("cpu", "thread")
+            scale, unit = (1e6, "µs") if time else (1, "B")
+            out.append(f"| `{name}` | {f.get('what', '')} | {unit} | {_num(f['intercept'] * scale)} "
+                       f"| {_num(f['slope'] * scale)} | {f.get('x', '')} | {f['residual']:.1%} |")
+        return out + [""]
+
+
+def _num(val: float) -> str:
+    return f"{val:,.0f}" if abs(val) >= 100 else f"{val:.3g}"
+
+
+def block(page: str) -> str | None:
+    """What a page has between the markers, with them; None if they are not there.
+
+    >>> block("a " + BEGIN + " b " + END + " c") == BEGIN + " b " + END
+    True
+    """
+    at, end = page.find(BEGIN), page.find(END)
+    return page[at:end + len(END)] if 0 <= at < end else None
--- a/lines/frame/commands.py
+++ b/lines/frame/commands.py
@@ -22,12 +22,17 @@
 
 flags.DEFINE_integer("revision", 1, "import: the Revision of the configuration", lower_bound=1)
 
+flags.DEFINE_string("out", None, "capacity measure: the file to write; else standard output")
+flags.DEFINE_string("slopes", None, "capacity table, check, write: the file of measured slopes; else the recorded one")
+flags.DEFINE_string("size", None, "capacity: the file of the size to design for; else the one beside the sources")
+
 COMMANDS: dict = {}
 USE = {
     "switchboard": "take clients' requests (data plane; role of edge machines)",
     "exchange": "exchange core | exchange store: hold control, or keep lots and run rollouts (control plane)",
     "import": "turn a configuration file of nginx into an operator configuration, on standard output",
     "doctor": "look for common faults of a settings file and of the node that it describes",
+    "capacity": "capacity measure | table | check | write: what each role costs at the size to design for",
 }
 
 
@@ -165,6 +170,12 @@
     return 0
 
 
+@command("capacity")
+def _capacity(args) -> int:
+    from ..erlang.command import Capacity
+    return Capacity(out=FLAGS.out, slopes=FLAGS.slopes, size=FLAGS.size).run(args)
+
+
 def main(argv: list) -> None:
     """Parse the command line and run a command; ends the process with its status."""
     if "--help" in argv or "-h" in argv or len(argv) < 2:
