--- a/lines/erlang/command.py
+++ b/lines/erlang/command.py
@@ -6,11 +6,12 @@
 
 from .measure import ROOT, Measure, write
 from .needs import Missing
-from .size import SizeFault, read_size, read_slopes
+from .size import SizeFault, read_scale, read_size, read_slopes
 from .table import Table, block
 
 PAGE = os.path.join("docs", "CAPACITY.md")
 SLOPES = os.path.join("docs", "capacity", "slopes.json")
+SCALE = os.path.join("docs", "capacity", "scale.json")
 VERBS: dict = {}
 
 
@@ -51,7 +52,9 @@
 
     def text(self) -> str:
         """The table made anew."""
-        return Table(read_size(self.size), read_slopes(self.slopes), self.slopes).text()
+        path = os.path.join(ROOT, SCALE)
+        scale = read_scale(path) if os.path.exists(path) else None
+        return Table(read_size(self.size), read_slopes(self.slopes), self.slopes, scale).text()
 
     def read_page(self) -> tuple:
         """The page, and its block."""
--- a/lines/erlang/reckon.py
+++ b/lines/erlang/reckon.py
@@ -36,7 +36,8 @@
 
 
 class Reckoner:
-    """at(), per() and none() read a line and note that it was used; the rest are counts that follow from the size.
+    """at() and per() read a line and note that it was used; the rest are counts that follow from the size. Processor
+    time is charged as much more as real processes took than the probes' hot loops.
 
     >>> # Reckoner(size, slopes["Fits"]).at("roll.since", 10_000)
     """
@@ -52,7 +53,8 @@
         if name not in self.used:
             self.used.append(name)
         f = self.fits[name]
-        return Fit(f["slope"], f["intercept"], f["residual"])
+        cold = self.s.cold if f["kind"] in ("cpu", "thread") else 1.0
+        return Fit(f["slope"] * cold, f["intercept"] * cold, f["residual"])
 
     def at(self, name: str, x: float) -> float:
         return self._fit(name).at(x)
@@ -186,6 +188,11 @@
     def live_events(self) -> float:
         return self.s.tokens_s / self.s.tokens_event - self.sample_events
 
+    @property
+    def asleep(self) -> float:
+        """How much more than other real processes an edge that mostly sleeps takes for the same."""
+        return self.s.cold_edge / self.s.cold
+
     @property
     def half_call(self) -> float:
         """One end of a call over a trunk: both are measured together."""
--- a/lines/erlang/roles/core.py
+++ b/lines/erlang/roles/core.py
@@ -105,7 +105,9 @@
 @row(CORE, "memory", "B", "its region's replicas and the services' that it owns", budget=lambda s: s.machine_mb * 1e6)
 def _memory(q):
     rest = q.at("resident.core", 0) + 3 * q.at("plan.memory", q.s.routes) + words(q) / q.s.cores * 300
-    return rest + q.s.replicas * q.per("roll.memory"), rest + _state(q)[1] * q.per("roll.memory")
+    landed, built = _conns(q)
+    return (rest + q.s.replicas * q.per("roll.memory") + landed * q.s.connection_bytes,
+            rest + _state(q)[1] * q.per("roll.memory") + built * q.s.connection_bytes)
 
 
 @row(CORE, "disk written, a voter", "B/s", "each voter writes the whole state for each change; still small")
--- a/lines/erlang/roles/edge.py
+++ b/lines/erlang/roles/edge.py
@@ -60,14 +60,14 @@
     per = q.per("news.fold") + q.per("picker.again")
     landed = _in(q)[0] * q.half_call + q.turns * per + q.fresh * q.at("picker.new", q.s.replicas) + plan
     built = _in(q)[1] * q.half_call + q.moves * q.share * per + q.fresh * q.share * q.at("picker.new", q.mine) + plan
-    return landed, built
+    return landed * q.asleep, built * q.asleep
 
 
 @row(EDGE, "processor time, control, while weights change", "core", "versions are not told to edges",
      budget=lambda s: s.node_core)
 def _wave_cpu(q):
     per = q.per("news.fold") + q.per("picker.again")
-    return (q.asks + q.told) * q.half_call + q.wave * per, _cpu(q)[1]
+    return ((q.asks + q.told) * q.half_call + q.wave * per) * q.asleep, _cpu(q)[1]
 
 
 @row(EDGE, "bytes out, control, as its zone's relay", "B/s", "one edge in each zone hands the deltas on to the others",
@@ -79,7 +79,8 @@
 @row(EDGE, "processor time, control, as its zone's relay", "core", "the same: an answer for each edge's question",
      budget=lambda s: s.node_core)
 def _relay_cpu(q):
-    return 0, _cpu(q)[1] + q.s.edges / q.s.zones * _in(q)[1] * (q.at("news.one", 0) + q.half_call)
+    more = q.s.edges / q.s.zones * _in(q)[1] * (q.at("news.one", 0) + q.half_call)
+    return 0, _cpu(q)[1] + more * q.asleep
 
 
 @row(EDGE, "processor time of a start: the whole roll", "s", "a start folds the subset only")
@@ -113,6 +114,12 @@
     return rest + q.s.replicas * per, rest + q.mine * per
 
 
+@row(EDGE, "memory, control and all connections", "B", "the same, and kept connections to the subset alone",
+     budget=lambda s: s.machine_mb * 1e6)
+def _all_memory(q):
+    return tuple(m + n * q.s.connection_bytes for m, n in zip(_memory(q), _conns(q)))
+
+
 @row(EDGE, "disk", "B", "none: an edge starts from the news")
 def _disk(q):
     return 0, 0
--- a/lines/erlang/roles/leader.py
+++ b/lines/erlang/roles/leader.py
@@ -81,9 +81,11 @@
     roll = q.per("news.memory") + q.per("picker.memory") + q.per("engines.memory")
     rest = q.at("resident.store", 0) + q.at("plan.memory", q.s.routes)
     copies = 3 * q.held * KEPT
-    landed = rest + q.held * KEPT * per_lot + copies * (q.at("lot.bytes", q.s.samples)
-                                                        + q.s.samples * (head + q.sample_bytes)) + q.s.replicas * roll
-    built = rest + q.held * per_lot + copies * q.s.samples * head + q.held * q.of_service * roll
+    texts = q.at("lot.bytes", q.s.samples) + q.s.samples * (head + q.sample_bytes)
+    landed = (rest + q.held * KEPT * per_lot + copies * texts + q.s.replicas * roll
+              + _conns(q)[0] * q.s.connection_bytes)
+    built = (rest + q.held * per_lot + copies * q.s.samples * head + q.held * q.of_service * roll
+             + _conns(q)[1] * q.s.connection_bytes)
     return landed, built
 
 
--- a/lines/erlang/roles/operator.py
+++ b/lines/erlang/roles/operator.py
@@ -53,7 +53,8 @@
 @row(API, "processor time at peak, an edge", "core", "lanes of the changed hosts alone", budget=lambda s: s.node_core)
 def _edge_cpu(q):
     n = q.changes * q.s.change_peak
-    return n * (q.at("plan.make", q.s.routes) + q.half_call), n * (q.at("plan.make", 1) + q.half_call)
+    return (n * q.asleep * (q.at("plan.make", q.s.routes) + q.half_call),
+            n * q.asleep * (q.at("plan.make", 1) + q.half_call))
 
 
 @row(API, "memory", "B", "known state, keeper's and owner's: three of them")
--- a/lines/erlang/roles/worker.py
+++ b/lines/erlang/roles/worker.py
@@ -61,7 +61,9 @@
     # an event's text is a string of its own in a list, 60 bytes at least
     n = running(q) * q.s.sample_tokens / q.s.tokens_event / 2 * 60
     rest = q.at("resident.store", 0)
-    return rest + n, q.s.processes * rest + running(q) * q.sample_bytes / 2
+    conns = _conns(q)
+    return (rest + n + conns[0] * q.s.connection_bytes,
+            q.s.processes * rest + running(q) * q.sample_bytes / 2 + conns[1] * q.s.connection_bytes)
 
 
 @row(WORKER, "disk", "B", "none: what is not committed runs again")
--- a/lines/erlang/scale/hollow.py
+++ b/lines/erlang/scale/hollow.py
@@ -1,4 +1,4 @@
-"""Hollow replicas and nodes: they beat and ask for news over the real protocols, and do nothing with what they learn."""
+"""Hollow replicas and nodes: they beat and ask for news over the real protocols, and forget what they learn."""
 from __future__ import annotations
 
 import asyncio
--- a/lines/erlang/scale/proc.py
+++ b/lines/erlang/scale/proc.py
@@ -17,7 +17,7 @@
 def look(pid: int) -> Look:
     """Processor time so far, memory and open files of a process.
 
-    >>> look(os.getpid()).rss > 0
+    >>> import os; look(os.getpid()).rss > 0
     True
     """
     with open(f"/proc/{pid}/stat") as f:
--- a/lines/erlang/size.py
+++ b/lines/erlang/size.py
@@ -15,11 +15,12 @@
 _GIVEN_WHOLE = ["nodes", "replicas", "accelerators", "requests_s", "tokens_s", "trainers", "samples", "regions",
                 "zones", "changes_day", "control_machines", "failures_day", "restarts_day"]
 _GIVEN = ["step_min", "weights_min", "weights_all_s", "change_all_s", "node_core", "node_mb", "node_kb_s", "beat_s"]
-_ASSUMED_WHOLE = ["cores", "stores", "voters", "services", "accelerators_machine", "routes", "patch_bytes",
-                  "beat_bytes", "digest_bytes", "subset", "tokens_event", "sample_tokens", "token_bytes",
+_ASSUMED_WHOLE = ["connection_bytes", "cores", "stores", "voters", "services", "accelerators_machine", "routes",
+                  "patch_bytes", "beat_bytes", "digest_bytes", "subset", "tokens_event", "sample_tokens", "token_bytes",
                   "live_services_edge", "batch", "processes", "machine_fds"]
-_ASSUMED = ["contact_s", "lease_s", "change_peak", "wan_s", "lan_s", "sync_s", "load_s", "stream_s", "sample_s",
-            "machine_core", "machine_mb", "machine_mb_s", "machine_disk_gb"]
+_ASSUMED = ["cold", "cold_edge", "contact_s", "lease_s", "change_peak", "wan_s", "lan_s", "sync_s", "load_s", "stream_s",
+            "sample_s", "machine_core", "machine_mb", "machine_mb_s", "machine_disk_gb"]
+_RUN = ["beats_s", "beats_failed", "answers_s", "entries_s", "hollow_cpu"]
 
 
 class SizeFault(Exception):
@@ -68,6 +69,40 @@
     Fits = fields.Dict(keys=fields.String(), values=fields.Nested(FitSchema), required=True)
 
 
+class ProcSchema(_Open):
+    cpu = fields.Float(required=True)
+    rss = fields.Integer(required=True)
+    fds = fields.Integer(required=True)
+
+
+class PhaseSchema(_Open.from_dict({n: fields.Float(required=True) for n in _RUN})):
+    core = fields.List(fields.Nested(ProcSchema), required=True, validate=validate.Length(min=1))
+    switchboard = fields.List(fields.Nested(ProcSchema), required=True, validate=validate.Length(min=1))
+
+
+class RunSchema(_Open):
+    Replicas = fields.Integer(required=True)
+    Steady = fields.Nested(PhaseSchema, required=True)
+    Versions = fields.Nested(PhaseSchema, required=True)
+
+
+class LineSchema(_Open):
+    slope = fields.Float(required=True)
+    intercept = fields.Float(required=True)
+    residual = fields.Float(required=True)
+
+
+class ScaleSchema(_Open):
+    Commit = fields.String(required=True)
+    Cores = fields.Integer(required=True, validate=validate.Range(min=1))
+    Edges = fields.Integer(required=True)
+    HollowNodes = fields.Integer(required=True)
+    BeatS = fields.Float(required=True, validate=validate.Range(min=0, min_inclusive=False))
+    WindowS = fields.Float(required=True)
+    Runs = fields.List(fields.Nested(RunSchema), required=True, validate=validate.Length(min=2))
+    Fits = fields.Dict(keys=fields.String(), values=fields.Nested(LineSchema), required=True)
+
+
 def _first(bad, at: str = "") -> tuple:
     """The first fault of marshmallow's, as a field's path and its words."""
     if isinstance(bad, dict):
@@ -118,3 +153,11 @@
     >>> # read_slopes("docs/capacity/slopes.json")["Fits"]["roll.beat"]["slope"]
     """
     return _checked(SlopesSchema(), path, _read(path, json.loads))
+
+
+def read_scale(path: str) -> dict:
+    """What `capacity scale` wrote, of two counts of replicas at least.
+
+    >>> # read_scale("docs/capacity/scale.json")["Runs"][0]["Steady"]["core"][0]["cpu"]
+    """
+    return _checked(ScaleSchema(), path, _read(path, json.loads))
--- a/lines/erlang/table.py
+++ b/lines/erlang/table.py
@@ -6,6 +6,7 @@
 from . import roles  # noqa: F401  (fills the rows)
 from .hops import WAYS
 from .reckon import Reckoner
+from .scale.compare import Compare
 
 BEGIN = "<!-- capacity table: made by `archhatch.py capacity table`, not by hand -->"
 END = "<!-- end of the capacity table -->"
@@ -54,8 +55,8 @@
     >>> # Table(read_size(), read_slopes(path), path).text()
     """
 
-    def __init__(self, size, slopes: dict, path: str = "slopes"):
-        self.size, self.slopes = size, slopes
+    def __init__(self, size, slopes: dict, path: str = "slopes", scale: dict | None = None):
+        self.size, self.slopes, self.scale = size, slopes, scale
         self.reckon = Reckoner(size, slopes["Fits"], path)
 
     def text(self) -> str:
@@ -82,7 +83,29 @@
             out += [f"| **in all, of {way.bound:g} s** | {shown(landed, 's')}: {verdict(landed, way.bound)} "
                     f"| {shown(built, 's')}: {verdict(built, way.bound)} |", ""]
         used.update(dict.fromkeys(self.reckon.used))
-        return "\n".join(out + self._assumed() + self._slopes(used) + [END])
+        return "\n".join(out + self._small() + self._assumed() + self._slopes(used) + [END])
+
+    def _small(self) -> list:
+        """The small runs of real processes, where they were made."""
+        if self.scale is None:
+            return []
+        s, both = self.scale, Compare(self.size, self.slopes["Fits"], self.scale)
+        out = ["### Small runs: control nodes and switchboards, measured and reckoned", "",
+               f"`archhatch.py capacity scale --nodes={s['HollowNodes']} --replicas="
+               f"{','.join(str(r['Replicas']) for r in s['Runs'])}` on commit {s['Commit']}: {s['Cores']} control "
+               f"nodes and {s['Edges']} switchboards as processes beside {s['HollowNodes']} hollow nodes, windows of "
+               f"{s['WindowS']:g} s. Measured: the mean of the processes, from /proc.", "",
+               "| replicas | figure | measured | reckoned | measured / reckoned |", "|---|---|---|---|---|"]
+        out += [f"| {n:,} | {what} | {shown(got, unit)} | {shown(told, unit)} | {got / told:.2f} |"
+                for n, what, got, told, unit in both.rows()]
+        out += ["", f"A replica's kept connection holds {shown(both.connection(), 'B')} in a control node: the slope "
+                "of its memory, less the roll's, for the replicas that are its own.", "",
+                "| line through the runs | at none | each replica | residual |", "|---|---|---|---|"]
+        for name, f in s["Fits"].items():
+            unit, scale = ("B", 1) if name.endswith("rss") else ("ms of a second", 1000)
+            out.append(f"| `{name}` | {_num(f['intercept'] * scale)} {unit} | {_num(f['slope'] * scale)} {unit} "
+                       f"| {f['residual']:.1%} |")
+        return out + [""]
 
     def _assumed(self) -> list:
         out = ["### The size and the assumptions", "", "| | name | figure | |", "|---|---|---|---|"]
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -10,13 +10,17 @@
 
 from lines.erlang import Fit, Measure, SizeFault, Table, fit_line, read_size
 from lines.erlang import measure as measure_module
-from lines.erlang.command import SLOPES, Capacity
+from lines.erlang.command import SCALE, SLOPES, Capacity
 from lines.erlang.hops import WAYS
 from lines.erlang.meter import Meter
 from lines.erlang.needs import Missing, need
 from lines.erlang.probe import PROBES, Probe, probe
 from lines.erlang.reckon import Reckoner
-from lines.erlang.size import SIZE, read_slopes
+from lines.erlang.scale import Scale, ScaleFault
+from lines.erlang.scale import run as scale_run
+from lines.erlang.scale.compare import Compare
+from lines.erlang.scale.proc import look
+from lines.erlang.size import SIZE, read_scale, read_slopes
 from lines.erlang.table import BEGIN, END, block, shown, verdict
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -280,3 +284,61 @@
         raise OSError("no git")
     monkeypatch.setattr(measure_module.subprocess, "run", none)
     assert measure_module._git("rev-parse") == ""
+
+
+# -- small runs of real processes
+
+def test_a_small_run_reads_real_processes_and_ends_them(tmp_path, monkeypatch, run):
+    monkeypatch.setattr(scale_run, "WARM_S", 0.0)
+    one = scale_run._System(str(tmp_path), 2, 6, 0.2)
+    doc = run(one.run(), 120.0)
+    assert doc["Replicas"] == 6
+    for phase in ("Steady", "Versions"):
+        assert len(doc[phase]["core"]) == 3 and len(doc[phase]["switchboard"]) == 2
+        assert all(p["rss"] > 10_000_000 and p["fds"] > 3 for k in ("core", "switchboard") for p in doc[phase][k])
+        assert doc[phase]["beats_failed"] == 0
+    procs = [p for ps in one.children.values() for p in ps]
+    assert len(procs) == 5 and all(p.poll() is not None for p in procs)
+
+
+def test_a_child_that_ends_fails_the_run_and_ends_the_others(tmp_path, monkeypatch, run):
+    monkeypatch.setattr(scale_run, "ROOT", str(tmp_path))   # no program there
+    one = scale_run._System(str(tmp_path), 1, 1, 0.2)
+    with pytest.raises(ScaleFault, match="ended with status"):
+        run(one.run(), 60.0)
+    assert all(p.poll() is not None for ps in one.children.values() for p in ps)
+
+
+@pytest.mark.parametrize("nodes, replicas", [(0, [1]), (201, [1]), (1, []), (1, [3001]), (1, [1, 2, 3, 4, 5])])
+def test_runs_are_bounded(nodes, replicas):
+    with pytest.raises(ScaleFault):
+        Scale(nodes, replicas)
+
+
+def test_scale_on_the_command_line_names_what_is_wrong():
+    bad = cli("scale", "--replicas=many")
+    assert bad.returncode == 2 and "--replicas" in bad.stderr
+    assert cli("scale", "--replicas=99999").returncode == 1
+
+
+def test_wrong_records_of_runs_name_file_and_field(tmp_path):
+    doc = json.load(open(os.path.join(ROOT, SCALE)))
+    del doc["Runs"][0]["Steady"]["core"][0]["cpu"]
+    path = tmp_path / "scale.json"
+    path.write_text(json.dumps(doc))
+    with pytest.raises(SizeFault) as e:
+        read_scale(str(path))
+    assert str(e.value).startswith(f"{path}: Runs.0.Steady.core.0.cpu: ")
+
+
+def test_small_runs_are_compared_without_their_own_factor():
+    size, scale = read_size(), read_scale(os.path.join(ROOT, SCALE))
+    rows = Compare(size, read_slopes(RECORDED)["Fits"], scale).rows()
+    assert [r[0] for r in rows[::5]] == [r["Replicas"] for r in scale["Runs"]]
+    size.cold = size.cold_edge = 9.0
+    assert Compare(size, read_slopes(RECORDED)["Fits"], scale).rows() == rows
+
+
+def test_look_at_a_process():
+    got = look(os.getpid())
+    assert got.rss > 1_000_000 and got.fds >= 3 and got.cpu_s >= 0
