--- a/lines/erlang/reckon.py
+++ b/lines/erlang/reckon.py
@@ -26,8 +26,7 @@
 def row(role: str, figure: str, unit: str, how: str, budget=None):
     """Register a figure: fn(q) gives (landed, built); budget(s) its bound, from the size.
 
-    >>> # @row("edge", "connections", "", "subsets", budget=lambda s: s.machine_fds)
-    ... # def _conns(q): return 4000, 700
+    >>> # @row("edge", "connections", "", "subsets", budget=lambda s: s.machine_fds) over: def _conns(q): return 4000, 700
     """
     def put(fn):
         ROWS.append((role, figure, unit, how, budget, fn))
--- a/lines/erlang/roles/edge.py
+++ b/lines/erlang/roles/edge.py
@@ -106,6 +106,13 @@
     return n, n / q.s.processes
 
 
+@row(EDGE, "processor time, all processes of the machine", "core", "the same processes; more tokens in an event",
+     budget=lambda s: s.machine_cores * s.machine_core)
+def _machine(q):
+    n = q.s.processes
+    return (_cpu(q)[0] + _picks(q)[0] + _events(q)[0], _relay_cpu(q)[1] + n * (_picks(q)[1] + _events(q)[1]))
+
+
 @row(EDGE, "memory, control", "B", "the subset; its process is counted whole, at rest",
      budget=lambda s: s.node_mb * 1e6)
 def _memory(q):
--- a/lines/erlang/roles/worker.py
+++ b/lines/erlang/roles/worker.py
@@ -55,6 +55,12 @@
     return _cpu(q)[0] + sum(a for a, _ in parts), sum(b for _, b in parts)
 
 
+@row(WORKER, "processor time, all processes of the machine, upper bound", "core", "the same processes",
+     budget=lambda s: s.machine_cores * s.machine_core)
+def _machine(q):
+    return _both(q)[0], _both(q)[1] + q.s.processes * _cpu(q)[1]
+
+
 @row(WORKER, "memory: texts under way", "B", "half of a text each, on the mean; beside the process",
      budget=lambda s: s.machine_mb * 1e6)
 def _memory(q):
