--- a/lines/erlang/measure.py
+++ b/lines/erlang/measure.py
@@ -22,33 +22,43 @@
 class Measure:
     """run() gives one document; what could not be measured stands under Absent with the name that lacks.
 
+    Processor time is measured in rounds, so that a busy moment of the machine spoils no probe: the best counts.
+
     >>> # doc = Measure().run(); doc["Fits"]["roll.beat"]["slope"]
     """
 
-    def __init__(self, names=None, repeats: int = 3, say=lambda line: None, budget_s: float = BUDGET_S):
-        self.names, self.repeats, self.say, self.budget_s = names, repeats, say, budget_s
+    def __init__(self, names=None, rounds: int = 2, repeats: int = 2, say=lambda line: None, budget_s: float = BUDGET_S):
+        self.names, self.rounds, self.repeats = names, rounds, repeats
+        self.say, self.budget_s = say, budget_s
 
     def run(self) -> dict:
         """Measure; no probe is begun once the time is up."""
-        began, fits, absent = time.monotonic(), {}, {}
+        began, best, absent = time.monotonic(), {}, {}
         meter = Meter(self.repeats)
-        for name, pr in PROBES.items():
-            if self.names is not None and name not in self.names:
-                continue
-            if time.monotonic() - began > self.budget_s:
-                absent[name] = f"not begun: {self.budget_s:g} s were up"
-                continue
-            try:
-                samples = meter.samples(pr)
-            except (Missing, AttributeError, TypeError, KeyError, ValueError) as e:
-                absent[name] = str(e) if isinstance(e, Missing) else f"what it measures has changed: {e!r}"
-                self.say(f"{name}: {absent[name]}")
-                continue
-            fit = fit_line(samples)
-            fits[name] = {"kind": pr.kind, "what": pr.what, "x": pr.x, **asdict(fit), "samples": samples}
-            self.say(f"{name}: {fit.slope:.3e} each, {fit.intercept:.3e} at none, residual {fit.residual:.1%}")
-        return {**made_by(), "Command": "archhatch.py capacity measure", "Repeats": self.repeats,
-                "TookS": round(time.monotonic() - began, 1), "PeakMb": _peak_mb(), "Fits": fits, "Absent": absent}
+        for turn in range(self.rounds):
+            for name, pr in PROBES.items():
+                if self.names is not None and name not in self.names or name in absent:
+                    continue
+                if turn and pr.kind not in ("cpu", "thread"):
+                    continue
+                if time.monotonic() - began > self.budget_s:
+                    absent[name] = f"not begun: {self.budget_s:g} s were up"
+                    continue
+                try:
+                    got = meter.samples(pr)
+                except (Missing, AttributeError, TypeError, KeyError, ValueError) as e:
+                    absent[name] = str(e) if isinstance(e, Missing) else f"what it measures has changed: {e!r}"
+                    self.say(f"{name}: {absent[name]}")
+                    continue
+                best[name] = [[n, min(y, old[1])] for (n, y), old in zip(got, best.get(name, got))]
+        return {**made_by(), "Command": "archhatch.py capacity measure", "Repeats": self.rounds * self.repeats,
+                "TookS": round(time.monotonic() - began, 1), "PeakMb": _peak_mb(),
+                "Fits": {n: self._fit(PROBES[n], got) for n, got in best.items() if n not in absent}, "Absent": absent}
+
+    def _fit(self, pr, samples: list) -> dict:
+        fit = fit_line(samples)
+        self.say(f"{pr.name}: {fit.slope:.3e} each, {fit.intercept:.3e} at none, residual {fit.residual:.1%}")
+        return {"kind": pr.kind, "what": pr.what, "x": pr.x, **asdict(fit), "samples": samples}
 
 
 def made_by() -> dict:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -241,6 +241,24 @@
     assert {"Commit", "Dirty", "Python", "Repeats"} <= set(doc)
 
 
+def test_the_best_of_the_rounds_counts(odd_probes):
+    runs = []
+
+    @probe("slow", "thread", "a figure that falls", "ones", (1, 2))
+    async def _slow(n):
+        runs.append(n)
+        yield (lambda: n * 10 / len(runs)), 1
+
+    @probe("steady", "bytes", "a length", "ones", (1, 2))
+    async def _steady(n):
+        runs.append(0)
+        yield (lambda: n), 1
+
+    doc = Measure(rounds=2, repeats=1).run()
+    assert runs == [1, 2, 0, 0, 1, 2] and doc["Repeats"] == 2
+    assert doc["Fits"]["slow"]["samples"] == [[1, 10 / 5], [2, 20 / 6]]
+
+
 def test_measure_begins_nothing_once_its_time_is_up(odd_probes, monkeypatch):
     @probe("late", "bytes", "nothing", "nothing", (1, 2))
     async def _late(n):
