--- a/lines/erlang/scale/compare.py
+++ b/lines/erlang/scale/compare.py
@@ -36,6 +36,14 @@
                         q.at("resident.edge", 0) + n * (q.per("news.memory") + q.per("picker.memory")), "B"))
         return out
 
+    def cold(self) -> tuple:
+        """How much more processor time real processes took than reckoned, in the run with the most replicas: control
+        nodes, the worse of the two phases, and switchboards."""
+        most = max(r["Replicas"] for r in self.scale["Runs"])
+        ratios = [(what, got / told) for n, what, got, told, unit in self.rows() if n == most and unit == "core"]
+        edge = [r for what, r in ratios if "switchboard" in what]
+        return max(1.0, *(r for what, r in ratios if "switchboard" not in what)), max(1.0, *edge)
+
     def connection(self) -> float:
         """Bytes that a replica's connection keeps in a control node: what the roll does not explain."""
         fit = self.scale["Fits"]["core.steady.rss"]
--- a/lines/erlang/size.py
+++ b/lines/erlang/size.py
@@ -18,8 +18,8 @@
 _ASSUMED_WHOLE = ["connection_bytes", "cores", "stores", "voters", "services", "accelerators_machine", "routes",
                   "patch_bytes", "beat_bytes", "digest_bytes", "subset", "tokens_event", "sample_tokens", "token_bytes",
                   "live_services_edge", "batch", "processes", "machine_fds"]
-_ASSUMED = ["cold", "cold_edge", "contact_s", "lease_s", "change_peak", "wan_s", "lan_s", "sync_s", "load_s",
-            "stream_s", "sample_s", "machine_cores", "machine_core", "machine_mb", "machine_mb_s", "machine_disk_gb"]
+_ASSUMED = ["contact_s", "lease_s", "change_peak", "wan_s", "lan_s", "sync_s", "load_s", "stream_s", "sample_s",
+            "machine_cores", "machine_core", "machine_mb", "machine_mb_s", "machine_disk_gb"]
 _RUN = ["beats_s", "beats_failed", "answers_s", "entries_s", "hollow_cpu"]
 
 
@@ -139,6 +139,7 @@
     text = _read(path, str)
     doc = _checked(SizeSchema(), path, _read(path, tomllib.loads))
     size = SimpleNamespace(**doc["given"], **doc["assumed"])
+    size.cold = size.cold_edge = 1.0   # what small runs show is put in by the table
     why = {m[1]: m[2] for m in re.finditer(r"^(\w+) = [^#\n]*# (.*)$", text, re.M)}
     size.rows = [(k, name, val, why.get(name, "")) for k in ("given", "assumed") for name, val in doc[k].items()]
     size.edges = size.nodes - size.cores - size.stores
--- a/lines/erlang/table.py
+++ b/lines/erlang/table.py
@@ -1,6 +1,7 @@
 """The table of the roles and the ways hop by hop, as markdown; and whether a page still holds the same."""
 from __future__ import annotations
 
+import copy
 import math
 
 from . import roles  # noqa: F401  (fills the rows)
@@ -56,8 +57,16 @@
     """
 
     def __init__(self, size, slopes: dict, path: str = "slopes", scale: dict | None = None):
-        self.size, self.slopes, self.scale = size, slopes, scale
-        self.reckon = Reckoner(size, slopes["Fits"], path)
+        self.size, self.slopes, self.scale = copy.copy(size), slopes, scale
+        if scale is not None:
+            cold, edge = Compare(size, slopes["Fits"], scale).cold()
+            self.size.cold, self.size.cold_edge = cold, edge
+            self.size.rows = size.rows + [
+                ("measured", "cold", round(cold, 2), "processor time of real control nodes, to that of the probes; "
+                 "charged on every processor time"),
+                ("measured", "cold_edge", round(edge, 2), "the same of switchboards that mostly sleep; charged on "
+                 "control's part at an edge")]
+        self.reckon = Reckoner(self.size, slopes["Fits"], path)
 
     def text(self) -> str:
         """The whole block, markers included."""
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -15,7 +15,6 @@
 from lines.erlang.meter import Meter
 from lines.erlang.needs import Missing, need
 from lines.erlang.probe import PROBES, Probe, probe
-from lines.erlang.reckon import Reckoner
 from lines.erlang.scale import Scale, ScaleFault
 from lines.erlang.scale import run as scale_run
 from lines.erlang.scale.compare import Compare
@@ -30,7 +29,7 @@
 
 @pytest.fixture
 def reckon():
-    return Reckoner(read_size(), read_slopes(RECORDED)["Fits"], RECORDED)
+    return Table(read_size(), read_slopes(RECORDED), RECORDED, read_scale(os.path.join(ROOT, SCALE))).reckon
 
 
 def cli(*args):
@@ -357,6 +356,17 @@
     assert Compare(size, read_slopes(RECORDED)["Fits"], scale).rows() == rows
 
 
+def test_processor_time_is_charged_as_real_processes_took(reckon):
+    size, fits, scale = read_size(), read_slopes(RECORDED)["Fits"], read_scale(os.path.join(ROOT, SCALE))
+    cold, edge = Compare(size, fits, scale).cold()
+    assert cold >= 1 and edge >= 1 and (reckon.s.cold, reckon.s.cold_edge) == (cold, edge) and size.cold == 1.0
+    assert reckon.per("beat.http") == pytest.approx(fits["beat.http"]["slope"] * cold)
+    assert reckon.per("roll.memory") == fits["roll.memory"]["slope"]
+    assert reckon.asleep == pytest.approx(edge / cold)
+    plain = Table(size, read_slopes(RECORDED), RECORDED)
+    assert plain.reckon.per("beat.http") == fits["beat.http"]["slope"] and "Small runs" not in plain.text()
+
+
 def test_look_at_a_process():
     got = look(os.getpid())
     assert got.rss > 1_000_000 and got.fds >= 3 and got.cpu_s >= 0
