--- a/lines/areacodes/desk.py
+++ b/lines/areacodes/desk.py
@@ -19,7 +19,7 @@
   policy check FILE                 look for faults, by file and line
   policy put FILE [--match=N]       make it the policy in force, on top of version N (else the newest)
   policy get                        the policy in force, as it was written
-  policy explain [FILE] --route=NAME | --host=H --path=P [--out=REGION,...] [--plan=plan.json]
+  policy explain [FILE] --route=NAME | --host=H --path=P [--regions_out=REGION,...] [--plan=plan.json]
   policy regions                    which regions are in or out, since when and why
   policy out REGION --reason=WHY    an operator's word: nothing new goes there
   policy in REGION --reason=WHY     it is in again, for all rules"""
@@ -171,7 +171,7 @@
             lane = plan.lane(opts.host, opts.path)
         if lane is None:
             raise DeskFault("the configuration has no such route")
-        for row in explain(val, lane, opts.out or []):
+        for row in explain(val, lane, opts.regions_out or []):
             print(row)
         return 0
 
--- a/lines/areacodes/explain.py
+++ b/lines/areacodes/explain.py
@@ -26,7 +26,7 @@
     facts = {**places.facts}
     for region in out:
         old = facts.get(region, {"epoch": 0, "out": {}})
-        facts[region] = {**old, "out": {**old["out"], ALL: {"By": "--out", "Reason": "as asked"}}}
+        facts[region] = {**old, "out": {**old["out"], ALL: {"By": "--regions_out", "Reason": "as asked"}}}
     places.fold({**val, "regions": facts})
     kinds = " and ".join(dict.fromkeys(f"{KINDS[m[0]]} {' '.join(m[1:])}" for m in rule.match))
     rows = [f"{head}: rule {rule.name} of policy version {places.policy.version}, by {kinds}"]
--- a/lines/frame/commands.py
+++ b/lines/frame/commands.py
@@ -22,21 +22,19 @@
 
 flags.DEFINE_integer("revision", 1, "import: the Revision of the configuration", lower_bound=1)
 
-<<<<<<< HEAD
 flags.DEFINE_string("route", None, "policy explain: a route's name")
 flags.DEFINE_string("host", None, "policy explain: the host of a request")
 flags.DEFINE_string("path", None, "policy explain: the path of a request")
-flags.DEFINE_list("out", None, "policy explain: regions that count as out")
+flags.DEFINE_list("regions_out", None, "policy explain: regions that count as out")
 flags.DEFINE_string("plan", None, "policy explain: a configuration file; else the one in force")
 flags.DEFINE_integer("match", None, "policy put: the version that it stands on; else the newest", lower_bound=0)
 flags.DEFINE_string("reason", None, "policy out, policy in: why")
-=======
+
 flags.DEFINE_string("out", None, "capacity measure, scale: the file to write; else standard output")
 flags.DEFINE_string("slopes", None, "capacity table, check, write: the file of measured slopes; else the recorded one")
 flags.DEFINE_integer("nodes", 20, "capacity scale: hollow nodes", lower_bound=1)
 flags.DEFINE_list("replicas", ["100", "500", "2000"], "capacity scale: hollow replicas of each run")
 flags.DEFINE_string("size", None, "capacity: the file of the size to design for; else the one beside the sources")
->>>>>>> capacity/capacity
 
 COMMANDS: dict = {}
 USE = {
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -440,7 +440,7 @@
                     (("put", str(bad), at), 1, "sparta"), (("put", str(path), at), 0, "version 1 is in force"),
                     (("put", str(path), at, "--match=0"), 0, "version 1 is in force"), (("get", at), 0, POLICY),
                     (("explain", at, "--route=q"), 0, "runs in attica"),
-                    (("explain", at, "--host=h.example", "--path=/q/x", "--out=attica"), 0, "runs in thessaly"),
+                    (("explain", at, "--host=h.example", "--path=/q/x", "--regions_out=attica"), 0, "runs in thessaly"),
                     (("explain", at, "--host=h.example", "--path=/v/x"), 0, "no rule of policy version 1 binds it"),
                     (("explain", at, "--route=none"), 1, "no such route"), (("explain", at), 2, "say one of"),
                     (("out", "attica", at), 1, "2001"), (("out", "attica", at, "--reason=works"), 0, "attica is out, epoch 1"),
