Senders name the lane in its place; last results are listed whatever the leader sees

The test of last results was written for the dispatcher, which the share groups replaced; it now plays the same on the leader, in more cases.

--- a/lines/sends/picker.py
+++ b/lines/sends/picker.py
@@ -121,8 +121,8 @@
         pool.subset.drop(t.iid)
         pool.peers.leave(t.fitness)
 
-    def pick(self, service: str, tried: set, now: float, sure: bool = False, early: bool = False,
-             lane=None) -> Trunkline | None:
+    def pick(self, service: str, tried: set, now: float, lane=None, sure: bool = False,
+             early: bool = False) -> Trunkline | None:
         """The best replica that was not tried yet, of as few as will do.
 
         sure: the request may run only once, so it is no trial of a replica that had a rest. early: it is out already;
--- a/lines/supervisor/scoring.py
+++ b/lines/supervisor/scoring.py
@@ -68,7 +68,7 @@
         if lane is None:
             return False
         service = lane.pick()
-        line = st.picker.pick(service, set(), st.clock.now(), lane=lane)
+        line = st.picker.pick(service, set(), st.clock.now(), lane)
         if line is None or line.under_way >= self.lull.places(service, line.slots, len(st.picker.by_service[service])):
             return False
         line.under_way += 1
--- a/lines/switchboard/forward.py
+++ b/lines/switchboard/forward.py
@@ -58,8 +58,8 @@
                 break
             sent = len(self.tried)
             if sent < lane.sends and now >= next_at and (not self.out or self.again):
-                line = self.fwd.picker.pick(self.service, self.tried, now, sure=not self.again,
-                                            early=bool(self.out), lane=lane)
+                line = self.fwd.picker.pick(self.service, self.tried, now, lane, sure=not self.again,
+                                            early=bool(self.out))
                 if line is not None:
                     self._send(line, now)
                     next_at = now + max(0.02, EARLY * lane.aim_s)
--- a/lines/switchboard/relay.py
+++ b/lines/switchboard/relay.py
@@ -40,7 +40,7 @@
     async def _relay(self, req, lane, body, rid, service, end):
         out, last, tried, ran = None, None, set(), False
         for _ in range(lane.sends):
-            line = self.picker.pick(service, tried, self.clock.now(), sure=not lane.resumable, lane=lane)
+            line = self.picker.pick(service, tried, self.clock.now(), lane, sure=not lane.resumable)
             left = end - self.clock.now()
             if line is None or left <= 0:
                 break
--- a/tests/test_last_result.py
+++ b/tests/test_last_result.py
@@ -1,38 +1,82 @@
-"""A lot whose last result is on its way to the stores: the works that list it must not be broken off."""
+"""A lot whose last results are on their way to the stores: whatever the leader looks at meanwhile, they are listed."""
 import asyncio
 from types import SimpleNamespace
 
+import orjson
 import pytest
 
+from lines.cordboard import Leader, State
+from lines.cordboard.leader import Seat
 from lines.dialplan import Plan
-from lines.supervisor import Dispatch
-from lines.supervisor.work import Work
+from lines.frame import Board, Counters
+from lines.supervisor import Engines
 
 PLAN = Plan({"Revision": 1, "ServiceTable": [{"Name": "s"}], "RouteTable": [
     {"Name": "l", "HostName": "h", "PathPrefix": "/", "RouteClass": "rollout", "Service": "s"}]})
 
 
-@pytest.mark.parametrize("done, ended, kept", [
-    ({"a", "b"}, False, {"a", "b"}),      # all have their positions: their copies are still on the way
-    ({"a"}, False, {"a", "b"}),           # the lot goes on
-    ({"a"}, True, {"a"}),                 # it was ended: what has no position is broken off
-    (set(), True, set())])
-def test_works_that_have_a_position_are_never_broken_off(run, done, ended, kept):
+class FakeReign:
+    """Lists a result once its gate opens, as a reign does whose copies take their time."""
+
+    def __init__(self, lot):
+        self.run, self.term, self.state, self.lots, self.window_recs = "s", 3, "holding", {"lot": lot}, []
+        self.gate, self.asked = asyncio.Event(), []
+
+    async def list_result(self, lot, iid, doc):
+        if iid in lot.done or lot.ended:
+            return
+        lot.done.add(iid)
+        self.asked.append(iid)
+        await self.gate.wait()
+        lot.listed += 1
+
+
+def setup(clock):
+    items = {i: SimpleNamespace(iid=i, group="g", at=n) for n, i in enumerate("ab")}
+    lot = SimpleNamespace(lid="lot", host="h", path="/x", taken=0.0, items=items, done=set(), total=2, want=0, base=0,
+                          model="m", ended=False, listed=0)
+    reign = FakeReign(lot)
+    st = SimpleNamespace(plan=PLAN, reigns={"s": reign}, clock=clock, quiet_s=1.0, beat_s=0.1, board=Board(), id="me",
+                         ctr=Counters(), leaving=False, alive=lambda sid: True, engines=Engines(), members=dict)
+    lead = Leader(st)
+    lead.sync()
+    part = lead.runs["s"]
+    part.seats["w"] = Seat("w", "life", heard=clock.now())
+    win = part.windows["m"]
+    for e in list(win.entries.values()):
+        win.acquire(e, "w", clock.now())
+    return lead, reign, lot, win
+
+
+def row(offset):
+    return {"part": "m", "off": offset, "dc": 1, "kind": "accept", "engine": "", "signs": [], "doc": {}}
+
+
+@pytest.mark.parametrize("meanwhile", ["nothing", "sync", "ended", "lock", "worker"])
+@pytest.mark.parametrize("settled", ["a", "ab"])
+def test_settlements_under_way_are_listed_whatever_happens(run, clock, meanwhile, settled):
     async def go():
-        items = {i: SimpleNamespace(iid=i, group="g", at=n) for n, i in enumerate("ab")}
-        lot = SimpleNamespace(lid="lot", host="h", path="/x", taken=0.0, items=items, done=set(), total=2, want=0,
-                              ended=False)
-        reign = SimpleNamespace(state="holding", lots={"lot": lot})
-        d = Dispatch(SimpleNamespace(plan=PLAN, reigns={"s": reign}))
-        d._sync()
-        for w in d.works["lot"].values():
-            w.state, w.task = "scoring", asyncio.ensure_future(asyncio.Event().wait())
-        tasks = {i: w.task for i, w in d.works["lot"].items()}
-        assert all(isinstance(w, Work) for w in d.works["lot"].values())
-        lot.done, lot.ended = done, ended
-        d._sync()
-        await asyncio.wait(tasks.values(), timeout=0)
-        assert {i for i, t in tasks.items() if not t.cancelling()} == kept
-        for t in tasks.values():
-            t.cancel()
+        lead, reign, lot, win = setup(clock)
+        call = asyncio.ensure_future(lead.commit({"worker": "w", "run": "s", "epoch": 3},
+                                                 orjson.dumps([row("ab".index(i)) for i in settled])))
+        while len(reign.asked) < len(settled):
+            await asyncio.sleep(0)
+        if meanwhile == "ended":
+            lot.ended = True
+        elif meanwhile == "lock":
+            for e in win.locked.values():
+                e.until = 0.0
+        elif meanwhile == "worker":
+            lead.st.alive = lambda sid: False
+        if meanwhile != "nothing":
+            lead.sync()
+        reign.gate.set()
+        assert (await call)["done"] == [True] * len(settled)
+        assert lot.listed == len(settled) and lot.done == set(settled)
+        # nothing of what is settled is presented again; what is not settled is, unless its lot ended
+        states = {o: e.state for o, e in win.entries.items()}
+        rest = [] if settled == "ab" or meanwhile == "ended" else [1]
+        assert list(states) == rest
+        if rest:
+            assert states[1] is (State.AVAILABLE if meanwhile in ("lock", "worker") else State.ACQUIRED)
     run(go())
