A note of an order is as old as later results prove: fewer replicas wait after power loss

Change: notes and results bear the holder's term and its seconds of that term; an order may be sent within LeaseMs/6 of its note instead of LeaseMs/3, so a new holder waits 7/6. The time between two holders' orders is at least what it was: note + 1/6 + 1 against note + 1/3 + 1, each less the time in which an order may be sent.

--- a/lines/supervisor/reign.py
+++ b/lines/supervisor/reign.py
@@ -17,6 +17,7 @@
     {"trigger": "deposed", "source": "*", "dest": "over"},
 ]
 ABREAST = 8       # lots that are adopted side by side
+ORDER = 1 / 6     # of LeaseMs: how long after its note an order may be sent
 BURST = 1 << 18   # bytes of repair under way at a time: new records wait behind them
 
 
@@ -94,7 +95,7 @@
         addrs = {sid: st.addr_of(m) for sid, m in members.items()}
         if st.id not in addrs:
             return False
-        got = {}
+        got, told = {}, []
         tasks = {asyncio.ensure_future(st.ask_store(sid, addr, "shelf.prepare", {"run": self.run, "term": self.term})):
                  sid for sid, addr in addrs.items()}
         wait = set(tasks)
@@ -113,13 +114,14 @@
                     if not out["ok"]:
                         raise Deposed(self.run)
                     got[tasks[t]] = out["lots"]
-                    self._heed_orders(out["orders"])
+                    told.append(out)
                     self.window_recs += out["windows"]
         finally:
             for t in wait:
                 t.cancel()
         if st.id not in got or not st.quorum.heard(got, members):
             return False
+        self._heed_orders(told)
         seen: dict[str, dict] = {}
         for sid, lots in got.items():
             for lid, said in lots.items():
@@ -146,12 +148,23 @@
             for t in tasks:
                 t.cancel()
 
-    def _heed_orders(self, ages: dict) -> None:
-        """An earlier holder meant to order from these replicas: wait out its right to, and then the lease."""
-        lease = self.st.boot.secs("LeaseMs")
-        for iid, age in ages.items():
-            at = self.st.clock.now() - age + lease * 4 / 3
-            self.order_from[iid] = max(at, self.order_from.get(iid, at))
+    def _heed_orders(self, told: list) -> None:
+        """An earlier holder meant to order from these replicas: wait out its right to, and then the lease.
+
+        How long ago that was, a store knows since its start. Records of the same term that bear a later time of that
+        holder's clock prove more, also after a loss of power by all.
+        """
+        now, wait = self.st.clock.now(), self.st.boot.secs("LeaseMs", 1 + ORDER)
+        tick = max((tuple(out["tick"]) for out in told if out["tick"]), default=(0, 0.0))
+        for out in told:
+            for iid, age in out["orders"].items():
+                term, t = out["noted"].get(iid, (tick[0], tick[1]))
+                if term < tick[0]:
+                    age = max(age, tick[1])
+                elif term == tick[0]:
+                    age = max(age, tick[1] - t)
+                at = now - age + wait
+                self.order_from[iid] = max(at, self.order_from.get(iid, at))
 
     async def _adopt(self, lid: str, seen: dict, addrs: dict) -> bool:
         """Take up one lot from what the stores said; positions without enough copies are written anew."""
@@ -201,7 +214,7 @@
             held = {sid for sid, rows in where.items() if (pos, term, item) in rows}
             rec = Rec(dict(have[pos].head), have[pos].body, held)
             if not st.copier.enough(rec):
-                rec = Rec({**rec.head, "term": self.term}, rec.body)
+                rec = Rec({**rec.head, "term": self.term, "t": self.tick()}, rec.body)
                 again.append(rec)
             lot.results.append(rec)
             lot.recs.append(rec)
@@ -294,8 +307,14 @@
         """Have enough stores know that an order is about to be sent to a replica; the time until which it may be."""
         began = self.st.clock.now()
         # not a task of the reign: without the one that waits, no order is sent, and the note binds nobody
-        await self.st.copier.put(self.run, self.term, [Rec({"k": "O", "lot": "", "run": self.run, "iid": iid})])
-        return began + self.st.boot.secs("LeaseMs", 1 / 3)
+        await self.st.copier.put(self.run, self.term, [Rec({"k": "O", "lot": "", "run": self.run, "iid": iid,
+                                                            "term": self.term, "t": self.tick()})])
+        return began + self.st.boot.secs("LeaseMs", ORDER)
+
+    def tick(self) -> float:
+        """Seconds of this reign by this node's steady clock: borne by records, so that others can tell how old a note
+        is at least."""
+        return round(self.st.clock.now() - self.began, 3)
 
     async def end(self, lid: str) -> None:
         lot = self.lots[lid]
@@ -313,8 +332,8 @@
         if iid in lot.done or self.state != "holding" or lot.ended:
             return
         lot.done.add(iid)
-        rec = Rec({"k": "R", "lot": lot.lid, "run": self.run, "pos": len(lot.results), "term": self.term, "item": iid},
-                  orjson.dumps(doc))
+        rec = Rec({"k": "R", "lot": lot.lid, "run": self.run, "pos": len(lot.results), "term": self.term, "item": iid,
+                   "t": self.tick()}, orjson.dumps(doc))
         lot.results.append(rec)
         lot.recs.append(rec)
         await self._copy([rec], lot)
--- a/lines/tickets/shelf.py
+++ b/lines/tickets/shelf.py
@@ -17,6 +17,8 @@
         self.promised: dict[str, int] = {}
         self.lots: dict[str, dict] = {}
         self.windows: dict[tuple, list] = {}   # (run, partition) -> its newest snapshot and the deltas behind it
+        self.ticks: dict[str, tuple] = {}    # run -> the newest (term, seconds of that term) that a record bears
+        self.noted: dict[str, dict] = {}     # run -> replica -> (term, seconds of that term) of its last intent to order
         self.orders: dict[str, dict] = {}   # run -> replica -> when the last intent to order came here
 
     def load(self, raws: list) -> None:
@@ -47,8 +49,12 @@
     def _apply(self, rec: Rec) -> bool:
         """Put a record in its place; False if one as good stands there."""
         h = rec.head
+        if "t" in h:
+            self.ticks[h["run"]] = max(self.ticks.get(h["run"], (0, 0.0)), (h["term"], h["t"]))
         if h["k"] == "O":
             self.orders.setdefault(h["run"], {})[h["iid"]] = self.clock.now()
+            if "t" in h:
+                self.noted.setdefault(h["run"], {})[h["iid"]] = (h["term"], h["t"])
             return True
         if h["k"] in ("S", "U"):
             return self._apply_window(rec)
@@ -100,7 +106,10 @@
             return {"ok": False, "promised": self.promised[run]}
         now = self.clock.now()
         windows = [[r.head, r.body.decode()] for (of, _), recs in self.windows.items() if of == run for r in recs]
-        return {"ok": True, "lots": lots, "windows": windows, "orders": {i: now - at for i, at in self.orders.get(run, {}).items()}}
+        last = self.orders.get(run, {})
+        return {"ok": True, "lots": lots, "windows": windows, "orders": {i: now - at for i, at in last.items()},
+                "noted": {i: at for i, at in self.noted.get(run, {}).items() if i in last},
+                "tick": self.ticks.get(run)}
 
     async def append(self, recs: list) -> list:
         """Take records, each under its run's term; the answer says for each whether it is here and synced."""
@@ -136,6 +145,7 @@
         now = self.clock.now()
         for run, last in self.orders.items():
             self.orders[run] = {i: at for i, at in last.items() if now - at <= order_s}
+            self.noted[run] = {i: at for i, at in self.noted.get(run, {}).items() if i in self.orders[run]}
         for lid in lids:
             self.lots.pop(lid, None)
 
@@ -144,7 +154,11 @@
         out = [pack(Rec({"k": "I", "id": self.id}))]
         out += [pack(Rec({"k": "P", "run": r, "term": t})) for r, t in self.promised.items()]
         for run, last in self.orders.items():
-            out += [pack(Rec({"k": "O", "lot": "", "run": run, "iid": iid})) for iid in last]
+            for iid in last:
+                head = {"k": "O", "lot": "", "run": run, "iid": iid}
+                if iid in self.noted.get(run, {}):
+                    head["term"], head["t"] = self.noted[run][iid]
+                out.append(pack(Rec(head)))
         out += [pack(r) for recs in self.windows.values() for r in recs]
         for ent in self.lots.values():
             for rec in [ent["lot"], ent["end"], *ent["results"].values()]:
