Who said nothing of its load is taken to be as busy as the others

Cause: a replica's word on its load (other callers' included) was held against it for half a second, while replicas of which nothing was known counted as idle: edges left a warm, half busy replica for cold ones in other zones. A pace just over the mean counted as slow, and one that was never measured as fast. Change: the mean of what was told lately, up to 0.8 of the places, stands in for an unknown load; only what takes over 1.5 times its peers' time is slow; an edge looks at eight blocks at most while a replica in them will do at all.

--- a/lines/sends/picker.py
+++ b/lines/sends/picker.py
@@ -10,13 +10,18 @@
 
 ZONE = 0.08      # costs, as shares of a replica's places: a send to another zone
 COLD = 0.05      # a new connection
+NEAR = 1.5       # times the time of its peers: what is below is not slow
 SLOW = 0.15      # one time more than its peers take,
 MOST_SLOW = 3.0  # ... up to so many: one that is slow and idle is still better than most that are busy
 FAILS = 2.1      # a failure, times their share: one among the last ten counts just under a place
 SILENT = 0.5     # no beats came lately, and no answers
+RESTING = 100.0  # a rest: only where nothing else is left
 TRIAL_EACH = 2   # picks of a service between trials of a replica that had a rest, for each trial that it still needs
+MOST_BLOCKS = 8  # of its subset's blocks that one of many nodes looks at, if a replica in them will do at all
 MOST_SHEDS = 4   # a replica that is full again and again is left alone for twice as long each time, so often
 HALF_RESTS = 4   # what was seen of a replica's pace counts half after so many rests
+MEAN_S = 5.0     # how long the mean of what all said of their loads does
+MEAN_MOST = 0.8  # what of it counts: one that said it is full is left for those of whom nothing is known
 HEARD_S = 0.5    # how long a replica's own word on its load holds
 
 
@@ -48,6 +53,7 @@
     def __init__(self, me: str, zone: str):
         self.subset, self.peers = Subset(me, zone), Peers()
         self.picks, self.pace, self.paces = 0, 0.0, 0
+        self.load, self.load_at = 0.0, float("-inf")   # the mean share of places in use, of what replicas told lately
 
     def fold_pace(self, pace: float) -> None:
         self.paces += 1
@@ -128,7 +134,7 @@
         if pool is None:
             return None
         best, best_cost, n = None, None, 0
-        for block in pool.subset.blocks():
+        for count, block in enumerate(pool.subset.blocks(), 1):
             for t in block:
                 n += 1
                 if t.iid in tried or t.draining:
@@ -136,7 +142,8 @@
                 cost = self._cost(t, pool, now, sure or early) + 0.001 * n
                 if best is None or cost < best_cost:
                     best, best_cost = t, cost
-            if best is not None and (best_cost < 0.0 or self._free(best, pool, now)):
+            if best is not None and (best_cost < 0.0 or self._free(best, pool, now)
+                                     or self.widen and count >= MOST_BLOCKS and best_cost < RESTING):
                 break
         if early and (best is None or not self._well(best, pool, now)):
             return None
@@ -154,19 +161,27 @@
                 and self._slow(t, pool, now) < 1.0)
 
     def _busy(self, t: Trunkline, now: float) -> float:
+        """Places in use there, as far as is known."""
         if now < t.full_until:
             return t.under_way + t.slots
         return t.under_way + (t.load if now - t.load_at < HEARD_S else 0.0)
 
+    def _used(self, t: Trunkline, pool: _Pool, now: float) -> float:
+        """The share of its places in use. Who said nothing lately is taken to be as busy as the others: else each word
+        of load would send the next request to a replica that is only unknown, on a new connection."""
+        share = self._busy(t, now) / max(1, t.slots)
+        if now >= t.full_until and now - t.load_at >= HEARD_S and now - pool.load_at < MEAN_S:
+            share += min(MEAN_MOST, pool.load)
+        return share
+
     def _dark(self, t: Trunkline, now: float) -> bool:
         """Neither beats nor answers came lately. A missing beat alone is a hint that an answer refutes."""
         return t.silent and now - t.served_at > self.rest_s
 
     def _slow(self, t: Trunkline, pool: _Pool, now: float) -> float:
         """How many times more than its peers it takes; what was seen long ago counts less."""
-        if t.pace <= pool.pace:
-            return 0.0
-        return (t.pace - pool.pace) / max(1.0, pool.pace) * self._left(t, now)
+        more = t.pace / max(0.5, pool.pace) - NEAR
+        return more * self._left(t, now) if more > 0.0 else 0.0
 
     def _left(self, t: Trunkline, now: float) -> float:
         """How much of what was seen of its pace still counts."""
@@ -174,7 +189,7 @@
 
     def _cost(self, t: Trunkline, pool: _Pool, now: float, sure: bool) -> float:
         slow = self._slow(t, pool, now)
-        cost = self._busy(t, now) / max(1, t.slots) * (1.0 + slow) + SLOW * min(MOST_SLOW, slow)
+        cost = self._used(t, pool, now) * (1.0 + slow) + SLOW * min(MOST_SLOW, slow)
         if t.zone != self.zone:
             cost += ZONE
         if self.idle is not None and not self.idle(t.addr):
@@ -186,7 +201,7 @@
         if state == "fit":
             return cost + FAILS * fit.share(now)
         if state == "resting":
-            return cost + 100.0
+            return cost + RESTING
         if fit.trials:
             if not sure and not t.under_way and pool.picks - t.trial_at >= TRIAL_EACH * fit.trials:
                 return cost - 2.0   # a trial: ahead of all others
@@ -237,3 +252,6 @@
         except ValueError:
             return
         t.load, t.load_at, t.slots = max(0.0, run + wait - t.under_way), now, max(1, slots)
+        pool = self.pools[t.service]
+        pool.load += (0.1 if now - pool.load_at < MEAN_S else 1.0) * (t.load / t.slots - pool.load)
+        pool.load_at = now
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -129,6 +129,34 @@
     assert p.pick("s", set(), 0.0) is (other if picked == "warm" else first)
 
 
+@pytest.mark.parametrize("heads, at, stays", [
+    (["3,0,6"], 0.1, True),               # half full; of the others nothing is known: taken to be as full
+    (["3,0,6"], 9.0, True),               # long ago: nothing is known of any
+    (["0,0,6", "6,9,6"], 0.1, False)])    # much more than was usual
+def test_a_word_on_load_does_not_send_requests_to_where_nothing_is_known(heads, at, stays):
+    kept = set()
+    p = picker("e", 12, idle=lambda addr: addr in kept)
+    home = p.pick("s", set(), 0.0)
+    kept.add(home.addr)
+    for head in heads:
+        p.note_load(home, head, 0.0)
+    assert (p.pick("s", set(), at) is home) is stays
+
+
+@pytest.mark.parametrize("widen, looked", [(0.5, 8), (0.0, 1000)])
+def test_when_all_are_busy_one_of_many_nodes_looks_at_some(widen, looked):
+    p = Picker("z1", "e", widen=widen)
+    p.fold(ents(4000))
+    for t in p.all.values():
+        t.under_way = 4
+    blocks = []
+    subset = p.pools["s"].subset
+    made = subset.blocks
+    subset.blocks = lambda: (blocks.append(b) or b for b in made())
+    assert p.pick("s", set(), 0.0) is not None and len(blocks) >= min(looked, 333)
+    assert widen == 0.0 or len(blocks) == looked
+
+
 @pytest.mark.parametrize("at_once", [1, 3])
 def test_connections_are_used_again_the_newest_first(run, at_once):
     async def go():
