Recalls spare scored texts; reward calls that must wait do not hold up the others

Cause: a recall for live requests that came when a stream had just ended broke off its scoring, and the entry stayed locked until its lock ran out; one call without a lane, or whose leader was out of touch, held up all behind it. Tests: one system test, one in test_scoring.

--- a/lines/cordboard/leader.py
+++ b/lines/cordboard/leader.py
@@ -16,6 +16,7 @@
 from .window import BadMove, Entry, State, Window
 
 DOUBTFUL = 3   # a replica in doubt has one place in so many
+RECALL = "recall"   # the worker is to give an entry back whose stream still takes a place; all else it just drops
 LAG = 4.0   # a worker whose node lags this many times more than the middle one drives no replica
 
 
@@ -28,7 +29,7 @@
     heard: float = 0.0
     lag: float = 0.0
     poll: int = 0                                    # the newest poll; older ones are answered at once
-    drop: list = field(default_factory=list)         # (partition, offset, delivery): to be broken off
+    drop: list = field(default_factory=list)         # (partition, offset, delivery, why): to be broken off
     batch: int = 0
     unread: dict = field(default_factory=dict)       # batch -> (when, [entries]) until the worker says it came
 
@@ -136,7 +137,7 @@
         """The lot is ended: nothing of it starts any more, and what runs is broken off."""
         for e in run.entries.pop(lid, {}).values():
             if e.state is State.ACQUIRED:
-                self._break_off(run, e)
+                self._break_off(run, e, "ended")
             self._unplace(e)
             run.windows[e.lot.model].finish(e)
         run.queues.pop(lid, None)
@@ -149,10 +150,10 @@
         for seat in run.seats.values():
             self.st.board.touch(("seat", name, seat.worker))
 
-    def _break_off(self, run: Run, e: Entry) -> None:
+    def _break_off(self, run: Run, e: Entry, why: str) -> None:
         seat = run.seats.get(e.worker)
         if seat is not None:
-            seat.drop.append((e.lot.model, e.offset, e.deliveries))
+            seat.drop.append((e.lot.model, e.offset, e.deliveries, why))
 
     def _unplace(self, e: Entry) -> None:
         if e.engine is not None:
@@ -174,7 +175,7 @@
                 self._free(run, seat.worker, "worker_gone")
         for win in run.windows.values():
             for e in win.expired(now):
-                self._break_off(run, e)
+                self._break_off(run, e, "expired")
                 self._again(run, e, "lock_expired")
 
     def _free(self, run: Run, worker: str, why: str) -> None:
@@ -279,7 +280,7 @@
                 n = over[iid] - sum(1 for x in rows if x.recalled)
                 for x in sorted((x for x in rows if not x.recalled), key=lambda x: -x.until)[:max(0, n)]:
                     x.recalled = True
-                    self._break_off(run, x)
+                    self._break_off(run, x, RECALL)
                     self.st.ctr.add("item.recalled")
 
     # -- fetch
--- a/lines/cordboard/worker.py
+++ b/lines/cordboard/worker.py
@@ -170,10 +170,11 @@
         if out["kept"] is not None and held is not None:
             self._keep(desk, held, out["kept"])
             desk.attach = False
-        for part, offset, delivery in out["drop"]:
+        for part, offset, delivery, why in out["drop"]:
             job = next((j for j in desk.jobs.values() if (j.card["part"], j.card["off"], j.card["dc"])
                         == (part, offset, delivery)), None)
-            if job is not None and job.task is not None:
+            # a recall that comes when the stream has ended finds no place to give back: the entry goes on
+            if job is not None and job.task is not None and (why != "recall" or job.state == "running"):
                 job.task.cancel()
         if out["batch"] is not None:
             desk.got.append(out["batch"])
--- a/lines/supervisor/scoring.py
+++ b/lines/supervisor/scoring.py
@@ -10,6 +10,9 @@
 from .lull import Lull
 
 
+LOOK = 64   # waiting calls that are looked at for one place
+
+
 class Scoring:
     """score() gives the seal of a reward call's 2xx, or None once the call failed for good.
 
@@ -54,25 +57,36 @@
             turn = await st.board.news("score", turn, st.beat_s * 0.5)
 
     def _place_one(self) -> bool:
-        st = self.st
-        while self.inbox and self.inbox[0][3].done():
-            heapq.heappop(self.inbox)   # its lot has ended
-        if not self.inbox:
-            return False
-        work = self.inbox[0][2]
+        """Give a place to the first call that can have one; those that must wait do not hold up the others."""
+        passed, full, done = [], set(), False
+        while self.inbox and not done and len(passed) < LOOK:
+            call = heapq.heappop(self.inbox)
+            if call[3].done():
+                continue   # its lot has ended
+            done = self._place(call, full)
+            if not done:
+                passed.append(call)
+        for call in passed:
+            heapq.heappush(self.inbox, call)
+        return done
+
+    def _place(self, call, full: set) -> bool:
+        """Whether a call got a place; full: services that are known to have none."""
+        st, work = self.st, call[2]
         may_send = getattr(work, "may_send", None)
         if may_send is not None and not may_send():
             return False   # its leader was not heard of late: the lot may be ended
         sc = work.item.scorer
         lane = st.plan.lane(sc["HostName"], sc["Path"].split("?", 1)[0])
-        if lane is None:
+        service = lane.pick() if lane is not None else None
+        if service is None or service in full:
             return False
-        service = lane.pick()
         line = st.picker.pick(service, set(), st.clock.now(), lane)
         if line is None or line.under_way >= self.lull.places(service, line.slots, len(st.picker.by_service[service])):
+            full.add(service)
             return False
         line.under_way += 1
-        heapq.heappop(self.inbox)[3].set_result((line, lane))
+        call[3].set_result((line, lane))
         return True
 
     async def _call(self, sc: dict, line, lane):
--- a/tests/test_scoring.py
+++ b/tests/test_scoring.py
@@ -83,3 +83,33 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         assert st.picker.all["i"].under_way == 0 and not sc._place_one() and sc.inbox == []
     run(go())
+
+
+def test_calls_that_must_wait_do_not_hold_up_the_others(run, clock):
+    async def go():
+        st, sc = setup(clock, slots=2)
+        touch = {"b": False}
+
+        def one(name):
+            w = work(name)
+            w.may_send = lambda: touch.get(name, True)
+            return w
+        nowhere = one("nowhere")
+        nowhere.item.scorer["HostName"] = "unknown"
+        tasks = [asyncio.ensure_future(sc.score(w, key)) for w, key in
+                 [(nowhere, (0,)), (one("b"), (1,)), (one("c"), (2,)), (one("d"), (3,))]]
+        loop = asyncio.ensure_future(sc.run())
+        while len(st.caller.order) < 2:
+            await st.board.news("nothing", 0, 0.01)
+        assert st.caller.order == ["c", "d"]          # the first has no lane, the second's leader is out of touch
+        st.caller.gate.set()
+        assert [await t for t in tasks[2:]] == ["seal.c", "seal.d"]
+        touch["b"] = True
+        st.board.touch("score")
+        assert await tasks[1] == "seal.b"
+        tasks[0].cancel()
+        await asyncio.wait([tasks[0]])
+        sc._place_one()
+        assert not sc.inbox and st.picker.all["i"].under_way == 0
+        loop.cancel()
+    run(go())
--- a/tests/test_share_group.py
+++ b/tests/test_share_group.py
@@ -261,3 +261,26 @@
             go_on(w)
             await w.end()
     run(go())
+
+
+def test_a_recall_that_comes_when_the_stream_has_ended_takes_nothing_back(run, tmp_path):
+    async def go():
+        w = await world(tmp_path)
+        try:
+            w.replicas[2].mood["*"] = "shed"               # the scorer is full: items wait there, their streams ended
+            assert await w.hand_in("lot1", lot()) == 202
+            await w.until(w.edge.board, "nothing", lambda: sum(
+                j.state == "scoring" for s in w.stores.values() for d in s.worker.desks.values()
+                for j in d.jobs.values()) == 4)
+            lead = holder(w)
+            part = lead.leader.runs["llm"]
+            for e in part.windows["m"].locked.values():
+                lead.leader._break_off(part, e, "recall")
+            lead.leader._wake()
+            await w.until(lead.board, "nothing", lambda: not any(s.drop for s in part.seats.values()))
+            w.replicas[2].mood.clear()
+            whole(await w.read_all("lot1"), 4)
+            assert lead.ctr.all["share.release"] == 0 and lead.ctr.all["share.acquired"] == 4
+        finally:
+            await w.end()
+    run(go())
