--- a/lines/cordboard/worker.py
+++ b/lines/cordboard/worker.py
@@ -9,7 +9,7 @@
 import aiohttp
 import orjson
 
-from ..sends import ECHO, EXPECT_REV, NOT_RUN, SEAL, VERSIONS
+from ..sends import AGAIN, ECHO, EXPECT_REV, NOT_RUN, SEAL, VERSIONS
 from ..sends.events import EventReader
 from ..sends.heads import LAST_ID, URGENCY
 from ..supervisor.lull import Lull
@@ -334,7 +334,7 @@
         try:
             async with asyncio.timeout(quiet + gap * 2) as limit:
                 async with st.caller.ask(card["addr"], card["engine"], "POST", card["path"], heads,
-                                         base64.b64decode(card["payload"]), 0.0) as resp:
+                                         base64.b64decode(card["payload"]), 0.0, AGAIN) as resp:
                     if NOT_RUN in resp.headers or resp.status == 421:
                         await resp.read()
                         return self._turned_away(job, resp)
--- a/lines/exchange/store.py
+++ b/lines/exchange/store.py
@@ -64,6 +64,7 @@
         if not self.shelf.id:
             await self._new_id()
         self.caller = Caller()
+        self.picker.idle = self.caller.idle
         self.news = Newsreader(self.boot, self._card(), self.lines, self.board, self.clock, self.ctr)
         self.news.proved = self.picker.proved
         self.copier = Copier(self.id, self.shelf, self.lines, self.members, self.alive, self.crew, self.ctr,
--- a/lines/supervisor/scoring.py
+++ b/lines/supervisor/scoring.py
@@ -6,7 +6,7 @@
 import heapq
 import itertools
 
-from ..sends import ECHO, SEAL, Ran
+from ..sends import AGAIN, ECHO, SEAL, Ran
 from .lull import Lull
 
 
@@ -96,7 +96,7 @@
         try:
             ans = await st.caller.send(line.addr, line.iid, "POST", sc["Path"], heads,
                                        base64.b64decode(sc.get("Payload", "")), sc["InstanceId"],
-                                       min(lane.timeout_s, lane.aim_s * 2))
+                                       min(lane.timeout_s, lane.aim_s * 2), AGAIN)
         finally:
             line.under_way -= 1
             st.board.touch("score")
--- a/tests/test_scoring.py
+++ b/tests/test_scoring.py
@@ -6,7 +6,7 @@
 
 from lines.dialplan import Plan
 from lines.frame import Board, Counters
-from lines.sends import Answer, Picker, Ran
+from lines.sends import AGAIN, Answer, Picker, Ran
 from lines.supervisor.lull import Lull
 from lines.supervisor.scoring import Scoring
 
@@ -19,7 +19,8 @@
     def __init__(self, answers=None):
         self.order, self.answers, self.gate = [], answers or {}, asyncio.Event()
 
-    async def send(self, addr, iid, method, target, heads, body, rid, secs):
+    async def send(self, addr, iid, method, target, heads, body, rid, secs, mode):
+        assert mode == AGAIN   # reward calls may be repeated
         self.order.append(rid)
         await self.gate.wait()
         left = self.answers.get(rid) or [200]
