--- a/lines/directory/newsreader.py
+++ b/lines/directory/newsreader.py
@@ -39,11 +39,12 @@
         while True:
             addr = self.addrs[self.at % len(self.addrs)]
             served = self.proved(self.clock.now()) if self.proved is not None else []
+            more = {"served": served} if served else {}
             try:
                 code, doc, _ = await self.lines.to(addr).call(
                     "news", {"live": self.live.tally() if self.live is not None else {},
                              "busy": sorted(self.busy), "who": self.card, "stamps": self.stamps, "life": self.life, "turn": self.turn,
-                             "hold": self.hold_s, **({"served": served} if served else {})}, secs=self.hold_s + self.boot.secs("ContactMs", 0.2))
+                             "hold": self.hold_s, **more}, secs=self.hold_s + self.boot.secs("ContactMs", 0.2))
             except LineFault:
                 code, doc = 3003, None
             if code != 1000:
