--- a/lines/cordboard/leader.py
+++ b/lines/cordboard/leader.py
@@ -508,6 +508,8 @@
         if e is None:
             return
         for sign, rest in row["signs"]:
+            if sign == "served" and st.placement.policy is not None:
+                st.picker.proofs[e.service, e.zone] = now   # a sign of life of its region
             if sign == "gone":
                 st.engines.drop(e.iid)
                 return
