--- a/lines/erlang/probes/shares.py
+++ b/lines/erlang/probes/shares.py
@@ -32,7 +32,8 @@
         self.ctr = need(frame, "Counters")()
         store = types.SimpleNamespace(
             id="w99", life="x", reigns={RUN: self.reign}, engines=self.engines,
-            plan=need("dialplan", "Plan")(plan(SERVICES)), clock=need(frame, "Clock")(), board=need(frame, "Board")(), news=types.SimpleNamespace(busy={}),
+            plan=need("dialplan", "Plan")(plan(SERVICES)), clock=need(frame, "Clock")(),
+            board=need(frame, "Board")(), news=types.SimpleNamespace(busy={}),
             ctr=self.ctr, beat_s=0.2, quiet_s=60.0, leaving=False, alive=lambda sid: True,
             members=lambda: {n: {"state": "active"} for n in names},
             placement=need("areacodes.placement", "Placement")())
--- a/lines/erlang/scale/hollow.py
+++ b/lines/erlang/scale/hollow.py
@@ -18,6 +18,7 @@
     def __init__(self, n: int, host: str, port: int, beat_s: float):
         self.n, self.host, self.port, self.beat_s = n, host, port, beat_s
         self.rev, self.seq, self.ok, self.bad = 7, 0, 0, 0
+        self.failed_with = ""   # the last answer that was not 200
         self.tr = self.timer = None
         self.ended = False
 
@@ -45,10 +46,12 @@
             self.ok += 1
         else:
             self.bad += 1
+            self.failed_with = data.partition(b"\r\n")[0].decode("latin-1")
 
     def connection_lost(self, exc):
         if not self.ended:
             self.bad += 1
+            self.failed_with = "connection lost"
             self.end()
 
     def end(self) -> None:
--- a/lines/erlang/scale/run.py
+++ b/lines/erlang/scale/run.py
@@ -155,6 +155,8 @@
         mine, began = look(os.getpid()), time.monotonic()
         ok = sum(r.ok for r in self.hollow_replicas)
         bad = sum(r.bad for r in self.hollow_replicas)
+        for r in self.hollow_replicas:
+            r.failed_with = ""
         told = [(n.answers, n.entries) for n in self.hollow_nodes]
         await asyncio.sleep(self.window_s)
         self._check_alive()
@@ -165,6 +167,7 @@
         out["hollow_cpu"] = round((look(os.getpid()).cpu_s - mine.cpu_s) / took, 4)
         out["beats_s"] = round((sum(r.ok for r in self.hollow_replicas) - ok) / took, 1)
         out["beats_failed"] = sum(r.bad for r in self.hollow_replicas) - bad
+        out["failed_with"] = sorted({r.failed_with for r in self.hollow_replicas} - {""})
         out["answers_s"] = round(sum(n.answers - a for n, (a, _) in zip(self.hollow_nodes, told)) / took
                                  / max(1, self.nodes), 2)
         out["entries_s"] = round(sum(n.entries - e for n, (_, e) in zip(self.hollow_nodes, told)) / took
