--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -8,16 +8,18 @@
 
 import pytest
 
+from lines.cordboard import Leader
 from lines.erlang import Fit, Measure, SizeFault, Table, fit_line, read_size
 from lines.erlang import measure as measure_module
 from lines.erlang.command import SCALE, SLOPES, Capacity
-from lines.erlang.hops import WAYS
+from lines.erlang.hops import WAYS, weights_cut
 from lines.erlang.meter import Meter
 from lines.erlang.needs import Missing, need
 from lines.erlang.probe import PROBES, Probe, probe
 from lines.erlang.scale import Scale, ScaleFault
 from lines.erlang.scale import run as scale_run
 from lines.erlang.scale.compare import Compare
+from lines.erlang.scale.hollow import Replica
 from lines.erlang.scale.proc import look
 from lines.erlang.size import SIZE, read_scale, read_slopes
 from lines.erlang.table import BEGIN, END, block, shown, verdict
@@ -313,11 +315,43 @@
     for phase in ("Steady", "Versions"):
         assert len(doc[phase]["core"]) == 3 and len(doc[phase]["switchboard"]) == 2
         assert all(p["rss"] > 10_000_000 and p["fds"] > 3 for k in ("core", "switchboard") for p in doc[phase][k])
-        assert doc[phase]["beats_failed"] == 0
+        assert doc[phase]["beats_failed"] == 0 and doc[phase]["failed_with"] == []
     procs = [p for ps in one.children.values() for p in ps]
     assert len(procs) == 5 and all(p.poll() is not None for p in procs)
 
 
+def test_a_hollow_replica_says_why_a_beat_failed():
+    one = Replica(1, "127.0.0.1", 1, 1.2)
+    one.data_received(b"HTTP/1.1 200 OK\r\n\r\n")
+    assert (one.ok, one.bad, one.failed_with) == (1, 0, "")
+    one.data_received(b"HTTP/1.1 503 Service Unavailable\r\n\r\n")
+    assert (one.ok, one.bad, one.failed_with) == (1, 1, "HTTP/1.1 503 Service Unavailable")
+    one.connection_lost(None)
+    assert (one.bad, one.failed_with) == (2, "connection lost")
+
+
+@pytest.mark.parametrize("name", ["leader.fetch", "leader.batch"])
+def test_the_leaders_probe_takes_no_short_batch(name, run, monkeypatch):
+    async def once():
+        async with PROBES[name].make(8) as (fn, _):
+            await fn()
+    monkeypatch.setattr(Leader, "_hand_out", lambda self, part, seat, now: [])
+    with pytest.raises(ValueError, match="a batch of 0"):
+        run(once())
+
+
+def test_an_edge_keeps_connections_to_its_first_blocks(reckon):
+    assert reckon.block == 3 + reckon.s.zones - 1 < reckon.of_service
+    conns = next(r for r in reckon.rows() if r.role == "edge" and r.figure == "connections")
+    assert reckon.block * reckon.s.services < conns.landed <= conns.budget
+
+
+def test_a_takeover_ends_only_if_as_many_stores_may_be_lost_as_are_cut(reckon):
+    assert weights_cut(reckon).sums()[0] < float("inf")
+    reckon.s.tolerate = 1
+    assert weights_cut(reckon).sums()[0] == float("inf")
+
+
 def test_a_child_that_ends_fails_the_run_and_ends_the_others(tmp_path, monkeypatch, run):
     monkeypatch.setattr(scale_run, "ROOT", str(tmp_path))   # no program there
     one = scale_run._System(str(tmp_path), 1, 1, 0.2)
