Capacity: loads at once as landed; small runs wait for all control nodes

The small run's test failed once with a refused connection: replicas were started when a majority had taken the configuration, before the last control node listened. The run now waits until each answers.

--- a/lines/erlang/hops.py
+++ b/lines/erlang/hops.py
@@ -4,6 +4,8 @@
 import math
 from dataclasses import dataclass
 
+from .needs import need
+
 NEVER = math.inf
 
 
@@ -79,8 +81,9 @@
 
 
 def _waves_landed(q, replicas: float) -> int:
-    """Loads at once start at 2 and grow by 0.34 for each one done as fast as the best."""
-    room, left, waves = 2.0, replicas, 0
+    """Loads at once start at a third of the engines that the store knows, all of the roll, and grow by 0.34 for each
+    one done as fast as the best."""
+    room, left, waves = max(2.0, q.s.replicas / need("supervisor.orders", "FIRST")), replicas, 0
     while left > 0:
         left -= int(room)
         room = min(room + 0.34 * int(room), replicas)
@@ -123,7 +126,7 @@
 
 
 def weights(q) -> Way:
-    """New weights by a holder that has not learnt yet how many loads go at once."""
+    """New weights by a holder that has not learnt yet how many loads go at once: it begins with a share of engines."""
     before = _named(q)
     hops = tuple(before + _ordered(q, before, False))
     return Way("new weights on all replicas, by a new holder", q.s.weights_all_s, hops)
--- a/lines/erlang/scale/run.py
+++ b/lines/erlang/scale/run.py
@@ -123,10 +123,12 @@
                  "--counters_s=0"], stdin=subprocess.DEVNULL, stdout=log, stderr=log))
 
     async def _configured(self) -> None:
-        """The first configuration is taken, and all switchboards are ready."""
+        """The first configuration is taken, all control nodes answer, and all switchboards are ready."""
         end = time.monotonic() + START_S
         async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=2)) as http:
             calls = [("PUT", f"http://{self.seeds[0]}/api/config", json.dumps(plan(ROUTES)), {"If-Match": "0"})]
+            # a majority takes the configuration: the last control node may open its port later
+            calls += [("GET", f"http://{seed}/api/config", None, {}) for seed in self.seeds]
             calls += [("GET", f"http://{self.net}.{100 + i}:{self.port + 6}/api/readiness", None, {})
                       for i in range(EDGES)]
             for method, url, body, heads in calls:
