--- a/lines/erlang/hops.py
+++ b/lines/erlang/hops.py
@@ -4,6 +4,8 @@
 import math
 from dataclasses import dataclass
 
+from .needs import need
+
 NEVER = math.inf
 
 
@@ -42,7 +44,7 @@
         Hop("the state to all control nodes: each told by the owner; built: down a tree of regions, two deep",
             s.wan_s, 2 * s.wan_s),
         Hop("built only: the region's control node to a relay in each zone", None, s.lan_s),
-        Hop("waiting questions for news are answered, one after another, whole; built: a delta, encoded once for all",
+        Hop("waiting questions for news are answered, one after another, whole, encoded once for all; built: a delta",
             s.lan_s + answers, s.lan_s + q.at("news.plan", 1)),
         Hop("the edge reads it and makes it ready", q.at("plan.make", s.routes) + q.half_call,
             q.at("plan.make", s.routes) + q.half_call)]
@@ -79,8 +81,9 @@
 
 
 def _waves_landed(q, replicas: float) -> int:
-    """Loads at once start at 2 and grow by 0.34 for each one done as fast as the best."""
-    room, left, waves = 2.0, replicas, 0
+    """Loads at once start at a third of the engines that the store knows, all of the roll, and grow by 0.34 for each
+    one done as fast as the best."""
+    room, left, waves = max(2.0, q.s.replicas / need("supervisor.orders", "FIRST")), replicas, 0
     while left > 0:
         left -= int(room)
         room = min(room + 0.34 * int(room), replicas)
@@ -123,7 +126,7 @@
 
 
 def weights(q) -> Way:
-    """New weights by a holder that has not learnt yet how many loads go at once."""
+    """New weights by a holder that has not learnt yet how many loads go at once: it begins with a share of engines."""
     before = _named(q)
     hops = tuple(before + _ordered(q, before, False))
     return Way("new weights on all replicas, by a new holder", q.s.weights_all_s, hops)
@@ -142,8 +145,8 @@
     before = _named(q) + [
         Hop("the silent holder passes for gone; the next store claims the tenure",
             quiet + s.contact_s / 15 + 2 * s.wan_s + _agree(q), quiet + s.contact_s / 15 + 2 * s.wan_s + _agree(q)),
-        Hop("as landed all stores but one must promise: two are cut off, so it does not end before the healing; built: "
-            "all but one of the five of a partition, in five regions", NEVER, _agree(q)),
+        Hop(f"all stores but {s.tolerate} must promise (FaultTolerance.Machines); built: all but as many of the "
+            "five of a partition, in five regions", _agree(q) if s.tolerate >= 2 else NEVER, _agree(q)),
         Hop("replicas with a recent intent are left alone for 4/3 of LeaseMs (the others are ordered from meanwhile)",
             s.lease_s * 4 / 3, s.lease_s * 4 / 3)]
     return Way("new weights on all replicas outside a region that was just cut off with the holder and one more store",
--- a/lines/erlang/scale/run.py
+++ b/lines/erlang/scale/run.py
@@ -123,10 +123,12 @@
                  "--counters_s=0"], stdin=subprocess.DEVNULL, stdout=log, stderr=log))
 
     async def _configured(self) -> None:
-        """The first configuration is taken, and all switchboards are ready."""
+        """The first configuration is taken, all control nodes answer, and all switchboards are ready."""
         end = time.monotonic() + START_S
         async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=2)) as http:
             calls = [("PUT", f"http://{self.seeds[0]}/api/config", json.dumps(plan(ROUTES)), {"If-Match": "0"})]
+            # a majority takes the configuration: the last control node may open its port later
+            calls += [("GET", f"http://{seed}/api/config", None, {}) for seed in self.seeds]
             calls += [("GET", f"http://{self.net}.{100 + i}:{self.port + 6}/api/readiness", None, {})
                       for i in range(EDGES)]
             for method, url, body, heads in calls:
@@ -155,6 +157,8 @@
         mine, began = look(os.getpid()), time.monotonic()
         ok = sum(r.ok for r in self.hollow_replicas)
         bad = sum(r.bad for r in self.hollow_replicas)
+        for r in self.hollow_replicas:
+            r.failed_with = ""
         told = [(n.answers, n.entries) for n in self.hollow_nodes]
         await asyncio.sleep(self.window_s)
         self._check_alive()
@@ -165,6 +169,7 @@
         out["hollow_cpu"] = round((look(os.getpid()).cpu_s - mine.cpu_s) / took, 4)
         out["beats_s"] = round((sum(r.ok for r in self.hollow_replicas) - ok) / took, 1)
         out["beats_failed"] = sum(r.bad for r in self.hollow_replicas) - bad
+        out["failed_with"] = sorted({r.failed_with for r in self.hollow_replicas} - {""})
         out["answers_s"] = round(sum(n.answers - a for n, (a, _) in zip(self.hollow_nodes, told)) / took
                                  / max(1, self.nodes), 2)
         out["entries_s"] = round(sum(n.entries - e for n, (_, e) in zip(self.hollow_nodes, told)) / took
