--- a/lines/supervisor/orders.py
+++ b/lines/supervisor/orders.py
@@ -10,9 +10,6 @@
 from ..tickets import Deposed
 
 
-FIRST = 3   # before anything is learnt, one engine in so many loads at once
-
-
 class Orders:
     """Brings every engine to the newest named version, a few at a time.
 
@@ -23,9 +20,8 @@
         self.st = store
         self.load_s = store.boot.secs("LeaseMs", 0.1)   # what a load takes, learnt
         self.best_s = 0.0
-        self.room = 0.0                                  # loads at once, learnt; at first a share of the engines
-        self.out = 0                                     # engines that are being brought to a version,
-        self.holding = 0                                 # ... of which so many still wait for their runs to end
+        self.room = 2.0                                  # loads at once, learnt
+        self.out = 0
         self.doubts: set = set()
 
     def doubt(self, e) -> None:
@@ -47,10 +43,7 @@
 
     def _start_one(self) -> bool:
         st, now = self.st, self.st.clock.now()
-        if not self.room and st.engines.all:
-            self.room = max(2.0, len(st.engines.all) / FIRST)
-        # those that wait for their runs load nothing: others may load meanwhile, as many again
-        if self.out - self.holding >= int(self.room) or self.out >= 2 * int(self.room):
+        if self.out >= int(self.room):
             return False
         best = None
         named = st.named()
@@ -108,7 +101,9 @@
             mode = "retain"
             if self._single(reign, run):
                 mode = "hold"
-                await self._hold(reign, run, e)
+                end = st.clock.now() + st.boot.secs("LeaseMs")
+                while e.running.get(run, 0) and st.clock.now() < end and reign.may_order():
+                    await st.board.news("work", st.board.turn("work"), st.beat_s)
             if not reign.may_order() or e.iid not in st.engines.all:
                 return
             target = max(target, st.named().get(run, 1))
@@ -131,20 +126,6 @@
             st.board.touch("orders")
             st.board.touch("work")
 
-    async def _hold(self, reign, run: str, e) -> None:
-        """Wait until an engine's runs of a model have ended, and until one more may load."""
-        st = self.st
-        end = st.clock.now() + st.boot.secs("LeaseMs")
-        self.holding += 1
-        st.board.touch("orders")
-        try:
-            while e.running.get(run, 0) and st.clock.now() < end and reign.may_order():
-                await st.board.news("work", st.board.turn("work"), st.beat_s)
-            while self.out - self.holding >= int(self.room) and reign.may_order():
-                await st.board.news("orders", st.board.turn("orders"), st.beat_s)
-        finally:
-            self.holding -= 1
-
     async def _send(self, reign, run, e, target, mode) -> bool:
         """Send one order; True if it is (or may be) being carried out."""
         st = self.st
@@ -183,7 +164,7 @@
 
     async def _await_done(self, run, e, target, began) -> None:
         st = self.st
-        alone = self.out - self.holding
+        alone = self.out
         pause = self.load_s
         end = began + st.boot.secs("LeaseMs", 2)
         while st.clock.now() < end and e.iid in st.engines.all:
