--- a/lines/supervisor/orders.py
+++ b/lines/supervisor/orders.py
@@ -8,6 +8,9 @@
 import orjson
 
 from ..tickets import Deposed
+from .room import LoadRoom
+
+TAKEN, MAYBE = "taken", "maybe"
 
 
 class Orders:
@@ -18,9 +21,7 @@
 
     def __init__(self, store):
         self.st = store
-        self.load_s = store.boot.secs("LeaseMs", 0.1)   # what a load takes, learnt
-        self.best_s = 0.0
-        self.room = 2.0                                  # loads at once, learnt
+        self.room = LoadRoom(store.boot.secs("LeaseMs", 0.1))
         self.out = 0
         self.doubts: set = set()
 
@@ -43,7 +44,8 @@
 
     def _start_one(self) -> bool:
         st, now = self.st, self.st.clock.now()
-        if self.out >= int(self.room):
+        self.room.resize(len(st.engines.all))
+        if not self.room.may(self.out):
             return False
         best = None
         named = st.named()
@@ -117,8 +119,9 @@
             if began >= until or not reign.may_order(e.iid):
                 st.ctr.add("order.too_late")
                 return
-            if await self._send(reign, run, e, target, mode):
-                await self._await_done(run, e, target, began)
+            sent = await self._send(reign, run, e, target, mode)
+            if sent:
+                await self._await_done(run, e, target, began, sent == TAKEN)
         finally:
             e.ordering = False
             e.held.discard(run)
@@ -126,8 +129,8 @@
             st.board.touch("orders")
             st.board.touch("work")
 
-    async def _send(self, reign, run, e, target, mode) -> bool:
-        """Send one order; True if it is (or may be) being carried out."""
+    async def _send(self, reign, run, e, target, mode) -> str:
+        """Send one order; TAKEN or MAYBE if it is, or may be, being carried out."""
         st = self.st
         doc = {"Opcode": "Revision", "Model": run, "Revision": target, "Mode": mode, "Owner": st.boot.node,
                "FenceToken": reign.term}
@@ -142,30 +145,30 @@
                     status = resp.status
         except aiohttp.ClientConnectorError:
             e.fitness.note("vanished", st.clock.now(), st.gap_s() * 2)
-            return False
+            return ""
         except (aiohttp.ClientError, OSError, asyncio.TimeoutError, TimeoutError):
             st.ctr.add("order.unanswered")
             e.count = None
-            return True
+            return MAYBE
         st.ctr.add(f"order.{status}")
         if status == 202:
             e.count = e.count + 1 if e.count is not None else None
-            return True
+            return TAKEN
         if status == 200:
             e.proven(run, target)
-            return False
+            return ""
         if status == 409:
             e.count = None
-            return True
+            return MAYBE
         e.pause_until = st.clock.now() + st.gap_s()
         if status == 421:
             await self._clear_up(e)
-        return False
+        return ""
 
-    async def _await_done(self, run, e, target, began) -> None:
+    async def _await_done(self, run, e, target, began, sure: bool) -> None:
         st = self.st
         alone = self.out
-        pause = self.load_s
+        pause = self.room.load_s
         end = began + st.boot.secs("LeaseMs", 2)
         while st.clock.now() < end and e.iid in st.engines.all:
             await asyncio.sleep(pause)
@@ -173,19 +176,14 @@
                 break
             rep = await self._report(e)
             if rep is not None and not rep.get("Utilization") and e.revs.get(run, 1) < target:
-                if st.clock.now() - began > self.load_s + st.gap_s() * 2:
+                if st.clock.now() - began > self.room.load_s + st.gap_s() * 2:
                     st.ctr.add("order.lost")
                     return
-            pause = max(0.03, self.load_s * 0.15)
+            pause = max(0.03, self.room.load_s * 0.15)
         if e.revs.get(run, 1) >= target:
-            took = st.clock.now() - began
             st.ctr.add("order.done")
-            self.load_s += 0.3 * (took - self.load_s)
-            self.best_s = min(self.best_s or took, took)
-            if took <= self.best_s * 1.3:
-                self.room = min(self.room + 0.34, max(2.0, len(st.engines.all)))
-            elif alone >= int(self.room):
-                self.room = max(1.0, self.room - 0.5)
+            if sure:   # what may have been another's order says nothing of how long a load takes
+                self.room.note(st.clock.now() - began, alone)
 
     async def _report(self, e) -> dict | None:
         """Read an engine's own report and fold the versions that it shows."""
