--- a/lines/supervisor/room.py
+++ b/lines/supervisor/room.py
@@ -3,7 +3,7 @@
 
 LEAST = 6       # one engine in so many may always load, two at least
 CROWDED = 1.5   # times the usual time of a load: too many load at once
-LEAK = 1.05     # how much the best time grows with each load: one odd sample must not be the measure for ever
+LEAK = 1.02     # how much the best time grows with each load: one odd sample must not be the measure for ever
 MORE = 0.34     # room for each load that took no longer
 LESS = 0.85     # ... and what stays of it when a load took longer
 
