--- a/lines/areacodes/facts.py
+++ b/lines/areacodes/facts.py
@@ -3,7 +3,7 @@
 
 import hashlib
 
-from ..partyline import Commands
+from ..consensus import Commands
 from .faults import PolicyFault
 from .placement import ALL
 from .reader import read_policy
--- a/lines/tickets/__init__.py
+++ b/lines/batches/__init__.py
@@ -1,9 +1,9 @@
 """Lots and their results, as stores keep them."""
 from .lot import BadLot, Item, Lot, check_lot, read_lot
-from .rec import Rec, pack, unpack
-from .shelf import Shelf
+from .record import Record, pack, unpack
+from .record_store import RecordStore
 from .quorum import Quorum, active
-from .copier import Copier, Deposed
+from .replicator import Replicator, Deposed
 
-__all__ = ["BadLot", "Item", "Lot", "check_lot", "read_lot", "Rec", "pack", "unpack", "Shelf", "Copier", "Deposed",
+__all__ = ["BadLot", "Item", "Lot", "check_lot", "read_lot", "Record", "pack", "unpack", "RecordStore", "Replicator", "Deposed",
            "Quorum", "active"]
--- a/lines/tickets/rec.py
+++ b/lines/batches/record.py
@@ -9,33 +9,33 @@
 
 
 @dataclass(slots=True)
-class Rec:
+class Record:
     """head: {"k", "lot", "run", ...}; held: the stores known to have it synced."""
     head: dict
     body: bytes = b""
     held: set = field(default_factory=set)
 
 
-def pack(rec: Rec) -> bytes:
+def pack(rec: Record) -> bytes:
     """A record as bytes.
 
-    >>> unpack(pack(Rec({"k": "E"}, b"x"))).body
+    >>> unpack(pack(Record({"k": "E"}, b"x"))).body
     b'x'
     """
     head = orjson.dumps(rec.head)
     return struct.pack(">I", len(head)) + head + rec.body
 
 
-def unpack(raw: bytes) -> Rec:
+def unpack(raw: bytes) -> Record:
     """The record in these bytes."""
     n = struct.unpack_from(">I", raw)[0]
-    return Rec(orjson.loads(raw[4:4 + n]), bytes(raw[4 + n:]))
+    return Record(orjson.loads(raw[4:4 + n]), bytes(raw[4 + n:]))
 
 
 def pack_many(recs) -> bytes:
     """Several records, each behind its length.
 
-    >>> len(unpack_many(pack_many([Rec({"k": "E"}), Rec({"k": "E"})])))
+    >>> len(unpack_many(pack_many([Record({"k": "E"}), Record({"k": "E"})])))
     2
     """
     out = []
@@ -46,7 +46,7 @@
     return b"".join(out)
 
 
-def unpack_many(raw: bytes) -> list[Rec]:
+def unpack_many(raw: bytes) -> list[Record]:
     """What pack_many packed."""
     out, at = [], 0
     while at < len(raw):
--- a/lines/tickets/shelf.py
+++ b/lines/batches/record_store.py
@@ -2,13 +2,13 @@
 from __future__ import annotations
 
 
-from .rec import Rec, pack, unpack
+from .record import Record, pack, unpack
 
 
-class Shelf:
+class RecordStore:
     """All records on this store.
 
-    >>> # shelf = Shelf(book, clock, ctr); shelf.load(raws); ok = await shelf.append(term, recs)
+    >>> # shelf = RecordStore(book, clock, ctr); shelf.load(raws); ok = await shelf.append(term, recs)
     """
 
     def __init__(self, book, clock, ctr):
@@ -46,7 +46,7 @@
             ent = self.lots[lid] = {"run": run, "lot": None, "results": {}, "end": None, "at": self.clock.now()}
         return ent
 
-    def _apply(self, rec: Rec) -> bool:
+    def _apply(self, rec: Record) -> bool:
         """Put a record in its place; False if one as good stands there."""
         h = rec.head
         if "t" in h:
@@ -74,7 +74,7 @@
             ent["results"][h["pos"]] = rec
         return True
 
-    def _apply_window(self, rec: Rec) -> bool:
+    def _apply_window(self, rec: Record) -> bool:
         """A newer snapshot deletes what lay before it; a delta stands only behind its own snapshot."""
         h = rec.head
         have = self.windows.get((h["run"], h["part"]))
@@ -94,7 +94,7 @@
         if term < self.promised.get(run, 0):
             self.ctr.add("shelf.prepare_refused")
             return {"ok": False, "promised": self.promised[run]}
-        fresh = [pack(Rec({"k": "P", "run": run, "term": term}))] if self._promise(run, term) else []
+        fresh = [pack(Record({"k": "P", "run": run, "term": term}))] if self._promise(run, term) else []
         lots = {}
         for lid, ent in self.lots.items():
             if ent["run"] == run:
@@ -121,8 +121,8 @@
                 out.append(False)
                 continue
             if self._promise(run, term):
-                fresh.append(pack(Rec({"k": "P", "run": run, "term": term})))
-            kept = Rec({k: v for k, v in rec.head.items() if k != "by"}, rec.body)
+                fresh.append(pack(Record({"k": "P", "run": run, "term": term})))
+            kept = Record({k: v for k, v in rec.head.items() if k != "by"}, rec.body)
             if self._apply(kept):
                 fresh.append(pack(kept))
             out.append(True)
@@ -151,14 +151,14 @@
 
     def snapshot(self) -> list[bytes]:
         """All that is kept, for a rewritten book."""
-        out = [pack(Rec({"k": "I", "id": self.id}))]
-        out += [pack(Rec({"k": "P", "run": r, "term": t})) for r, t in self.promised.items()]
+        out = [pack(Record({"k": "I", "id": self.id}))]
+        out += [pack(Record({"k": "P", "run": r, "term": t})) for r, t in self.promised.items()]
         for run, last in self.orders.items():
             for iid in last:
                 head = {"k": "O", "lot": "", "run": run, "iid": iid}
                 if iid in self.noted.get(run, {}):
                     head["term"], head["t"] = self.noted[run][iid]
-                out.append(pack(Rec(head)))
+                out.append(pack(Record(head)))
         out += [pack(r) for recs in self.windows.values() for r in recs]
         for ent in self.lots.values():
             for rec in [ent["lot"], ent["end"], *ent["results"].values()]:
--- a/lines/tickets/copier.py
+++ b/lines/batches/replicator.py
@@ -4,9 +4,9 @@
 import asyncio
 
 from ..directory import rank
-from ..trunk import LineFault
+from ..rpc import CallError
 from .quorum import Quorum, active
-from .rec import Rec, pack_many
+from .record import Record, pack_many
 
 class Deposed(Exception):
     """Another holds the run under a higher term."""
@@ -15,7 +15,7 @@
 SHUN = 6   # times the time for an answer that a store which was late with one is asked only if no other will do
 
 
-class Copier:
+class Replicator:
     """put() returns when enough stores have synced the records.
 
     >>> # await copier.put("run", 3, recs)
@@ -30,7 +30,7 @@
         self._inboxes: dict[str, list] = {}
         self._wakes: dict[str, asyncio.Event] = {}
 
-    def enough(self, rec: Rec) -> bool:
+    def enough(self, rec: Record) -> bool:
         """Whether a record's copies on stores that stay are enough."""
         return self.quorum.enough(rec.held, active(self.members()))
 
@@ -54,7 +54,7 @@
                 self._late[sid] = self.shelf.clock.now() + self.secs * SHUN
                 self.ctr.add("copy.late")
 
-    async def put(self, run: str, term: int, recs: list[Rec]) -> None:
+    async def put(self, run: str, term: int, recs: list[Record]) -> None:
         """Have enough stores sync the records; Deposed if a store knows a higher term. One that is slow to answer is
         not waited for: another is asked as well."""
         lid = recs[0].head["lot"]
@@ -94,15 +94,15 @@
                         self._shun({sid})
                     slow.add(sid)
 
-    async def _here(self, term: int, recs: list[Rec]):
-        out = await self.shelf.append([Rec({**r.head, "by": term}, r.body) for r in recs])
+    async def _here(self, term: int, recs: list[Record]):
+        out = await self.shelf.append([Record({**r.head, "by": term}, r.body) for r in recs])
         if not all(out):
             return False
         for r in recs:
             r.held.add(self.me)
         return True
 
-    def send(self, sid: str, run: str, term: int, recs: list[Rec]) -> asyncio.Future:
+    def send(self, sid: str, run: str, term: int, recs: list[Record]) -> asyncio.Future:
         """Put records into a store's inbox; True when synced there, False if deposed, None if it does not answer."""
         if sid == self.me:
             return asyncio.ensure_future(self._here(term, recs))
@@ -129,7 +129,7 @@
         member = self.members().get(sid)
         oks = None
         if member is not None:
-            recs = [Rec({**r.head, "by": term}, r.body) for _, term, rs, _ in jobs for r in rs]
+            recs = [Record({**r.head, "by": term}, r.body) for _, term, rs, _ in jobs for r in rs]
             try:
                 code, oks, _ = await self.lines.to(member["addr"]).call("shelf.append", {"to": sid}, pack_many(recs),
                                                                         secs=self.secs)
@@ -137,7 +137,7 @@
                     # 2008: another life stands there; 3004: it does not know all terms yet
                     self.ctr.add(f"copy.refused.{code}")
                     oks = None
-            except LineFault:
+            except CallError:
                 self.ctr.add("copy.unanswered")
         at = 0
         for _, _, rs, fut in jobs:
--- a/lines/partyline/keeper.py
+++ b/lines/consensus/acceptor.py
@@ -8,10 +8,10 @@
 ZERO = (0, "")
 
 
-class Keeper:
+class Acceptor:
     """One node's memory of one part.
 
-    >>> # keeper = Keeper("plan", book); await keeper.prepare((1, "a"))
+    >>> # keeper = Acceptor("plan", book); await keeper.prepare((1, "a"))
     """
 
     def __init__(self, part: str, book, counters):
@@ -22,7 +22,7 @@
         self._lock = asyncio.Lock()
 
     def adopt(self, rec: dict) -> None:
-        """Take up a record read from the tollbook."""
+        """Take up a record read from the write-ahead log."""
         self.promised = max(self.promised, tuple(rec["b"]))
         if rec.get("s") is not None:
             self.ballot, self.state = tuple(rec["ab"]), rec["s"]
--- a/lines/partyline/owner.py
+++ b/lines/consensus/proposer.py
@@ -13,7 +13,7 @@
     """No majority answered: what was asked may have been taken, or not."""
 
 
-class Owner:
+class Proposer:
     """Runs commands on one part, several at a time in one round.
 
     ask(addr, verb, doc) calls another node (or this one) and gives its answer, or None.
--- a/lines/exchange/core.py
+++ b/lines/control/node.py
@@ -2,7 +2,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
 
 import orjson
@@ -11,20 +10,20 @@
 from ..counter import Window
 from ..directory import LiveBook, Neighbours, Roll, part_of, rank
 from ..frame import Board, Clock, Counters, Crew, fault_result, json_result
-from ..partyline import Keeper, Owner, Unclear
-from ..tickets import Quorum
-from ..tollbook import Tollbook
-from ..trunk import Desk, LineFault, Lines, Refusal, Verbs
+from ..consensus import Acceptor, Proposer, Unclear
+from ..batches import Quorum
+from ..wal import WriteAheadLog
+from ..rpc import Server, CallError, ConnectionPool, Refusal, Handlers
 from .calls import BadCall, Beat, GetPlan, Leave, OnPolicy, PutPlan, PutVersion, Retire, decode
-from .parts import OTHERS, PARTS, PLAN, commands, news_view
+from .registers import OTHERS, PARTS, PLAN, commands, news_view
 
 MOST_VOTERS = 5
 
 
-class Core:
+class ControlNode:
     """Everything a control node does.
 
-    >>> # core = Core(boot, log); await core.start(); await core.leave()
+    >>> # core = ControlNode(boot, log); await core.start(); await core.leave()
     """
 
     def __init__(self, boot, log, clock=None):
@@ -33,7 +32,7 @@
         self.ctr = Counters()
         self.crew = Crew(log, self.ctr)
         self.board = Board()
-        self.lines = Lines(self.ctr)
+        self.lines = ConnectionPool(self.ctr)
         self.roll = Roll()
         self.cores = Neighbours()
         self.live = LiveBook(boot.secs("ContactMs", 2 / 3))
@@ -47,8 +46,8 @@
         self.id = ""
         self.founders: dict | None = None
         self.known: dict[str, dict] = {}
-        self.keepers: dict[str, Keeper] = {}
-        self.owners: dict[str, Owner] = {}
+        self.keepers: dict[str, Acceptor] = {}
+        self.owners: dict[str, Proposer] = {}
         self.acked: dict[str, tuple] = {}
         self._part_bytes: dict[str, tuple] = {}
         self._roll_bytes: dict = {}
@@ -56,17 +55,17 @@
         self.calls = {Beat: self._beat, Leave: self._leave_call, PutPlan: self._put_plan, GetPlan: self._get_plan,
                       PutVersion: self._put_version, Retire: self._retire, OnPolicy: self._on_policy}
         self.regions = RegionDuty(self, PLAN)
-        self.verbs = Verbs()
+        self.verbs = Handlers()
         self._register()
-        self.desk = Desk(self.verbs, log, self.ctr)
+        self.desk = Server(self.verbs, log, self.ctr)
         self.window = Window(self._http, log, self.ctr)
 
     # -- life
 
     async def start(self) -> None:
-        self.book = Tollbook(self.boot.data_dir or "/tmp/archhatch", "core", self.log)
+        self.book = WriteAheadLog(self.boot.data_dir or "/tmp/archhatch", "core", self.log)
         for p in PARTS:
-            self.keepers[p] = Keeper(p, self.book, self.ctr)
+            self.keepers[p] = Acceptor(p, self.book, self.ctr)
         for raw in self.book.load():
             rec = orjson.loads(raw)
             if "id" in rec:
@@ -77,7 +76,7 @@
         if not self.id:
             await self._found()
         for p in PARTS:
-            self.owners[p] = Owner(p, self.id, commands, self._ask, lambda p=p: self._base(p), self._publish, self.ctr,
+            self.owners[p] = Proposer(p, self.id, commands, self._ask, lambda p=p: self._base(p), self._publish, self.ctr,
                                    secs=self.boot.secs("ContactMs", 0.25))
         await self.desk.open(self.addr)
         await self.window.open(self.boot.listen["ControlPlane"])
@@ -164,7 +163,7 @@
     async def _call(self, addr, verb, doc, secs=None):
         try:
             code, out, _ = await self.lines.to(addr).call(verb, doc, secs=secs or self.quiet_s)
-        except LineFault:
+        except CallError:
             return None
         return out if code == 1000 else None
 
@@ -185,7 +184,7 @@
             try:
                 code, doc, _ = await self.lines.to(addr).call(
                     "part.do", {"part": part, "name": name, "args": args}, secs=self.boot.secs("ContactMs", 0.4))
-            except LineFault:
+            except CallError:
                 self.ctr.add("part.owner_silent")
                 continue
             if code != 3003:
--- a/lines/exchange/parts.py
+++ b/lines/control/registers.py
@@ -7,8 +7,8 @@
 
 from ..areacodes import facts
 from ..dialplan import PlanFault, check_plan, merge
-from ..partyline import Commands
-from ..tickets import Quorum, active
+from ..consensus import Commands
+from ..batches import Quorum, active
 
 PLAN = "plan"
 OTHERS = ["p0", "p1", "p2"]
--- a/lines/cordboard/journal.py
+++ b/lines/cordboard/journal.py
@@ -3,7 +3,7 @@
 
 import orjson
 
-from ..tickets import Rec
+from ..batches import Record
 from .window import State, Window
 
 EVERY = 32   # deltas after which a new snapshot is written
@@ -36,12 +36,12 @@
         self.snapshot_epoch = 0
         self.number = 0    # of the last delta behind the snapshot
 
-    def _rec(self, kind: str, epoch: int, doc: dict) -> Rec:
+    def _rec(self, kind: str, epoch: int, doc: dict) -> Record:
         head = {"k": kind, "lot": f"window|{self.partition}", "run": self.run, "part": self.partition, "term": epoch,
                 "se": self.snapshot_epoch, "n": self.number}
-        return Rec(head, orjson.dumps(doc))
+        return Record(head, orjson.dumps(doc))
 
-    def next(self, win: Window) -> Rec | None:
+    def next(self, win: Window) -> Record | None:
         """A snapshot when one is due, else a delta of what changed; None if nothing did."""
         if not win.dirty and self.snapshot_epoch:
             return None
--- a/lines/cordboard/leader.py
+++ b/lines/cordboard/leader.py
@@ -9,8 +9,8 @@
 
 from ..directory import rank
 from ..supervisor.lull import Lull
-from ..tickets import Deposed
-from ..trunk import Refusal
+from ..batches import Deposed
+from ..rpc import Refusal
 from .journal import WindowJournal
 from .queue import LotQueue
 from .window import BadMove, Entry, State, Window
--- a/lines/cordboard/worker.py
+++ b/lines/cordboard/worker.py
@@ -14,7 +14,7 @@
 from ..sends.heads import LAST_ID, URGENCY
 from ..supervisor.lull import Lull
 from ..supervisor.scoring import Scoring
-from ..trunk import LineFault, Refusal
+from ..rpc import CallError, Refusal
 
 
 @dataclass(eq=False)
@@ -150,7 +150,7 @@
                    [*j.key(), j.card["engine"] if j.state == "running" else None] for j in held]}
         try:
             code, out, raw = await self._ask(sid, addr, "share.fetch", doc, b"", self.hold_s + st.quiet_s)
-        except LineFault:
+        except CallError:
             return False
         if epoch != desk.epoch:
             return True
@@ -293,7 +293,7 @@
             try:
                 code, out, _ = await self._ask(lead[1], lead[2], "share.commit", {"worker": st.id, "run": run,
                                                "epoch": desk.epoch}, orjson.dumps(rows), st.quiet_s * 2)
-            except LineFault:
+            except CallError:
                 code, out = 0, None
             if code == 3007:
                 desk.attach = True
--- a/lines/directory/newsreader.py
+++ b/lines/directory/newsreader.py
@@ -4,7 +4,7 @@
 import asyncio
 import random
 
-from ..trunk import LineFault
+from ..rpc import CallError
 
 
 class Newsreader:
@@ -45,7 +45,7 @@
                     "news", {"live": self.live.tally() if self.live is not None else {},
                              "busy": sorted(self.busy), "who": self.card, "stamps": self.stamps, "life": self.life, "turn": self.turn,
                              "hold": self.hold_s, **more}, secs=self.hold_s + self.boot.secs("ContactMs", 0.2))
-            except LineFault:
+            except CallError:
                 code, doc = 3003, None
             if code != 1000:
                 self.ctr.add("news.refused")
@@ -100,7 +100,7 @@
                 try:
                     code, doc, _ = await self.lines.to(addr).call(
                         "do", {"part": part, "name": name, "args": args}, secs=secs)
-                except LineFault:
+                except CallError:
                     continue
                 if code not in (3001, 3003):
                     return code, doc
--- a/lines/erlang/probes/agreement.py
+++ b/lines/erlang/probes/agreement.py
@@ -1,4 +1,4 @@
-"""What the parts cost: commands under a majority, the tollbook, configurations checked and made ready."""
+"""What the parts cost: commands under a majority, the write-ahead log, configurations checked and made ready."""
 from __future__ import annotations
 
 import copy
@@ -13,10 +13,10 @@
 
 
 async def owner(folders: list, val: dict):
-    """An owner over keepers with a tollbook each; calls between them are encoded as on a trunk."""
+    """An owner over keepers with a write-ahead log each; calls between them are encoded as on a connection."""
     counters = need("frame", "Counters")()
-    book = need("tollbook", "Tollbook", "load", "append")
-    keep = need("partyline", "Keeper", "prepare", "accept", "confirm")
+    book = need("wal", "WriteAheadLog", "load", "append")
+    keep = need("consensus", "Acceptor", "prepare", "accept", "confirm")
     books = [book(f, "core") for f in folders]
     for b in books:
         b.load()
@@ -33,7 +33,7 @@
             out = await (one.prepare if verb == "part.prepare" else one.confirm)(ballot)
         return orjson.loads(orjson.dumps({"me": addr, **out}))
 
-    own = need("partyline", "Owner", "do")("plan", "a0", need("exchange.parts", "commands"), asked, lambda: base,
+    own = need("consensus", "Proposer", "do")("plan", "a0", need("control.registers", "commands"), asked, lambda: base,
                                            lambda *a: None, counters, 5.0)
     return own, books
 
@@ -75,15 +75,15 @@
 
 @probe("command.bytes", "bytes", "a part's state, as each voter writes it for each change", "routes", (50, 200, 800))
 async def _state_bytes(n):
-    keeper = need("partyline", "Keeper", "record")("plan", None, None)
+    keeper = need("consensus", "Acceptor", "record")("plan", None, None)
     keeper.state = {"stamp": 1, "val": {"plan": plan(n)}, "voters": {"a": "10.0.0.1:1"}, "prev": None}
     yield (lambda: len(keeper.record())), 1
 
 
-@probe("book.append", "cpu", "append records to a tollbook, synced", "records", (50, 200, 800))
+@probe("book.append", "cpu", "append records to a write-ahead log, synced", "records", (50, 200, 800))
 async def _append(n):
     with folder() as path:
-        book = need("tollbook", "Tollbook", "load", "append")(path, "tolls", Quiet())
+        book = need("wal", "WriteAheadLog", "load", "append")(path, "tolls", Quiet())
         book.load()
         book.start()
         raws = [b"x" * 400] * n
--- a/lines/erlang/probes/control.py
+++ b/lines/erlang/probes/control.py
@@ -22,10 +22,10 @@
 
 def core(n: int, routes: int = 0):
     """A control node's object that was never started, with a roll of n and a majority of one."""
-    one = need("exchange.core", "Core", "_ping_doc", "_heed", "in_touch")(boot(), Quiet())
+    one = need("control.node", "ControlNode", "_ping_doc", "_heed", "in_touch")(boot(), Quiet())
     one.id = "f-127.0.0.1"
-    keeper = need("partyline", "Keeper")
-    one.keepers = {p: keeper(p, None, one.ctr) for p in need("exchange.parts", "PARTS")}
+    keeper = need("consensus", "Acceptor")
+    one.keepers = {p: keeper(p, None, one.ctr) for p in need("control.registers", "PARTS")}
     one.known["plan"] = {"stamp": 5, "val": {"plan": plan(routes)} if routes else {}, "prev": None,
                          "voters": {one.id: one.addr}}
     for i in range(n):
@@ -35,9 +35,9 @@
 
 async def serve(one, verb: str, doc: dict) -> int:
     """Answer one call as the desk does, encoded and framed; the bytes of the answer."""
-    desk, env = need("trunk", "Desk", "_run"), need("trunk", "Envelope")
+    desk, env = need("rpc", "Server", "_run"), need("rpc", "Envelope")
     if not isinstance(one.desk, desk):
-        raise TypeError("Core.desk is no Desk")
+        raise TypeError("ControlNode.desk is no Server")
     sink = Sink()
     await one.desk._run(env(call=1, verb=verb, head=orjson.dumps(doc)), sink)
     return sink.size
@@ -96,7 +96,7 @@
 
 @probe("ping.make", "cpu", "make, encode and frame a ping with beats that say nothing new", "beats", (100, 400, 1600))
 async def _ping(n):
-    one, pack, env = told(n), need("trunk.framing", "pack"), need("trunk", "Envelope")
+    one, pack, env = told(n), need("rpc.framing", "pack"), need("rpc", "Envelope")
 
     def fn():
         for _ in range(10):
@@ -126,13 +126,13 @@
 
 @probe("ping.bytes", "bytes", "a framed ping with beats that say nothing new", "beats", (100, 400, 1600))
 async def _ping_bytes(n):
-    one, pack, env = told(n), need("trunk.framing", "pack"), need("trunk", "Envelope")
+    one, pack, env = told(n), need("rpc.framing", "pack"), need("rpc", "Envelope")
     yield (lambda: len(pack(env(call=1, verb="core.ping", head=orjson.dumps(one._ping_doc(OTHER)))))), 1
 
 
 @probe("ping.whole_bytes", "bytes", "a framed ping with changed entries", "entries", (100, 400, 1600))
 async def _ping_whole(n):
-    one, pack, env = core(n), need("trunk.framing", "pack"), need("trunk", "Envelope")
+    one, pack, env = core(n), need("rpc.framing", "pack"), need("rpc", "Envelope")
     yield (lambda: len(pack(env(call=1, verb="core.ping", head=orjson.dumps(one._ping_doc(OTHER)))))), 1
 
 
@@ -188,8 +188,8 @@
 
 @probe("beat.call", "cpu", "decode, fold and answer a beat, without its HTTP", "beats", (500, 1000, 2000))
 async def _call(n):
-    one, decode = core(n), need("exchange.calls", "decode")
-    need("exchange.core", "Core", "_beat")
+    one, decode = core(n), need("control.calls", "decode")
+    need("control.node", "ControlNode", "_beat")
     raws = [(f"/api/instances/{entry(i)['id']}", beat_body(i, 9)) for i in range(n)]
 
     async def fn():
--- a/lines/erlang/probes/edge.py
+++ b/lines/erlang/probes/edge.py
@@ -119,7 +119,7 @@
 
     from .control import core
     one = core(n)
-    need("exchange.core", "Core", "_http")
+    need("control.node", "ControlNode", "_http")
     await one.window.open("127.0.0.1:0")
 
     async def fn():
--- a/lines/erlang/probes/lots.py
+++ b/lines/erlang/probes/lots.py
@@ -14,13 +14,13 @@
 
 @probe("lot.check", "cpu", "check a lot at an edge", "items", SOME)
 async def _check(n):
-    check, raw = need("tickets", "check_lot"), orjson.dumps(lot(n))
+    check, raw = need("batches", "check_lot"), orjson.dumps(lot(n))
     yield (lambda: check("a", raw)), 1
 
 
 @probe("lot.read", "cpu", "read a lot in at its holder", "items", SOME)
 async def _read(n):
-    read, raw = need("tickets", "read_lot"), orjson.dumps(lot(n))
+    read, raw = need("batches", "read_lot"), orjson.dumps(lot(n))
     head = {"lot": "a", "run": "service-00", "host": "h", "path": "/roll/"}
     yield (lambda: read(head, raw, 0.0)), 1
 
@@ -32,7 +32,7 @@
 
 @probe("lot.memory", "memory", "a lot in hand beside its bytes", "items", (512, 2048))
 async def _memory(n):
-    read = need("tickets", "read_lot")
+    read = need("batches", "read_lot")
 
     def fn():
         raw = orjson.dumps(lot(n))
@@ -42,7 +42,7 @@
 
 def sample(n: int, size: int = 4000):
     """One result's record with a text of size bytes, as read from a frame: its bytes have no spare room."""
-    return need("tickets", "Rec")(
+    return need("batches", "Record")(
         {"k": "R", "lot": "a", "run": "service-00", "pos": n, "term": 1, "item": f"it-{n:06d}", "by": 1},
         bytes(bytearray(orjson.dumps({"InstanceId": f"it-{n:06d}", "OperState": "complete", "Text": prose(size, n),
                                       "WeightVersions": [7], "Score": "0.5"}))))
@@ -55,25 +55,25 @@
 
 @probe("records.pack", "cpu", "pack results of 4,000 bytes for another store", "results", (50, 200, 800))
 async def _pack(n):
-    pack, recs = need("tickets.rec", "pack_many"), [sample(i) for i in range(n)]
+    pack, recs = need("batches.record", "pack_many"), [sample(i) for i in range(n)]
     yield (lambda: [pack(recs) for _ in range(5)]), 5
 
 
 @probe("records.unpack", "cpu", "unpack them", "results", (50, 200, 800))
 async def _unpack(n):
-    raw = need("tickets.rec", "pack_many")([sample(i) for i in range(n)])
-    unpack = need("tickets.rec", "unpack_many")
+    raw = need("batches.record", "pack_many")([sample(i) for i in range(n)])
+    unpack = need("batches.record", "unpack_many")
     yield (lambda: [unpack(raw) for _ in range(5)]), 5
 
 
 class Kept:
-    """A shelf over a tollbook in a folder that goes."""
+    """A shelf over a write-ahead log in a folder that goes."""
 
     def __init__(self):
         self.tmp, frame = folder(), "frame"
         self.ctr = need(frame, "Counters")()
-        self.book = need("tollbook", "Tollbook", "load", "start")(self.tmp.name, "store", Quiet())
-        self.shelf = need("tickets", "Shelf", "append", "load")(self.book, need(frame, "Clock")(), self.ctr)
+        self.book = need("wal", "WriteAheadLog", "load", "start")(self.tmp.name, "store", Quiet())
+        self.shelf = need("batches", "RecordStore", "append", "load")(self.book, need(frame, "Clock")(), self.ctr)
 
     def open(self):
         self.shelf.load(self.book.load())
@@ -97,20 +97,20 @@
        (20, 60, 180))
 async def _copy(n):
     kept = [Kept().open() for _ in range(3)]
-    unpack, frame = need("tickets.rec", "unpack_many"), "frame"
+    unpack, frame = need("batches.record", "unpack_many"), "frame"
 
-    class Line:
+    class Connection:
         def __init__(self, to):
             self.to = to
 
         async def call(self, verb, doc, body, secs):
             return 1000, await self.to.shelf.append(unpack(body)), b""
 
-    lines = types.SimpleNamespace(to=lambda addr: Line(kept[int(addr)]))
+    lines = types.SimpleNamespace(to=lambda addr: Connection(kept[int(addr)]))
     crew = need(frame, "Crew")(Quiet(), kept[0].ctr)
     members = {f"s{i}": {"state": "active", "addr": str(i), "zone": f"zone-{i:02d}"} for i in range(3)}
-    quorum = need("tickets", "Quorum", "enough", "pick")(2)   # two machines may be lost: three copies
-    copier = need("tickets", "Copier", "put")("s0", kept[0].shelf, lines, lambda: members, lambda sid: True, crew,
+    quorum = need("batches", "Quorum", "enough", "pick")(2)   # two machines may be lost: three copies
+    copier = need("batches", "Replicator", "put")("s0", kept[0].shelf, lines, lambda: members, lambda sid: True, crew,
                                              kept[0].ctr, 5.0, quorum)
     recs = [sample(i) for i in range(n)]
 
@@ -120,7 +120,7 @@
         if not all(copier.enough(rec) for rec in recs):
             raise ValueError("a record has too few copies")
     yield fn, 1
-    await settle("Copier._here")
+    await settle("Replicator._here")
     await crew.end()
     for k in kept:
         await k.close()
--- a/lines/erlang/probes/process.py
+++ b/lines/erlang/probes/process.py
@@ -1,4 +1,4 @@
-"""What a process costs before it does anything, and what a call over a trunk costs."""
+"""What a process costs before it does anything, and what a call over a rpc costs."""
 from __future__ import annotations
 
 import asyncio
@@ -30,23 +30,23 @@
         yield (lambda: resident(mod)), 1
 
 
-for _name, _mod in (("resident.core", "lines.exchange.core"), ("resident.store", "lines.exchange.store"),
+for _name, _mod in (("resident.core", "lines.control.node"), ("resident.store", "lines.store.node"),
                     ("resident.edge", "lines.switchboard.edge")):
     _resident(_name, _mod)
 
 
-@probe("trunk.call", "cpu", "calls over loopback with small heads, both ends together", "calls", (200, 400, 800))
+@probe("rpc.call", "cpu", "calls over loopback with small heads, both ends together", "calls", (200, 400, 800))
 async def _call(n):
-    verbs = need("trunk", "Verbs")()
+    verbs = need("rpc", "Handlers")()
 
     @verbs.on("ping")
     async def _ping(doc, body):
         return {"ok": True}
 
     ctr = need("frame", "Counters")()
-    desk = need("trunk", "Desk", "open", "port", "close")(verbs, Quiet(), ctr)
+    desk = need("rpc", "Server", "open", "port", "close")(verbs, Quiet(), ctr)
     await desk.open("127.0.0.1:0")
-    lines = need("trunk", "Lines", "to", "end")(ctr)
+    lines = need("rpc", "ConnectionPool", "to", "end")(ctr)
     line = lines.to(f"127.0.0.1:{desk.port()}")
     await line.call("ping", {})
 
@@ -59,15 +59,15 @@
     await asyncio.sleep(0)
 
 
-@probe("trunk.pack", "cpu", "frame an envelope with a body, deflated", "bytes", (4096, 65536, 524288))
+@probe("rpc.pack", "cpu", "frame an envelope with a body, deflated", "bytes", (4096, 65536, 524288))
 async def _pack(n):
-    pack, env, body = need("trunk.framing", "pack"), need("trunk", "Envelope"), prose(n).encode()
+    pack, env, body = need("rpc.framing", "pack"), need("rpc", "Envelope"), prose(n).encode()
     yield (lambda: [pack(env(call=1, verb="x", body=body)) for _ in range(3)]), 3
 
 
-@probe("trunk.read", "cpu", "read a framed envelope with a deflated body", "bytes", (4096, 65536, 524288))
+@probe("rpc.read", "cpu", "read a framed envelope with a deflated body", "bytes", (4096, 65536, 524288))
 async def _read(n):
-    pack, read, env = need("trunk.framing", "pack"), need("trunk.framing", "read_frame"), need("trunk", "Envelope")
+    pack, read, env = need("rpc.framing", "pack"), need("rpc.framing", "read_frame"), need("rpc", "Envelope")
     raw = pack(env(call=1, verb="x", body=prose(n).encode()))
 
     async def fn():
--- a/lines/erlang/probes/shares.py
+++ b/lines/erlang/probes/shares.py
@@ -22,7 +22,7 @@
     def __init__(self, replicas: int, places: int):
         frame = "frame"
         head = {"lot": "a", "run": RUN, "host": "host3.example", "path": "/path3/x"}
-        self.lot = need("tickets", "read_lot")(head, orjson.dumps({**lot(2048, 64), "Model": MODEL}), 0.0)
+        self.lot = need("batches", "read_lot")(head, orjson.dumps({**lot(2048, 64), "Model": MODEL}), 0.0)
         self.lot.base = 0
         self.engines = need("supervisor", "Engines", "fold", "of", "count")()
         self.engines.fold([{**entry(i), "service": RUN, "models": {MODEL: 7}} for i in range(replicas)])
--- a/lines/erlang/reckon.py
+++ b/lines/erlang/reckon.py
@@ -206,5 +206,5 @@
 
     @property
     def half_call(self) -> float:
-        """One end of a call over a trunk: both are measured together."""
-        return self.per("trunk.call") / 2
+        """One end of a call over a rpc: both are measured together."""
+        return self.per("rpc.call") / 2
--- a/lines/erlang/roles/leader.py
+++ b/lines/erlang/roles/leader.py
@@ -50,8 +50,8 @@
 @row(LEADER, "processor time: lots and copies", "core", "three copies; a sync for each sample's batch",
      budget=lambda s: s.machine_core)
 def _cpu(q):
-    n = lots(q) * (q.at("lot.read", q.s.samples) + 2 * q.at("trunk.pack", q.at("lot.bytes", q.s.samples))
-                   + 2 * q.at("trunk.read", q.at("lot.bytes", q.s.samples)))
+    n = lots(q) * (q.at("lot.read", q.s.samples) + 2 * q.at("rpc.pack", q.at("lot.bytes", q.s.samples))
+                   + 2 * q.at("rpc.read", q.at("lot.bytes", q.s.samples)))
     size = q.sample_bytes / 4000   # measured with texts of 4,000 bytes
     return n + q.rate / q.s.stores * size * q.per("copier.put"), n + q.rate / q.s.stores * size * (
         q.per("shelf.append") * 3 + q.per("records.pack") * 2 + q.per("records.unpack") * 2)
--- a/lines/erlang/scale/hollow.py
+++ b/lines/erlang/scale/hollow.py
@@ -72,7 +72,7 @@
         frame = "frame"
         self.answers = self.entries = 0
         ctr = need(frame, "Counters")()
-        self.lines = need("trunk", "Lines", "to", "end")(ctr)
+        self.lines = need("rpc", "ConnectionPool", "to", "end")(ctr)
         reader = need("directory", "Newsreader", "run", "fold")
         self.reader = reader(boot, {"id": boot.node, "klass": "edge", "name": boot.node, "ip": boot.ip,
                                     "zone": boot.zone}, self.lines, need(frame, "Board")(), need(frame, "Clock")(), ctr)
--- a/lines/exchange/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The exchange: control nodes and stores."""
--- a/lines/frame/codes.py
+++ b/lines/frame/codes.py
@@ -46,7 +46,7 @@
     6003: (0, "the seeds are of no use"),
     6004: (0, "a seed does not answer"),
     6005: (0, "a group has no majority"),
-    6006: (0, "a tollbook is damaged"),
+    6006: (0, "a write-ahead log is damaged"),
     6007: (0, "a disk is full"),
     6008: (0, "the data folder is of no use"),
     6009: (0, "a replica does not beat"),
--- a/lines/frame/commands.py
+++ b/lines/frame/commands.py
@@ -147,10 +147,10 @@
         print("archhatch: settings: Bindings: needs ControlPlane", file=sys.stderr)
         return 2
     if args[0] == "core":
-        from ..exchange.core import Core
-        return _run(boot, Core)
-    from ..exchange.store import Store
-    return _run(boot, Store)
+        from ..control.node import ControlNode
+        return _run(boot, ControlNode)
+    from ..store.node import StoreNode
+    return _run(boot, StoreNode)
 
 
 @command("doctor")
--- a/lines/trunk/line.py
+++ b/lines/rpc/connection.py
@@ -7,10 +7,10 @@
 
 from .framing import FrameFault, pack, read_frame, tune
 from .messages import Envelope
-from .slab import Slab
+from .pending import PendingCalls
 
 
-class LineFault(Exception):
+class CallError(Exception):
     """A call that got no answer. sent says whether the neighbour may have read it."""
 
     def __init__(self, why: str, sent: bool):
@@ -18,7 +18,7 @@
         self.sent = sent
 
 
-class Line:
+class Connection:
     """One connection to one address, dialled when first needed.
 
     >>> # code, head, body = await line.call("ping", {"a": 1}, secs=0.5)
@@ -27,7 +27,7 @@
     def __init__(self, addr: str, ctr, dial_s: float = 0.6, idle_s: float = 1.2):
         self.addr, self.ctr = addr, ctr
         self.dial_s, self.idle_s = dial_s, idle_s
-        self._slab = Slab()
+        self._slab = PendingCalls()
         self._wr: asyncio.StreamWriter | None = None
         self._task: asyncio.Task | None = None
         self._dial = asyncio.Lock()
@@ -41,7 +41,7 @@
             try:
                 rd, wr = await asyncio.wait_for(asyncio.open_connection(host, int(port), limit=1 << 20), self.dial_s)
             except (OSError, asyncio.TimeoutError, TimeoutError) as e:
-                raise LineFault(f"{self.addr}: {e!r}", sent=False) from e
+                raise CallError(f"{self.addr}: {e!r}", sent=False) from e
             tune(wr)
             self._wr = wr
             self._task = asyncio.get_running_loop().create_task(self._read(rd, wr))
@@ -54,7 +54,7 @@
                 self.heard = asyncio.get_running_loop().time()
                 fut = self._slab.take(env.call)
                 if fut is None or fut.done():
-                    self.ctr.add("trunk.late_answer")   # nobody waits for it any more, or it came twice
+                    self.ctr.add("rpc.late_answer")   # nobody waits for it any more, or it came twice
                     continue
                 fut.set_result(env)
         except (OSError, EOFError, FrameFault, asyncio.IncompleteReadError):
@@ -72,10 +72,10 @@
             wr.transport.abort()
         for fut in self._slab.drain():
             if not fut.done():
-                fut.set_exception(LineFault(f"{self.addr}: broke off", sent=True))
+                fut.set_exception(CallError(f"{self.addr}: broke off", sent=True))
 
     async def call(self, verb: str, doc: object = None, body: bytes = b"", secs: float = 1.0):
-        """Send a call and wait for its answer: (code, document, body). LineFault if none comes."""
+        """Send a call and wait for its answer: (code, document, body). CallError if none comes."""
         wr = await self._open()
         loop = asyncio.get_running_loop()
         fut = loop.create_future()
@@ -88,29 +88,29 @@
             if self._wr is wr and secs >= self.idle_s * 0.2 and self.heard < began and loop.time() - began >= min(
                     secs, self.idle_s) * 0.9:
                 self.hang_up()
-            raise LineFault(f"{self.addr}: {verb}: no answer in {secs}s", sent=True) from e
+            raise CallError(f"{self.addr}: {verb}: no answer in {secs}s", sent=True) from e
         except (OSError, RuntimeError) as e:
-            raise LineFault(f"{self.addr}: {e!r}", sent=True) from e
+            raise CallError(f"{self.addr}: {e!r}", sent=True) from e
         finally:
             self._slab.take(key)
         return env.code, orjson.loads(env.head) if env.head else None, env.body
 
 
-class Lines:
+class ConnectionPool:
     """The lines of a process, one for each address.
 
-    >>> lines = Lines(Counters()); lines.to("10.0.0.1:7380") is lines.to("10.0.0.1:7380")
+    >>> lines = ConnectionPool(Counters()); lines.to("10.0.0.1:7380") is lines.to("10.0.0.1:7380")
     True
     """
 
     def __init__(self, ctr):
         self.ctr = ctr
-        self._all: dict[str, Line] = {}
+        self._all: dict[str, Connection] = {}
 
-    def to(self, addr: str) -> Line:
+    def to(self, addr: str) -> Connection:
         line = self._all.get(addr)
         if line is None:
-            line = self._all[addr] = Line(addr, self.ctr)
+            line = self._all[addr] = Connection(addr, self.ctr)
         return line
 
     def end(self) -> None:
--- a/lines/trunk/framing.py
+++ b/lines/rpc/framing.py
@@ -1,4 +1,4 @@
-"""Frames on a trunk: four bytes of length, four of checksum, then the envelope."""
+"""Frames on a rpc: four bytes of length, four of checksum, then the envelope."""
 from __future__ import annotations
 
 import asyncio
--- a/lines/trunk/messages.py
+++ b/lines/rpc/messages.py
@@ -1,4 +1,4 @@
-"""The one message of a trunk: a call or its answer."""
+"""The one message of a rpc: a call or its answer."""
 from dataclasses import dataclass
 
 import betterproto
--- a/lines/trunk/slab.py
+++ b/lines/rpc/pending.py
@@ -2,10 +2,10 @@
 from __future__ import annotations
 
 
-class Slab:
+class PendingCalls:
     """put() gives a key, take() empties the place; an old key never finds a new tenant.
 
-    >>> s = Slab(); k = s.put("a"); s.take(k), s.take(k)
+    >>> s = PendingCalls(); k = s.put("a"); s.take(k), s.take(k)
     ('a', None)
     """
 
--- a/lines/trunk/desk.py
+++ b/lines/rpc/server.py
@@ -1,4 +1,4 @@
-"""The answering side of a trunk: one task for each connection, one for each call that it carries."""
+"""The answering side of a rpc: one task for each connection, one for each call that it carries."""
 from __future__ import annotations
 
 import asyncio
@@ -17,10 +17,10 @@
         self.code, self.doc = code, doc
 
 
-class Verbs:
+class Handlers:
     """Handlers by verb.
 
-    >>> v = Verbs()
+    >>> v = Handlers()
     >>> @v.on("ping")
     ... async def ping(doc, body): return {"pong": True}
     >>> sorted(v.table)
@@ -37,13 +37,13 @@
         return put
 
 
-class Desk:
+class Server:
     """Listens on an address and runs the handlers of the verbs that arrive.
 
-    >>> # desk = Desk(verbs, log, counters); await desk.open("10.0.0.1:7380")
+    >>> # desk = Server(verbs, log, counters); await desk.open("10.0.0.1:7380")
     """
 
-    def __init__(self, verbs: Verbs, log, counters):
+    def __init__(self, verbs: Handlers, log, counters):
         self.verbs, self.log, self.ctr = verbs, log, counters
         self._srv = None
         self._calls: set = set()
@@ -66,8 +66,8 @@
                 self._calls.add(task)
                 task.add_done_callback(self._calls.discard)
         except FrameFault as e:
-            self.ctr.add("trunk.bad_frame")
-            self.log.warning("a trunk sent no frame: {}", e)
+            self.ctr.add("rpc.bad_frame")
+            self.log.warning("a rpc sent no frame: {}", e)
         except (OSError, EOFError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
@@ -86,11 +86,11 @@
             code, doc = e.code, e.doc
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as e:
             code, doc = 2001, repr(e)
-            self.ctr.add("trunk.bad_call")
+            self.ctr.add("rpc.bad_call")
             self.log.opt(exception=e).warning("call {} could not be read", env.verb)
         except Exception as e:
             code, doc = 5001, repr(e)
-            self.ctr.add("trunk.fault")
+            self.ctr.add("rpc.fault")
             self.log.opt(exception=e).error("call {} failed", env.verb)
         if not wr.is_closing():
             try:
--- a/lines/exchange/store.py
+++ b/lines/store/node.py
@@ -11,19 +11,19 @@
 from ..cordboard import Leader, Worker
 from ..supervisor import Engines, Orders, Reign
 from ..supervisor.reign import fetch_over
-from ..tickets import Copier, Deposed, Quorum, Rec, Shelf, active, pack
-from ..tickets.rec import pack_many, unpack_many
-from ..tollbook import Tollbook
-from ..trunk import Desk, LineFault, Lines, Refusal, Verbs
+from ..batches import Replicator, Deposed, Quorum, Record, RecordStore, active, pack
+from ..batches.record import pack_many, unpack_many
+from ..wal import WriteAheadLog
+from ..rpc import Server, CallError, ConnectionPool, Refusal, Handlers
 
 
 SLOW = 4.0   # times later than the middle one's timers: a node that should not lead
 
 
-class Store:
+class StoreNode:
     """Everything a store node does.
 
-    >>> # store = Store(boot, log); await store.start(); await store.leave()
+    >>> # store = StoreNode(boot, log); await store.start(); await store.leave()
     """
 
     def __init__(self, boot, log, clock=None):
@@ -32,7 +32,7 @@
         self.ctr = Counters()
         self.crew = Crew(log, self.ctr)
         self.board = Board()
-        self.lines = Lines(self.ctr)
+        self.lines = ConnectionPool(self.ctr)
         self.port = boot.ports[0] + 1
         self.life = f"{random.getrandbits(48):012x}"
         self.beat_s = boot.secs("ContactMs", 1 / 15)
@@ -52,13 +52,13 @@
         self.leaving = False
         self.lags: dict[str, float] = {}
         self.lag = 0.0     # how late this node's timers are, lately
-        self.verbs = Verbs()
+        self.verbs = Handlers()
         self._register()
-        self.desk = Desk(self.verbs, log, self.ctr)
+        self.desk = Server(self.verbs, log, self.ctr)
 
     async def start(self) -> None:
-        self.book = Tollbook(self.boot.data_dir or "/tmp/archhatch", "store", self.log)
-        self.shelf = Shelf(self.book, self.clock, self.ctr)
+        self.book = WriteAheadLog(self.boot.data_dir or "/tmp/archhatch", "store", self.log)
+        self.shelf = RecordStore(self.book, self.clock, self.ctr)
         self.shelf.load(self.book.load())
         self.book.start()
         if not self.shelf.id:
@@ -67,7 +67,7 @@
         self.picker.idle = self.caller.idle
         self.news = Newsreader(self.boot, self._card(), self.lines, self.board, self.clock, self.ctr)
         self.news.proved = self.picker.proved
-        self.copier = Copier(self.id, self.shelf, self.lines, self.members, self.alive, self.crew, self.ctr,
+        self.copier = Replicator(self.id, self.shelf, self.lines, self.members, self.alive, self.crew, self.ctr,
                              secs=self.quiet_s * 1.5, quorum=self.quorum)
         self.leader = Leader(self, self.boot.share_lock_s, self.boot.share_locks)
         self.worker = Worker(self)
@@ -92,7 +92,7 @@
 
     async def _new_id(self) -> None:
         self.shelf.id = f"s-{random.getrandbits(64):016x}"
-        await self.book.append(pack(Rec({"k": "I", "id": self.shelf.id})))
+        await self.book.append(pack(Record({"k": "I", "id": self.shelf.id})))
 
     def _card(self) -> dict:
         return {"id": self.id, "klass": "store", "name": self.boot.node, "ip": self.boot.ip, "zone": self.boot.zone,
@@ -169,7 +169,7 @@
             return out
         try:
             code, out, _ = await self.lines.to(addr).call(verb, {"to": sid, **doc}, secs=self.quiet_s * 1.5)
-        except LineFault:
+        except CallError:
             return None
         return out if code == 1000 else None
 
@@ -361,7 +361,7 @@
         at = self.clock.now()
         try:
             code, doc, _ = await self.lines.to(addr).call("store.ping", {"card": self._card()}, secs=self.quiet_s)
-        except LineFault:
+        except CallError:
             return
         if code == 1000 and doc["card"]["id"] != sid:
             self.ctr.add("ping.other_life")
--- a/lines/supervisor/orders.py
+++ b/lines/supervisor/orders.py
@@ -7,7 +7,7 @@
 import aiohttp
 import orjson
 
-from ..tickets import Deposed
+from ..batches import Deposed
 from .room import LoadRoom
 
 TAKEN, MAYBE = "taken", "maybe"
--- a/lines/supervisor/reign.py
+++ b/lines/supervisor/reign.py
@@ -8,9 +8,9 @@
 import orjson
 from transitions import Machine
 
-from ..tickets import Deposed, Lot, Rec, active, read_lot
-from ..tickets.rec import unpack_many
-from ..trunk import LineFault
+from ..batches import Deposed, Lot, Record, active, read_lot
+from ..batches.record import unpack_many
+from ..rpc import CallError
 
 MOVES = [
     {"trigger": "gathered", "source": "reading", "dest": "holding"},
@@ -206,22 +206,22 @@
         if lot_rec is None or any(p not in have for p in range(len(chosen))):
             return False
         lot = read_lot(lot_rec.head, lot_rec.body, mine.get("at", st.clock.now()))
-        first = Rec(dict(lot_rec.head), lot_rec.body, {sid for sid, s in seen.items() if s["lot"]})
+        first = Record(dict(lot_rec.head), lot_rec.body, {sid for sid, s in seen.items() if s["lot"]})
         lot.recs.append(first)
         again = [first] if not st.copier.enough(first) else []
         where = {sid: {tuple(row) for row in s["results"]} for sid, s in seen.items()}
         for pos, (term, item) in enumerate(chosen):
             held = {sid for sid, rows in where.items() if (pos, term, item) in rows}
-            rec = Rec(dict(have[pos].head), have[pos].body, held)
+            rec = Record(dict(have[pos].head), have[pos].body, held)
             if not st.copier.enough(rec):
-                rec = Rec({**rec.head, "term": self.term, "t": self.tick()}, rec.body)
+                rec = Record({**rec.head, "term": self.term, "t": self.tick()}, rec.body)
                 again.append(rec)
             lot.results.append(rec)
             lot.recs.append(rec)
             lot.done.add(item)
         if end is not None:
             lot.ended, lot.ended_at = True, st.clock.now()
-            rec = Rec(dict(end.head), end.body, {sid for sid, s in seen.items() if s["end"]})
+            rec = Record(dict(end.head), end.body, {sid for sid, s in seen.items() if s["end"]})
             lot.recs.append(rec)
             if not st.copier.enough(rec):
                 again.append(rec)
@@ -285,7 +285,7 @@
         """Take a lot, once; returns when enough stores have it."""
         if head["lot"] in self.lots:
             return
-        rec = Rec({"k": "L", "lot": head["lot"], "run": self.run, "host": head["host"], "path": head["path"]}, body)
+        rec = Record({"k": "L", "lot": head["lot"], "run": self.run, "host": head["host"], "path": head["path"]}, body)
         lot = None
         if _place(rec) not in self._copying:
             lot = read_lot(rec.head, body, self.st.clock.now())
@@ -307,7 +307,7 @@
         """Have enough stores know that an order is about to be sent to a replica; the time until which it may be."""
         began = self.st.clock.now()
         # not a task of the reign: without the one that waits, no order is sent, and the note binds nobody
-        await self.st.copier.put(self.run, self.term, [Rec({"k": "O", "lot": "", "run": self.run, "iid": iid,
+        await self.st.copier.put(self.run, self.term, [Record({"k": "O", "lot": "", "run": self.run, "iid": iid,
                                                             "term": self.term, "t": self.tick()})])
         return began + self.st.boot.secs("LeaseMs", ORDER)
 
@@ -322,7 +322,7 @@
         self.st.board.touch("work")
         rec = next((r for r in lot.recs if r.head["k"] == "E"), None)
         if rec is None:
-            rec = Rec({"k": "E", "lot": lid, "run": self.run})
+            rec = Record({"k": "E", "lot": lid, "run": self.run})
             lot.recs.append(rec)
         if not self.st.copier.enough(rec):
             await self._copy([rec], lot)
@@ -332,7 +332,7 @@
         if iid in lot.done or self.state != "holding" or lot.ended:
             return
         lot.done.add(iid)
-        rec = Rec({"k": "R", "lot": lot.lid, "run": self.run, "pos": len(lot.results), "term": self.term, "item": iid,
+        rec = Record({"k": "R", "lot": lot.lid, "run": self.run, "pos": len(lot.results), "term": self.term, "item": iid,
                    "t": self.tick()}, orjson.dumps(doc))
         lot.results.append(rec)
         lot.recs.append(rec)
@@ -430,10 +430,10 @@
         return old
 
 
-def _place(rec: Rec) -> tuple:
+def _place(rec: Record) -> tuple:
     """What a record is a copy of.
 
-    >>> _place(Rec({"k": "R", "lot": "l", "pos": 3}))
+    >>> _place(Record({"k": "R", "lot": "l", "pos": 3}))
     ('R', 'l', 3)
     """
     return rec.head["k"], rec.head["lot"], rec.head.get("pos")
@@ -444,6 +444,6 @@
     try:
         code, _, raw = await store.lines.to(addr).call("shelf.fetch", {"to": sid, "lot": lid, "poss": poss,
                                                                        "want_lot": lot}, secs=store.quiet_s * 2)
-    except LineFault:
+    except CallError:
         return None
     return unpack_many(raw) if code == 1000 else None
--- a/lines/switchboard/edge.py
+++ b/lines/switchboard/edge.py
@@ -10,7 +10,7 @@
 from ..directory import Newsreader
 from ..frame import Board, Clock, Counters, Crew, Result, fault_result
 from ..sends import Caller, Picker
-from ..trunk import LineFault, Lines
+from ..rpc import CallError, ConnectionPool
 from .forward import Forward
 from .live import Live
 from .lotdesk import LotDesk
@@ -36,7 +36,7 @@
         self.ctr = Counters()
         self.crew = Crew(log, self.ctr)
         self.board = Board()
-        self.lines = Lines(self.ctr)
+        self.lines = ConnectionPool(self.ctr)
         self.plan: Plan | None = None
         self.limits: dict = {}
         card = {"id": boot.node, "klass": "edge", "name": boot.node, "ip": boot.ip, "zone": boot.zone}
@@ -101,7 +101,7 @@
                 try:
                     await self.lines.to(addr).call("live", {"id": self.boot.node, "live": busy}, secs=0.3)
                     break
-                except LineFault:
+                except CallError:
                     self.ctr.add("live.untold")
 
     async def _roll_loop(self) -> None:
--- a/lines/switchboard/lotdesk.py
+++ b/lines/switchboard/lotdesk.py
@@ -4,13 +4,11 @@
 import asyncio
 from urllib.parse import parse_qs, urlsplit
 
-import orjson
-
 from ..frame import Result, fault_result
 from ..sends import ECHO
 from ..sends.heads import HOLD
-from ..tickets import BadLot, Quorum, check_lot
-from ..trunk import LineFault
+from ..batches import BadLot, Quorum, check_lot
+from ..rpc import CallError
 
 
 class LotDesk:
@@ -63,7 +61,7 @@
                     sent = sent or code not in (3005, 3001)
                     if code == 2003:
                         return fault_result(2003, str(doc))
-                except LineFault as e:
+                except CallError as e:
                     sent = sent or e.sent
             await asyncio.sleep(0.1)
         self.ctr.add("lot.unclear" if sent else "lot.refused")
@@ -103,7 +101,7 @@
                 continue
             try:
                 code, out, raw = await self.lines.to(addr).call(verb, doc, secs=max(0.3, end - self.clock.now()))
-            except LineFault:
+            except CallError:
                 unsure = True
                 continue
             if code == 1000:
@@ -132,7 +130,7 @@
     async def _lacks(self, addr: str, sid: str, lid: str) -> dict | None:
         try:
             code, out, _ = await self.lines.to(addr).call("shelf.lacks", {"lot": lid}, secs=0.4)
-        except LineFault:
+        except CallError:
             return None
         if code == 1000 and out["me"] != sid:
             self.ctr.add("lot.other_life")
--- a/lines/testdesk/doctor.py
+++ b/lines/testdesk/doctor.py
@@ -8,8 +8,8 @@
 import orjson
 
 from ..frame import CODES, BootFault, Counters, read_boot
-from ..tollbook import read_records
-from ..trunk import LineFault, Lines
+from ..wal import read_records
+from ..rpc import CallError, ConnectionPool
 
 CHECKS: list = []
 FULL = 0.9   # of DiskMb: a disk this full is a fault
@@ -107,7 +107,7 @@
 
     def _book(self, path: str, name: str) -> list:
         if name.endswith(".damaged"):
-            return [Finding(6006, path, "a damaged tollbook was set aside here")]
+            return [Finding(6006, path, "a damaged write-ahead log was set aside here")]
         if name not in ("core", "store"):
             return []
         try:
@@ -124,7 +124,7 @@
 
     @check
     async def _seeds(self) -> list:
-        out, lines = [], Lines(Counters())
+        out, lines = [], ConnectionPool(Counters())
         for seed in self.boot.seeds:
             addr = f"{seed.rsplit(':', 1)[0]}:{self.boot.ports[0]}"
             try:
@@ -133,7 +133,7 @@
                     out.append(Finding(6004, addr, f"answers with code {code}"))
                 else:
                     self.told[addr] = doc
-            except LineFault as e:
+            except CallError as e:
                 out.append(Finding(6004, addr, str(e)))
         lines.end()
         return out
@@ -145,7 +145,7 @@
             if not doc["in_touch"]:
                 out.append(Finding(6005, addr, f"reaches {doc['up']} of {doc['voters']} voters"))
             if doc["damaged"]:
-                out.append(Finding(6006, addr, "its tollbook was damaged when it started"))
+                out.append(Finding(6006, addr, "its write-ahead log was damaged when it started"))
         for part in sorted({p for d in self.told.values() for p in d["stamps"]}):
             seen = {a: d["stamps"].get(part, 0) for a, d in self.told.items()}
             if len(set(seen.values())) > 1:
--- a/lines/tollbook/__init__.py
+++ b/lines/wal/__init__.py
@@ -1,5 +1,5 @@
 """The append-only file: checksummed records, synced before anyone is told."""
-from .book import BookFault, Tollbook
+from .log import LogError, WriteAheadLog
 from .records import pack_record, read_records
 
-__all__ = ["BookFault", "Tollbook", "pack_record", "read_records"]
+__all__ = ["LogError", "WriteAheadLog", "pack_record", "read_records"]
--- a/lines/tollbook/book.py
+++ b/lines/wal/log.py
@@ -1,4 +1,4 @@
-"""A tollbook: appends are grouped, written and synced together by one thread."""
+"""A wal: appends are grouped, written and synced together by one thread."""
 from __future__ import annotations
 
 import asyncio
@@ -8,14 +8,14 @@
 from .records import pack_record, read_records
 
 
-class BookFault(Exception):
+class LogError(Exception):
     """The book cannot be read or written."""
 
 
-class Tollbook:
+class WriteAheadLog:
     """An append-only file in a folder; rewritten, under a new name, when it gets long.
 
-    >>> # book = Tollbook("/data/x"); recs = book.load(); await book.append(b"...")
+    >>> # book = WriteAheadLog("/data/x"); recs = book.load(); await book.append(b"...")
     """
 
     def __init__(self, folder: str, name: str = "tolls", log=None):
@@ -49,7 +49,7 @@
             data += part
         recs, end, self.damaged = read_records(data)
         if self.damaged and self.log is not None:
-            self.log.error("code 5001 tollbook {}: damage at byte {} before good records; kept as {}.damaged", self.path,
+            self.log.error("code 5001 log {}: damage at byte {} before good records; kept as {}.damaged", self.path,
                            end, self.path)
         if self.damaged:
             with open(self.path + ".damaged", "wb") as f:
@@ -58,7 +58,7 @@
             os.ftruncate(self._fd, end)
             os.fsync(self._fd)
             if self.log is not None:
-                self.log.warning("tollbook {}: cut {} bytes behind the last good record", self.path, size - end)
+                self.log.warning("log {}: cut {} bytes behind the last good record", self.path, size - end)
         self.size = end
         return recs
 
@@ -105,7 +105,7 @@
                 except OSError as e:
                     for f in futs:
                         if not f.done():
-                            f.set_exception(BookFault(f"{self.path}: {e}"))
+                            f.set_exception(LogError(f"{self.path}: {e}"))
                     continue
                 for f in futs:
                     if not f.done():
--- a/lines/tollbook/records.py
+++ b/lines/wal/records.py
@@ -1,4 +1,4 @@
-"""Records of a tollbook: length, checksum, bytes."""
+"""Records of a write-ahead log: length, checksum, bytes."""
 from __future__ import annotations
 
 import struct
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,7 +21,7 @@
 
 
 class MemBook:
-    """A tollbook in memory: what was synced, and what a loss of power leaves."""
+    """A wal in memory: what was synced, and what a loss of power leaves."""
 
     def __init__(self):
         self.raws: list = []
--- a/tests/microbench.py
+++ b/tests/microbench.py
@@ -14,7 +14,7 @@
 import orjson  # noqa: E402
 
 from lines.directory import Roll  # noqa: E402
-from lines.exchange.core import Core  # noqa: E402
+from lines.control.node import ControlNode  # noqa: E402
 from lines.frame import open_logs  # noqa: E402
 from lines.frame.boot import check_boot  # noqa: E402
 from lines.sends import Picker  # noqa: E402
@@ -78,7 +78,7 @@
     boot = check_boot({"NodeName": "c", "Role": "core", "IpAddress": "127.0.0.1", "Zone": "z0",
                        "Bindings": {"ControlPlane": "127.0.0.1:1"}, "InternalPorts": [2, 3],
                        "SeedPeers": ["127.0.0.1:1"], "Bootstrap": True, "DataDir": "/tmp/unused"})
-    core = Core(boot, open_logs("bench", "CRITICAL"))
+    core = ControlNode(boot, open_logs("bench", "CRITICAL"))
     core.in_touch = lambda: True
     for e in entries(count):
         core.roll.beat(e, 0.0)
@@ -104,7 +104,7 @@
     boot = check_boot({"NodeName": "c", "Role": "core", "IpAddress": "127.0.0.1", "Zone": "z0",
                        "Bindings": {"ControlPlane": "127.0.0.1:1"}, "InternalPorts": [2, 3],
                        "SeedPeers": ["127.0.0.1:1"], "Bootstrap": True, "DataDir": "/tmp/unused"})
-    a, b = (Core(boot, open_logs("bench", "CRITICAL")) for _ in range(2))
+    a, b = (ControlNode(boot, open_logs("bench", "CRITICAL")) for _ in range(2))
     a.id, b.id = "a", "b"
     ents = entries(count)
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -8,8 +8,8 @@
 import orjson
 from aiohttp import web
 
-from lines.exchange.core import Core
-from lines.exchange.store import Store
+from lines.control.node import ControlNode
+from lines.store.node import StoreNode
 from lines.frame import open_logs
 from lines.frame.boot import check_boot
 from lines.switchboard.edge import Edge
@@ -151,11 +151,11 @@
         return self
 
     async def add_core(self, i, first=True):
-        self.cores[i] = Core(self.boot("core", f"{self.net}.1.{i}", first), LOG)
+        self.cores[i] = ControlNode(self.boot("core", f"{self.net}.1.{i}", first), LOG)
         await self.cores[i].start()
 
     async def add_store(self, i, first=True):
-        self.stores[i] = Store(self.boot("store", f"{self.net}.2.{i}", first), LOG)
+        self.stores[i] = StoreNode(self.boot("store", f"{self.net}.2.{i}", first), LOG)
         await self.stores[i].start()
 
     async def kill(self, node):
--- a/tests/test_areacodes.py
+++ b/tests/test_areacodes.py
@@ -12,8 +12,8 @@
 from lines.areacodes.faults import PolicyFault
 from lines.areacodes.patterns import fits, meet
 from lines.areacodes.reader import read_policy
-from lines.exchange.calls import BadCall, OnPolicy, decode
-from lines.exchange.parts import commands, news_view
+from lines.control.calls import BadCall, OnPolicy, decode
+from lines.control.registers import commands, news_view
 from lines.sends import Picker
 
 ZONES = {"z1": "attica", "z2": "thessaly", "z3": "crete"}
--- a/tests/test_tickets.py
+++ b/tests/test_batches.py
@@ -6,8 +6,8 @@
 from conftest import MemBook
 
 from lines.frame import Counters
-from lines.tickets import BadLot, Rec, Shelf, check_lot, pack, read_lot, unpack
-from lines.tickets.rec import pack_many, unpack_many
+from lines.batches import BadLot, Record, RecordStore, check_lot, pack, read_lot, unpack
+from lines.batches.record import pack_many, unpack_many
 
 B64 = base64.b64encode(b"body").decode()
 LOT = {"TrainStep": 1, "Model": "m", "MinRevision": 2, "DesiredCount": 1, "Entries": [
@@ -48,7 +48,7 @@
     head = {"k": kind, "lot": lot, "run": "m"}
     if kind == "R":
         head.update(pos=pos, term=term, item=item)
-    return Rec({**head, "by": by or term}, body)
+    return Record({**head, "by": by or term}, body)
 
 
 def test_records_pack():
@@ -64,7 +64,7 @@
 @pytest.mark.parametrize("promised, by, taken, after", CASES)
 def test_shelf_takes_by_term(run, clock, promised, by, taken, after):
     async def go():
-        shelf = Shelf(MemBook(), clock, Counters())
+        shelf = RecordStore(MemBook(), clock, Counters())
         if promised:
             await shelf.prepare("m", promised)
         assert await shelf.append([rec("L", by=by)]) == [taken]
@@ -75,7 +75,7 @@
 @pytest.mark.parametrize("terms, item", [([1, 2], "i2"), ([2, 1], "i1"), ([1, 1], "i1")])
 def test_a_position_is_replaced_only_by_a_higher_term(run, clock, terms, item):
     async def go():
-        shelf = Shelf(MemBook(), clock, Counters())
+        shelf = RecordStore(MemBook(), clock, Counters())
         for n, t in enumerate(terms, 1):
             await shelf.append([rec(term=t, by=9, item=f"i{n}")])
         assert shelf.lots["l"]["results"][0].head["item"] == item
@@ -85,7 +85,7 @@
 @pytest.mark.parametrize("first, second, ok", [(2, 1, False), (2, 2, True), (2, 3, True)])
 def test_prepare(run, clock, first, second, ok):
     async def go():
-        shelf = Shelf(MemBook(), clock, Counters())
+        shelf = RecordStore(MemBook(), clock, Counters())
         await shelf.append([rec("L"), rec(pos=0), rec("E")])
         await shelf.prepare("m", first)
         out = await shelf.prepare("m", second)
@@ -98,13 +98,13 @@
 def test_shelf_after_a_loss_of_power(run, clock):
     async def go():
         book = MemBook()
-        shelf = Shelf(book, clock, Counters())
+        shelf = RecordStore(book, clock, Counters())
         shelf.id = "s"
         await shelf.append([rec("L", by=4), rec(pos=0, term=3, by=4)])
-        again = Shelf(book, clock, Counters())
+        again = RecordStore(book, clock, Counters())
         again.load(book.raws)
         assert again.promised == {"m": 4} and again.lots["l"]["results"][0].head["term"] == 3
-        third = Shelf(book, clock, Counters())
+        third = RecordStore(book, clock, Counters())
         third.load(again.snapshot())
         assert third.promised == again.promised and third.lots.keys() == again.lots.keys()
     run(go())
@@ -122,14 +122,14 @@
 def test_intents_to_order_outlive_a_loss_of_power_and_are_forgotten_in_time(run, clock):
     async def go():
         book = MemBook()
-        shelf = Shelf(book, clock, Counters())
-        await shelf.append([Rec({"k": "O", "lot": "", "run": "m", "iid": "e1", "by": 2})])
+        shelf = RecordStore(book, clock, Counters())
+        await shelf.append([Record({"k": "O", "lot": "", "run": "m", "iid": "e1", "by": 2})])
         clock.at += 2
         assert (await shelf.prepare("m", 3))["orders"] == {"e1": 2.0}
-        again = Shelf(book, clock, Counters())
+        again = RecordStore(book, clock, Counters())
         again.load(book.raws)                      # how old it is cannot be known any more: it counts from now
         assert (await again.prepare("m", 4))["orders"] == {"e1": 0.0}
-        assert await again.append([Rec({"k": "O", "lot": "", "run": "m", "iid": "e2", "by": 2})]) == [False]
+        assert await again.append([Record({"k": "O", "lot": "", "run": "m", "iid": "e2", "by": 2})]) == [False]
         clock.at += 7
         again.forget([], 6.0)
         assert again.orders == {"m": {}}
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -1,7 +1,7 @@
 import orjson
 import pytest
 
-from lines.exchange.calls import BadCall, Beat, GetPlan, Leave, PutPlan, PutVersion, Retire, decode
+from lines.control.calls import BadCall, Beat, GetPlan, Leave, PutPlan, PutVersion, Retire, decode
 
 BEAT = {"Service": "s", "Address": "10.0.0.1:80", "Zone": "z", "SlotCount": 3, "OperState": "up", "Sequence": 4,
         "ModelList": [{"Name": "m", "Revision": 2}]}
--- a/tests/test_partyline.py
+++ b/tests/test_consensus.py
@@ -6,7 +6,7 @@
 from conftest import MemBook
 
 from lines.frame import Counters
-from lines.partyline import Commands, Keeper, Owner, Unclear, covers, majority
+from lines.consensus import Commands, Acceptor, Proposer, Unclear, covers, majority
 
 commands = Commands()
 
@@ -37,10 +37,10 @@
 
     def add(self, n, addr=None, base=True):
         ctr = Counters()
-        keeper = Keeper("p", MemBook(), ctr)
+        keeper = Acceptor("p", MemBook(), ctr)
         node = {"id": n, "addr": addr or n, "keeper": keeper, "known": None, "ctr": ctr, "founder": base}
         self.nodes[n] = node
-        node["owner"] = Owner("p", n, commands, lambda a, v, d, n=n: self.ask(n, a, v, d), lambda n=n: self.base(n),
+        node["owner"] = Proposer("p", n, commands, lambda a, v, d, n=n: self.ask(n, a, v, d), lambda n=n: self.base(n),
                               lambda p, s, n=n: self.publish(n, s), ctr, secs=0.2)
 
     def base(self, n):
@@ -248,7 +248,7 @@
     ("confirm", (2, "a"), False)])
 def test_keeper_answers_by_ballot(run, verb, ballot, ok):
     async def go():
-        k = Keeper("p", MemBook(), Counters())
+        k = Acceptor("p", MemBook(), Counters())
         await k.prepare((2, "b"))
         args = (ballot, {"stamp": 1, "val": {}, "voters": {}, "prev": None}) if verb == "accept" else (ballot,)
         assert (await getattr(k, verb)(*args))["ok"] is ok
@@ -257,7 +257,7 @@
 
 def test_keeper_rejects_an_older_state_of_the_same_ballot(run):
     async def go():
-        k = Keeper("p", MemBook(), Counters())
+        k = Acceptor("p", MemBook(), Counters())
         new, old = ({"stamp": s, "val": {}, "voters": {}, "prev": None} for s in (5, 4))
         assert (await k.accept((2, "b"), new))["ok"] and not (await k.accept((2, "b"), old))["ok"]
         assert k.ctr.all["part.accept_stale"] == 1
@@ -304,7 +304,7 @@
 def test_a_confirmation_under_another_ballot_is_counted(run, ballot, ok):
     async def go():
         ctr = Counters()
-        keeper = Keeper("p", MemBook(), ctr)
+        keeper = Acceptor("p", MemBook(), ctr)
         await keeper.prepare((2, "a"))
         assert (await keeper.confirm(ballot))["ok"] is ok and ctr.all["part.confirm_refused"] == (not ok)
     run(go())
--- a/tests/test_doctor.py
+++ b/tests/test_doctor.py
@@ -7,7 +7,7 @@
 from standins import World, plan
 
 from lines.testdesk import Doctor, report
-from lines.tollbook import pack_record
+from lines.wal import pack_record
 
 
 def settings(tmp_path, **change):
--- a/tests/test_newsreader.py
+++ b/tests/test_newsreader.py
@@ -5,13 +5,13 @@
 from lines.directory import Newsreader
 from lines.frame import Board, Counters
 from lines.frame.boot import check_boot
-from lines.trunk import Lines
+from lines.rpc import ConnectionPool
 
 BOOT = check_boot({"NodeName": "n", "IpAddress": "1.1.1.1", "InternalPorts": [7, 9], "SeedPeers": ["1.1.1.1:80", "1.1.1.2:80"]})
 
 
 def reader():
-    return Newsreader(BOOT, {"id": "n"}, Lines(Counters()), Board(), HandClock(), Counters())
+    return Newsreader(BOOT, {"id": "n"}, ConnectionPool(Counters()), Board(), HandClock(), Counters())
 
 
 def news(parts=None, roll=(), life="a", turn=1, cores=("1.1.1.1:7",)):
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -4,7 +4,7 @@
 import pytest
 from test_dialplan import BAD, GOOD, ROUTE, changed
 
-from lines.exchange.parts import commands
+from lines.control.registers import commands
 
 
 def do(val, cmd, /, **args):
--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -6,20 +6,20 @@
 import orjson
 import pytest
 from conftest import MemBook
-from test_tickets import LOT
+from test_batches import LOT
 
 from lines.directory import Neighbours, rank
-from lines.exchange.parts import commands
-from lines.exchange.store import Store
+from lines.control.registers import commands
+from lines.store.node import StoreNode
 from lines.frame import Board, Counters, Crew, open_logs
 from lines.frame.boot import check_boot
 from lines.supervisor import Reign
 from lines.supervisor.reign import fetch_over
 from lines.switchboard.lotdesk import LotDesk
-from lines.tickets import Copier, Quorum, Rec, Shelf, active
-from lines.tickets.copier import SHUN
-from lines.tickets.rec import pack_many, unpack_many
-from lines.trunk import LineFault
+from lines.batches import Replicator, Quorum, Record, RecordStore, active
+from lines.batches.replicator import SHUN
+from lines.batches.record import pack_many, unpack_many
+from lines.rpc import CallError
 
 LOG = open_logs("t", "CRITICAL")
 
@@ -61,12 +61,12 @@
 
     async def call(self, addr, verb, doc, body=b"", secs=1.0):
         if addr in self.dark:
-            raise LineFault(addr, sent=True)
+            raise CallError(addr, sent=True)
         node = self.at[addr]
         if verb == "store.ping":
-            return 1000, orjson.loads(orjson.dumps(Store.word(node))), b""
+            return 1000, orjson.loads(orjson.dumps(StoreNode.word(node))), b""
         if verb == "shelf.lacks":
-            return 1000, Store.lacks(node, doc["lot"]), b""
+            return 1000, StoreNode.lacks(node, doc["lot"]), b""
         if doc["to"] != node.id:
             return 2008, None, b""
         if verb == "shelf.append":
@@ -80,15 +80,15 @@
 class Node:
     """What a reign needs of a store."""
 
-    confirmed, fetch, ask_store, ping = Store.confirmed, Store.fetch, Store.ask_store, Store._ping_one
+    confirmed, fetch, ask_store, ping = StoreNode.confirmed, StoreNode.fetch, StoreNode.ask_store, StoreNode._ping_one
 
     def __init__(self, site, place, book, sid):
         self.site, self.place, self.id, self.clock, self.boot = site, place, sid, site.clock, site.boot
         self.log, self.ctr, self.board, self.beat_s, self.quiet_s = LOG, Counters(), Board(), 0.001, 0.05
-        self.shelf = Shelf(book, self.clock, self.ctr)
+        self.shelf = RecordStore(book, self.clock, self.ctr)
         self.shelf.load(book.raws)
         self.crew, self.lines, self.news, self.quorum = Crew(LOG, self.ctr), site, self, Quorum.of(site.boot)
-        self.copier = Copier(sid, self.shelf, site, self.members, self.alive, self.crew, self.ctr, 0.05, self.quorum)
+        self.copier = Replicator(sid, self.shelf, site, self.members, self.alive, self.crew, self.ctr, 0.05, self.quorum)
         self.proofs, self.ready, self.others, self.lag, self.lags = {}, True, Neighbours(), 0.0, {}
         self.verbs = SimpleNamespace(table={"shelf.prepare": self._prepare})
 
@@ -317,7 +317,7 @@
             if addr == slow and how == "it answers late":
                 await gate.wait()
             elif addr == slow:
-                raise LineFault("lost", sent=True)
+                raise CallError("lost", sent=True)
             return await real(addr, verb, *a, **kw)
         site.call = call
 
@@ -461,7 +461,7 @@
         site = Site(clock, settings(Machines=1), 3)
         st = site.at["p0"]
         change(site)
-        rec = Rec({"k": "E", "lot": "l", "run": "s"})
+        rec = Record({"k": "E", "lot": "l", "run": "s"})
         assert await st.copier.send("s1", "s", 1, [rec]) is out
         got = {k: v for k, v in st.ctr.all.items() if k.startswith("copy.")}
         assert got == ({count: 1} if count else {}) and ("s1" in rec.held) is (out is True)
--- a/tests/test_reign.py
+++ b/tests/test_reign.py
@@ -4,12 +4,12 @@
 import orjson
 import pytest
 from conftest import MemBook
-from test_tickets import LOT
+from test_batches import LOT
 
 from lines.frame import Board, Counters, Crew, open_logs
 from lines.frame.boot import check_boot
 from lines.supervisor import Reign
-from lines.tickets import Deposed, Quorum, Rec, Shelf
+from lines.batches import Deposed, Quorum, Record, RecordStore
 
 BOOT = check_boot({"NodeName": "n", "IpAddress": "1.1.1.1", "InternalPorts": [1, 9]})
 
@@ -39,7 +39,7 @@
         self.id, self.clock, self.boot = "me", clock, BOOT
         self.ctr, self.board, self.log, self.beat_s = Counters(), Board(), open_logs("t", "CRITICAL"), 0.01
         self.crew = Crew(self.log, self.ctr)
-        self.shelves = {n: Shelf(MemBook(), clock, Counters()) for n in names}
+        self.shelves = {n: RecordStore(MemBook(), clock, Counters()) for n in names}
         self.shelf, self.quorum = self.shelves["me"], Quorum.of(BOOT)
         self.copier = FakeCopier(self)
         self.news, self.silent, self.proof = self, set(), True
@@ -64,15 +64,15 @@
 
     async def fetch(self, sid, addr, lid, poss, lot):
         recs = self.shelves[sid].fetch(lid, poss, lot)
-        return [Rec(orjson.loads(orjson.dumps(r.head)), r.body) for r in recs]
+        return [Record(orjson.loads(orjson.dumps(r.head)), r.body) for r in recs]
 
 
 def lot_rec():
-    return Rec({"k": "L", "lot": "l", "run": "s", "host": "h", "path": "/p/", "by": 1}, orjson.dumps(LOT))
+    return Record({"k": "L", "lot": "l", "run": "s", "host": "h", "path": "/p/", "by": 1}, orjson.dumps(LOT))
 
 
 def res(pos, term, item):
-    return Rec({"k": "R", "lot": "l", "run": "s", "pos": pos, "term": term, "item": item, "by": term},
+    return Record({"k": "R", "lot": "l", "run": "s", "pos": pos, "term": term, "item": item, "by": term},
                orjson.dumps({"InstanceId": item, "t": term}))
 
 
@@ -131,7 +131,7 @@
     async def go():
         st = FakeStore(clock)
         for n in ("b", "c"):
-            await st.shelves[n].append([Rec({"k": "O", "lot": "", "run": "s", "iid": "e1", "by": 1})])
+            await st.shelves[n].append([Record({"k": "O", "lot": "", "run": "s", "iid": "e1", "by": 1})])
         clock.at += age
         reign = Reign(st, "s", 2)
         await reign.begin()
--- a/tests/test_trunk.py
+++ b/tests/test_rpc.py
@@ -4,14 +4,14 @@
 import pytest
 
 from lines.frame import Counters, open_logs
-from lines.trunk import Desk, Envelope, LineFault, Lines, Refusal, Slab, Verbs
-from lines.trunk.framing import FrameFault, pack, read_frame
+from lines.rpc import Server, Envelope, CallError, ConnectionPool, Refusal, PendingCalls, Handlers
+from lines.rpc.framing import FrameFault, pack, read_frame
 
 FRAME = pack(Envelope(call=7, verb="ping", head=b"{}"))
 
 
 def test_slab_keys_are_never_used_twice():
-    s = Slab()
+    s = PendingCalls()
     a = s.put("a")
     assert s.take(a) == "a" and s.take(a) is None
     b = s.put("b")
@@ -57,7 +57,7 @@
 
 
 def build():
-    verbs, ctr = Verbs(), Counters()
+    verbs, ctr = Handlers(), Counters()
 
     @verbs.on("echo")
     async def echo(doc, body):
@@ -74,21 +74,21 @@
     @verbs.on("never")
     async def never(doc, body):
         await asyncio.get_running_loop().create_future()
-    return Desk(verbs, open_logs("t", "CRITICAL"), ctr), ctr
+    return Server(verbs, open_logs("t", "CRITICAL"), ctr), ctr
 
 
 def test_calls_and_answers(run):
     async def go():
         desk, ctr = build()
         await desk.open("127.0.0.1:0")
-        lines = Lines(ctr)
+        lines = ConnectionPool(ctr)
         line = lines.to(f"127.0.0.1:{desk.port()}")
         outs = await asyncio.gather(*(line.call("echo", {"n": n}, b"%d" % n) for n in range(20)))
         assert [(c, d["n"], b) for c, d, b in outs] == [(1000, n, b"%d" % n) for n in range(20)]
         assert (await line.call("no"))[:2] == (3003, "why")
         assert (await line.call("bad"))[0] == 5001
         assert (await line.call("unheard"))[0] == 2009
-        with pytest.raises(LineFault) as e:
+        with pytest.raises(CallError) as e:
             await line.call("never", secs=0.05)
         assert e.value.sent
         lines.end()
@@ -100,13 +100,13 @@
     async def go():
         desk, ctr = build()
         await desk.open("127.0.0.1:0")
-        lines = Lines(ctr)
+        lines = ConnectionPool(ctr)
         good = lines.to(f"127.0.0.1:{desk.port()}")
         await good.call("echo", 1)
         rd, wr = await asyncio.open_connection("127.0.0.1", desk.port())
         wr.write(b"\x00\x00\x00\x02abcdXY")
         assert await rd.read() == b""
-        assert (await good.call("echo", 2))[1] == 2 and ctr.all["trunk.bad_frame"] == 1
+        assert (await good.call("echo", 2))[1] == 2 and ctr.all["rpc.bad_frame"] == 1
         lines.end()
         await desk.close()
     run(go())
@@ -123,11 +123,11 @@
     async def go():
         srv = await asyncio.start_server(serve, "127.0.0.1", 0)
         ctr = Counters()
-        lines = Lines(ctr)
+        lines = ConnectionPool(ctr)
         line = lines.to(f"127.0.0.1:{srv.sockets[0].getsockname()[1]}")
         assert (await line.call("x"))[1] == 1
         assert (await line.call("x"))[1] == 2
-        assert ctr.all["trunk.late_answer"] == 3     # another turn's, the doubled one, the first call's once more
+        assert ctr.all["rpc.late_answer"] == 3     # another turn's, the doubled one, the first call's once more
         lines.end()
         srv.close()
     run(go())
@@ -145,13 +145,13 @@
                 wr.write(pack(Envelope(call=call, code=1000, head=head)))
         srv = await asyncio.start_server(serve, "127.0.0.1", 0)
         ctr = Counters()
-        lines = Lines(ctr)
+        lines = ConnectionPool(ctr)
         line = lines.to(f"127.0.0.1:{srv.sockets[0].getsockname()[1]}")
-        with pytest.raises(LineFault):
+        with pytest.raises(CallError):
             await line.call("x", secs=0.01)
         nxt = asyncio.ensure_future(line.call("y", secs=30))
         gate.set()
-        assert (await nxt)[1] == 2 and ctr.all["trunk.late_answer"] == 1
+        assert (await nxt)[1] == 2 and ctr.all["rpc.late_answer"] == 1
         lines.end()
         srv.close()
     run(go())
@@ -163,7 +163,7 @@
         port = srv.sockets[0].getsockname()[1]
         srv.close()
         await srv.wait_closed()
-        with pytest.raises(LineFault) as e:
-            await Lines(Counters()).to(f"127.0.0.1:{port}").call("x")
+        with pytest.raises(CallError) as e:
+            await ConnectionPool(Counters()).to(f"127.0.0.1:{port}").call("x")
         assert not e.value.sent
     run(go())
--- a/tests/test_share_group.py
+++ b/tests/test_share_group.py
@@ -6,7 +6,7 @@
 from standins import lot
 from test_system import holder, world
 
-from lines.trunk import Refusal
+from lines.rpc import Refusal
 
 
 def workers(w, but=None):
--- a/tests/test_share_window.py
+++ b/tests/test_share_window.py
@@ -7,7 +7,7 @@
 from lines.cordboard.journal import EVERY, batches
 from lines.cordboard.window import TABLE
 from lines.frame import Counters
-from lines.tickets import Rec, Shelf
+from lines.batches import Record, RecordStore
 
 
 def window(n=5, locks=200):
@@ -146,7 +146,7 @@
 
 
 def spoil(rec):
-    return Rec(rec.head, rec.body[:-3])
+    return Record(rec.head, rec.body[:-3])
 
 
 @pytest.mark.parametrize("harm, deltas, counted", DAMAGE)
@@ -180,13 +180,13 @@
 @pytest.mark.parametrize("writes, kept", WRITES)
 def test_a_store_keeps_the_newest_snapshot_and_its_deltas(run, clock, writes, kept):
     async def go():
-        shelf = Shelf(MemBook(), clock, Counters())
+        shelf = RecordStore(MemBook(), clock, Counters())
         for k, term, se, n in writes:
-            await shelf.append([Rec({"k": k, "lot": "window|m", "run": "r", "part": "m", "term": term, "se": se, "n": n,
+            await shelf.append([Record({"k": k, "lot": "window|m", "run": "r", "part": "m", "term": term, "se": se, "n": n,
                                      "by": 2}, b"{}")])
         have = [(r.head["k"], r.head["term"], r.head["se"], r.head["n"]) for r in shelf.windows.get(("r", "m"), [])]
         assert have == kept
-        again = Shelf(MemBook(), clock, Counters())
+        again = RecordStore(MemBook(), clock, Counters())
         again.load(shelf.snapshot())
         assert [(r.head["k"], r.head["se"], r.head["n"]) for r in again.windows.get(("r", "m"), [])] == [
             (k, se, n) for k, _, se, n in kept]
@@ -196,9 +196,9 @@
 def test_a_leader_of_an_older_epoch_writes_nothing(run, clock):
     async def go():
         ctr = Counters()
-        shelf = Shelf(MemBook(), clock, ctr)
+        shelf = RecordStore(MemBook(), clock, ctr)
         await shelf.prepare("r", 5)
-        rec = Rec({"k": "S", "lot": "window|m", "run": "r", "part": "m", "term": 4, "se": 1, "n": 0, "by": 4}, b"{}")
+        rec = Record({"k": "S", "lot": "window|m", "run": "r", "part": "m", "term": 4, "se": 1, "n": 0, "by": 4}, b"{}")
         assert await shelf.append([rec]) == [False] and not shelf.windows and ctr.all["shelf.stale_term"] == 1
     run(go())
 
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -8,7 +8,7 @@
 from conftest import HandClock
 
 from lines.directory import Roll
-from lines.exchange.core import Core
+from lines.control.node import ControlNode
 from lines.frame import open_logs
 from lines.frame.boot import check_boot
 from lines.sends import Caller, Picker
@@ -206,7 +206,7 @@
 
 
 def core(n=1):
-    c = Core(boot(n), open_logs("test", "CRITICAL"), HandClock())
+    c = ControlNode(boot(n), open_logs("test", "CRITICAL"), HandClock())
     c.id, c.in_touch = f"c{n}", lambda: True
     return c
 
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -7,8 +7,8 @@
 from standins import lot, plan
 from test_system import holder, world
 
-from lines.tickets import Deposed
-from lines.trunk import LineFault
+from lines.batches import Deposed
+from lines.rpc import CallError
 
 
 def copies(w, lid, total):
@@ -304,7 +304,7 @@
 
     async def call(self, *a, **kw):
         await asyncio.sleep(0)
-        raise LineFault("cut", sent=True)
+        raise CallError("cut", sent=True)
 
     def heal(self):
         self.node.lines.to = self.real
--- a/tests/test_tollbook.py
+++ b/tests/test_wal.py
@@ -1,6 +1,6 @@
 import pytest
 
-from lines.tollbook import Tollbook, pack_record, read_records
+from lines.wal import WriteAheadLog, pack_record, read_records
 
 RECS = [b"one", b"", b"three" * 100]
 WHOLE = b"".join(pack_record(r) for r in RECS)
@@ -22,7 +22,7 @@
 
 def test_append_load_and_cut(run, tmp_path):
     async def go():
-        book = Tollbook(str(tmp_path))
+        book = WriteAheadLog(str(tmp_path))
         assert book.load() == []
         book.start()
         await book.append(b"a", b"b")
@@ -30,19 +30,19 @@
         await book.close()
         with open(book.path, "ab") as f:
             f.write(pack_record(b"torn")[:-2])
-        again = Tollbook(str(tmp_path))
+        again = WriteAheadLog(str(tmp_path))
         assert again.load() == [b"a", b"b", b"c"] and not again.damaged
         again.start()
         await again.append(b"d")
         await again.close()
-        assert Tollbook(str(tmp_path)).load() == [b"a", b"b", b"c", b"d"]
+        assert WriteAheadLog(str(tmp_path)).load() == [b"a", b"b", b"c", b"d"]
     run(go())
 
 
 def test_damage_is_reported_and_kept(tmp_path):
     path = tmp_path / "tolls"
     path.write_bytes(pack_record(b"a") + b"rot!" + pack_record(b"b"))
-    book = Tollbook(str(tmp_path))
+    book = WriteAheadLog(str(tmp_path))
     assert book.load() == [b"a"] and book.damaged
     assert (tmp_path / "tolls.damaged").exists()
 
@@ -50,7 +50,7 @@
 def test_rewrite_takes_what_waits_behind_it(run, tmp_path):
     async def go():
         import asyncio
-        book = Tollbook(str(tmp_path))
+        book = WriteAheadLog(str(tmp_path))
         book.load()
         book.start()
         await book.append(*[b"x" * 100] * 50)
@@ -58,12 +58,12 @@
         size = book.size
         await book.close()
         assert size < 200
-        assert Tollbook(str(tmp_path)).load() == [b"kept", b"new"]
+        assert WriteAheadLog(str(tmp_path)).load() == [b"kept", b"new"]
     run(go())
 
 
 def test_half_written_rewrite_is_dropped(tmp_path):
     (tmp_path / "tolls").write_bytes(pack_record(b"old"))
     (tmp_path / "tolls.new").write_bytes(pack_record(b"half")[:5])
-    assert Tollbook(str(tmp_path)).load() == [b"old"]
+    assert WriteAheadLog(str(tmp_path)).load() == [b"old"]
     assert not (tmp_path / "tolls.new").exists()
