Consensus: a ballot belongs to one life; memory follows the disk; a batch is served by its own task

A ballot now names the life of its proposer; Acceptor changes memory only after the record's sync; a second accept of a state under its ballot is answered without a write; a malformed command fails alone; a command has an end and is not begun for a caller that has gone; newcomers of a group learn the state before they count; of several accepted states the highest ballot counts, of one ballot the latest version.

--- a/lines/consensus/__init__.py
+++ b/lines/consensus/__init__.py
@@ -1,7 +1,8 @@
 """Agreement of one part: a versioned register over a small group, in the manner of CASPaxos."""
 from .group import covers, majority
 from .acceptor import Acceptor
+from .ballot import Ballot
 from .proposer import Proposer, Unclear
 from .commands import Commands
 
-__all__ = ["covers", "majority", "Acceptor", "Proposer", "Unclear", "Commands"]
+__all__ = ["covers", "majority", "Acceptor", "Ballot", "Proposer", "Unclear", "Commands"]
--- a/lines/consensus/acceptor.py
+++ b/lines/consensus/acceptor.py
@@ -1,64 +1,86 @@
-"""The keeping side of a part: promises and accepted states, synced before they are answered."""
+"""The voting side of a register: promises and accepted states.
+
+Memory follows the disk. A promise or a state counts here, and is told to others, only once its record is synced. When
+the append fails, nothing has changed: the proposer gets no answer, and a second try writes the record again. The record
+of a failed try may still be found after a restart; that is the same as an answer that was lost on its way.
+"""
 from __future__ import annotations
 
 import asyncio
 
 import orjson
 
-ZERO = (0, "")
+from .ballot import ZERO, Ballot
 
 
 class Acceptor:
-    """One node's memory of one part.
+    """One node's vote on one register.
 
-    >>> # keeper = Acceptor("plan", book); await keeper.prepare((1, "a"))
+    >>> # acceptor = Acceptor("plan", log, counters); await acceptor.prepare(Ballot(1, "a", "life"))
     """
 
     def __init__(self, part: str, book, counters):
         self.part, self.book, self.ctr = part, book, counters
-        self.promised: tuple = ZERO
-        self.ballot: tuple = ZERO
+        self.promised: Ballot = ZERO
+        self.ballot: Ballot = ZERO
         self.state: dict | None = None
-        self._lock = asyncio.Lock()
+        self.lock = asyncio.Lock()   # held from the decision on a request until its record is synced
 
     def adopt(self, rec: dict) -> None:
-        """Take up a record read from the write-ahead log."""
-        self.promised = max(self.promised, tuple(rec["b"]))
+        """Take up a record read from the log; later records stand behind earlier ones."""
+        self.promised = max(self.promised, Ballot.read(rec["b"]))
         if rec.get("s") is not None:
-            self.ballot, self.state = tuple(rec["ab"]), rec["s"]
+            self.ballot, self.state = Ballot.read(rec["ab"]), rec["s"]
 
     def record(self) -> bytes:
-        """All that this keeper must not forget, as one record."""
-        return orjson.dumps({"p": self.part, "b": self.promised, "ab": self.ballot, "s": self.state})
+        """All that this acceptor must not forget, as one record."""
+        return _record(self.part, self.promised, self.ballot, self.state)
+
+    @property
+    def version(self) -> int:
+        """The version of the accepted state; 0 without one."""
+        return self.state["stamp"] if self.state is not None else 0
 
-    async def prepare(self, ballot: tuple) -> dict:
+    async def prepare(self, ballot) -> dict:
         """Promise to take nothing under a lower ballot; tells what was accepted."""
-        async with self._lock:
+        ballot = Ballot.read(ballot)
+        async with self.lock:
             if ballot < self.promised:
                 self.ctr.add("part.prepare_refused")
-                return {"ok": False, "promised": self.promised}
+                return {"ok": False, "promised": self.promised.wire()}
             if ballot > self.promised:
+                await self.book.append(orjson.dumps({"p": self.part, "b": ballot.wire()}))
                 self.promised = ballot
-                await self.book.append(orjson.dumps({"p": self.part, "b": ballot}))
-            return {"ok": True, "ballot": self.ballot, "state": self.state}
+            return {"ok": True, "ballot": self.ballot.wire(), "state": self.state}
 
-    async def accept(self, ballot: tuple, state: dict) -> dict:
-        """Take a state unless a higher ballot was promised, or a later state of this one was taken."""
-        async with self._lock:
+    async def accept(self, ballot, state: dict) -> dict:
+        """Take a state unless a higher ballot was promised, or a later state of this ballot was taken."""
+        ballot = Ballot.read(ballot)
+        async with self.lock:
             if ballot < self.promised:
                 self.ctr.add("part.accept_refused")
-                return {"ok": False, "promised": self.promised}
-            if self.state is not None and ballot == self.ballot and state["stamp"] < self.state["stamp"]:
-                self.ctr.add("part.accept_stale")
-                return {"ok": False, "promised": self.promised}
+                return {"ok": False, "promised": self.promised.wire()}
+            if self.state is not None and ballot == self.ballot:
+                if state["stamp"] < self.state["stamp"]:
+                    self.ctr.add("part.accept_stale")
+                    return {"ok": False, "promised": self.promised.wire()}
+                if state["stamp"] == self.state["stamp"]:
+                    return {"ok": True}   # a repeated message: one ballot never gives a version to two states
+            await self.book.append(_record(self.part, ballot, ballot, state))
             self.promised = self.ballot = ballot
             self.state = state
-            await self.book.append(self.record())
             return {"ok": True}
 
-    async def confirm(self, ballot: tuple) -> dict:
-        """Whether nothing higher than this ballot was promised here."""
-        async with self._lock:
-            if ballot != self.promised:
-                self.ctr.add("part.confirm_refused")
-            return {"ok": ballot == self.promised, "promised": self.promised}
+    async def confirm(self, ballot) -> dict:
+        """Whether nothing higher than this ballot was promised here.
+
+        A promise that is on its way to the disk has not been told to anyone, so it need not be waited for.
+        """
+        ok = Ballot.read(ballot) == self.promised
+        if not ok:
+            self.ctr.add("part.confirm_refused")
+        return {"ok": ok, "promised": self.promised.wire()}
+
+
+def _record(part: str, promised: Ballot, ballot: Ballot, state: dict | None) -> bytes:
+    return orjson.dumps({"p": part, "b": promised.wire(), "ab": ballot.wire(), "s": state})
--- a/lines/consensus/commands.py
+++ b/lines/consensus/commands.py
@@ -1,4 +1,10 @@
-"""Commands on a part's value, by name: each says what came of it and whether it changed the value."""
+"""Commands on a register's value, by name: each says what came of it and whether it changed the value."""
+from __future__ import annotations
+
+import orjson
+
+MALFORMED = 2001
+UNKNOWN = 2009
 
 
 class Commands:
@@ -15,13 +21,34 @@
         self.table: dict = {}
 
     def on(self, name: str):
+        """Register a command: a function of the value and the arguments that gives (code, document, changed)."""
         def put(fn):
             self.table[name] = fn
             return fn
         return put
 
     def run(self, val: dict, name: str, args: dict):
+        """Run one command on the value in place: (code, document, changed)."""
         fn = self.table.get(name)
         if fn is None:
-            return 2009, None, False
+            return UNKNOWN, None, False
         return fn(val, args)
+
+    def run_apart(self, val: dict, name: str, args: dict):
+        """Run one command of a batch: (code, document, changed, value after it).
+
+        A command that fails on what it was given is refused alone. It works on a copy, so that no trace of it is left
+        in the value that the others of the batch see.
+
+        >>> c = Commands()
+        >>> @c.on("bad")
+        ... def bad(val, args): val["x"] = 1; raise KeyError("y")
+        >>> c.run_apart({}, "bad", {})
+        (2001, "KeyError('y')", False, {})
+        """
+        trial = orjson.loads(orjson.dumps(val))
+        try:
+            code, doc, changed = self.run(trial, name, args)
+        except (KeyError, TypeError, ValueError, AttributeError, IndexError) as e:
+            return MALFORMED, repr(e), False, val
+        return code, doc, changed, trial if changed else val
--- a/lines/consensus/proposer.py
+++ b/lines/consensus/proposer.py
@@ -1,162 +1,260 @@
-"""The asking side of a part: runs commands on the register under a ballot that it keeps while nobody objects."""
+"""The asking side of a register: runs commands on it under a ballot that is kept while nobody objects."""
 from __future__ import annotations
 
 import asyncio
 import random
+from dataclasses import dataclass, field
 
 import orjson
 
+from .ballot import ZERO, Ballot, new_life
 from .group import covers, members
 
+TRIES = 3                    # rounds under new ballots before the outcome is called unclear
+GROUP_STEPS = 4              # changes of the group that a prepare follows
+PAUSE = (0.02, 0.12)         # of the time for a round: the pause before a new ballot
+
 
 class Unclear(Exception):
     """No majority answered: what was asked may have been taken, or not."""
 
 
+@dataclass(slots=True)
+class _Job:
+    """A command that waits for its result. After `end` it is not started any more."""
+
+    name: str
+    args: dict
+    done: asyncio.Future
+    end: float
+
+    def wanted(self, now: float) -> bool:
+        """Whether somebody still waits for it, and its time has not run out."""
+        return not self.done.done() and now < self.end
+
+    def fail(self, why: Exception) -> None:
+        if not self.done.done():
+            self.done.set_exception(why)
+
+
+@dataclass(slots=True)
+class _Heard:
+    """What the acceptors of one prepare have told."""
+
+    answers: dict = field(default_factory=dict)
+    state: dict | None = None
+    ballot: Ballot = ZERO
+
+    def add(self, got: dict) -> None:
+        """Fold in answers; the state under the highest ballot counts, of one ballot the latest."""
+        self.answers.update(got)
+        for answer in got.values():
+            state = answer["state"]
+            if state is None:
+                continue
+            rank = (Ballot.read(answer["ballot"]), state["stamp"])
+            if self.state is None or rank > (self.ballot, self.state["stamp"]):
+                self.state, self.ballot = state, rank[0]
+
+
 class Proposer:
-    """Runs commands on one part, several at a time in one round.
+    """Runs commands on one register, several at a time in one round.
 
-    ask(addr, verb, doc) calls another node (or this one) and gives its answer, or None.
+    ask(addr, verb, doc) calls another node (or this one) and gives its answer, or None. base() gives the newest state
+    that this node has seen, to know whom to ask; least() the version that is known to be chosen.
 
-    >>> # code, doc = await owner.do("plan.get", {}); raises Unclear
+    >>> # code, doc = await proposer.do("plan.get", {}); raises Unclear
     """
 
-    def __init__(self, part, me, commands, ask, base, publish, counters, secs=1.0):
+    def __init__(self, part, me, commands, ask, base, publish, counters, secs=1.0, least=None, life=None):
         self.part, self.me, self.commands = part, me, commands
         self._ask, self._base, self._publish, self.ctr = ask, base, publish, counters
+        self._least = least or (lambda: 0)
         self.secs = secs
-        self.lead: tuple | None = None
+        self.life = life or new_life()
+        self.lead: Ballot | None = None
         self.state: dict | None = None
         self.settled = False
         self.top = 0
-        self._inbox: list = []
+        self._queue: list[_Job] = []
         self._busy = asyncio.Lock()
+        self._runner: asyncio.Task | None = None
         self._late: set = set()
 
-    async def do(self, name: str, args: dict):
-        """Run a command; its code and document once a majority stands behind them."""
-        fut = asyncio.get_running_loop().create_future()
-        self._inbox.append((name, args, fut))
-        async with self._busy:
-            if not fut.done():
-                jobs, self._inbox = self._inbox, []
-                await self._serve(jobs)
-        return fut.result()
+    async def do(self, name: str, args: dict, within: float = float("inf")):
+        """Run a command; its code and document once a majority stands behind them.
+
+        A command that has not begun after `within` seconds, or whose caller has gone, is never begun.
+        """
+        loop = asyncio.get_running_loop()
+        job = _Job(name, args, loop.create_future(), loop.time() + within)
+        self._queue.append(job)
+        if self._runner is None or self._runner.done():
+            # a task of its own: a caller that is cancelled takes nobody else's command with it
+            self._runner = loop.create_task(self._run())
+        return await job.done
 
     async def regroup(self, voters: dict) -> bool:
-        """Change the group, one step at a time, through a state that both groups must accept."""
+        """Change the group, one step at a time, through a state that both groups must accept.
+
+        A newcomer learns the whole state, synced, before the change begins, so that it never votes without it.
+        """
         async with self._busy:
             if not await self._hold():
                 return False
-            if self.state["prev"]:
-                if not await self._accept({**self.state, "prev": None, "stamp": self.state["stamp"] + 1}):
-                    return False
-            if voters and voters != self.state["voters"]:
-                old = self.state["voters"]
-                if not await self._accept({**self.state, "voters": voters, "prev": old,
-                                           "stamp": self.state["stamp"] + 1}):
-                    return False
-                return await self._accept({**self.state, "prev": None, "stamp": self.state["stamp"] + 1})
-            return self.settled or await self._accept(self.state)
+            if self.state["prev"] and not await self._accept(self._next(prev=None)):
+                return False
+            if not voters or voters == self.state["voters"]:
+                return self.settled or await self._accept(self.state)
+            joiners = {k: v for k, v in voters.items() if k not in self.state["voters"]}
+            if not await self._teach(joiners):
+                return False
+            step = self._next(voters=voters, prev=self.state["voters"])
+            return await self._accept(step, joiners) and await self._accept(self._next(prev=None), joiners)
+
+    def _next(self, **changes) -> dict:
+        return {**self.state, **changes, "stamp": self.state["stamp"] + 1}
+
+    async def _teach(self, learners: dict) -> bool:
+        if not learners:
+            return True
+        doc = {"ballot": self.lead.wire(), "state": self.state}
+        got = await self._poll(learners, "part.accept", doc, lambda g: set(g) >= set(learners))
+        if all(k in got and got[k]["ok"] for k in learners):
+            return True
+        if any(not a["ok"] for a in got.values()):
+            self.lead, self.settled = None, False   # it promised a higher ballot: the next try goes above it
+        self.ctr.add("part.learner_silent")
+        return False
+
+    async def _run(self) -> None:
+        while self._queue:
+            async with self._busy:
+                jobs, self._queue = self._queue, []
+                try:
+                    await self._serve(jobs)
+                except Exception as e:
+                    self.ctr.add("part.fault")
+                    for job in jobs:
+                        job.fail(Unclear(f"{self.part}: {e!r}"))
 
     async def _hold(self) -> bool:
-        for _ in range(3):
+        for _ in range(TRIES):
             if self.lead is not None or await self._prepare():
                 return True
-            await asyncio.sleep(self.secs * random.uniform(0.02, 0.12))
+            await asyncio.sleep(self.secs * random.uniform(*PAUSE))
         return False
 
     async def _serve(self, jobs: list) -> None:
-        for _ in range(3):
-            if not await self._hold():
+        loop = asyncio.get_running_loop()
+        for _ in range(TRIES):
+            if not any(job.wanted(loop.time()) for job in jobs) or not await self._hold():
                 break
-            val = orjson.loads(orjson.dumps(self.state["val"]))
-            outs, did = [], False
-            for name, args, _ in jobs:
-                code, doc, changed = self.commands.run(val, name, args)
-                outs.append((code, doc))
-                did = did or changed
-            if did:
-                ok = await self._accept({**self.state, "val": val, "stamp": self.state["stamp"] + 1})
+            now = loop.time()
+            live = [job for job in jobs if job.wanted(now)]
+            val, results, changed = self._apply(live)
+            if changed:
+                ok = await self._accept(self._next(val=val))
             elif not self.settled:
                 ok = await self._accept(self.state)
             else:
                 ok = await self._confirm()
             if ok:
-                for (_, _, fut), out in zip(jobs, outs):
-                    if not fut.done():
-                        fut.set_result(out)
-                return
-        for _, _, fut in jobs:
-            if not fut.done():
-                fut.set_exception(Unclear(self.part))
+                for job, result in zip(live, results):
+                    if not job.done.done():
+                        job.done.set_result(result)
+        for job in jobs:
+            job.fail(Unclear(self.part))
+
+    def _apply(self, jobs: list) -> tuple:
+        """Run commands one behind the other: the value after them, the result of each, whether any changed it."""
+        val, results, changed = self.state["val"], [], False
+        for job in jobs:
+            args = {**job.args, "at_version": self.state["stamp"]}
+            code, doc, did, val = self.commands.run_apart(val, job.name, args)
+            results.append((code, doc))
+            changed = changed or did
+        return val, results, changed
 
     async def _poll(self, targets: dict, verb: str, doc: dict, enough) -> dict:
         """Ask all targets at once; the answers by id, as soon as there are enough or one refuses."""
+        loop = asyncio.get_running_loop()
         tasks = {asyncio.ensure_future(self._ask(addr, verb, {"part": self.part, **doc})): vid
                  for vid, addr in targets.items()}
         got: dict = {}
         wait = set(tasks)
-        end = asyncio.get_running_loop().time() + self.secs
-        while wait and not enough(got):
-            left = end - asyncio.get_running_loop().time()
-            if left <= 0:
-                break
-            done, wait = await asyncio.wait(wait, timeout=left, return_when=asyncio.FIRST_COMPLETED)
-            for t in done:
-                ans = t.result()
-                if ans is not None and ans.get("me") != tasks[t]:
-                    self.ctr.add("part.other_life")
-                elif ans is not None:
-                    got[tasks[t]] = ans
-                    if not ans.get("ok"):
-                        self.top = max(self.top, ans["promised"][0])
+        end = loop.time() + self.secs
+        while wait and not enough(got) and loop.time() < end:
+            done, wait = await asyncio.wait(wait, timeout=end - loop.time(), return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                self._note(tasks[task], task, got)
             if any(not a.get("ok") for a in got.values()):
                 break
-        for t in wait:
-            self._late.add(t)
-            t.add_done_callback(self._late.discard)
+        for task in wait:
+            self._late.add(task)
+            task.add_done_callback(self._forget_late)
         return got
 
+    def _note(self, vid: str, task: asyncio.Task, got: dict) -> None:
+        """Fold one answer, if the very node that was meant gave it; a call that failed is no answer."""
+        if task.exception() is not None:
+            self.ctr.add("part.ask_failed")
+            return
+        answer = task.result()
+        if answer is None:
+            return
+        if answer.get("me") != vid:
+            self.ctr.add("part.other_life")
+            return
+        got[vid] = answer
+        if not answer.get("ok"):
+            self.top = max(self.top, answer["promised"][0])
+
+    def _forget_late(self, task: asyncio.Task) -> None:
+        self._late.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.ctr.add("part.ask_failed")
+
     async def _prepare(self) -> bool:
         base = self._base()
         if base is None:
             return False
         self.top += 1
-        ballot = (self.top, self.me)
-        seen, best, best_ballot, yes = base, base, (0, ""), {}
-        for _ in range(4):
-            cfg = seen
-            got = await self._poll({k: v for k, v in members(cfg).items() if k not in yes}, "part.prepare",
-                                   {"ballot": ballot}, lambda g: covers(set(g) | set(yes), cfg))
+        ballot = Ballot(self.top, self.me, self.life)
+        heard, group = _Heard(), base
+        for _ in range(GROUP_STEPS):
+            targets = {k: v for k, v in members(group).items() if k not in heard.answers}
+            got = await self._poll(targets, "part.prepare", {"ballot": ballot.wire()},
+                                   lambda g: covers(set(g) | set(heard.answers), group))
             if any(not a["ok"] for a in got.values()):
                 self.ctr.add("part.lost_race")
                 return False
-            yes.update(got)
-            for ans in yes.values():
-                if ans["state"] is not None:
-                    rank = (tuple(ans["ballot"]), ans["state"]["stamp"])
-                    if rank[0] > best_ballot or (rank[0] == best_ballot and rank[1] > best["stamp"]):
-                        best, best_ballot = ans["state"], rank[0]
-            if not covers(set(yes), cfg):
+            heard.add(got)
+            if not covers(set(heard.answers), group):
                 return False
-            if covers(set(yes), best):
-                break
-            seen = best
-        else:
-            return False
-        if best["stamp"] < base["stamp"]:
+            state = heard.state or base
+            if covers(set(heard.answers), state):
+                return self._take_lead(ballot, state)
+            group = state
+        return False
+
+    def _take_lead(self, ballot: Ballot, state: dict) -> bool:
+        if state["stamp"] < self._least():
+            self.ctr.add("part.older_than_chosen")   # these voters were left behind by a change of the group
             return False
-        self.lead, self.state, self.settled = ballot, best, False
+        self.lead, self.state, self.settled = ballot, state, False
         self.ctr.add("part.lead")
         return True
 
-    async def _accept(self, state: dict) -> bool:
+    async def _accept(self, state: dict, must=()) -> bool:
+        """Have a state accepted by both groups that count, and by each of `must`."""
         before, ballot = self.state, self.lead
-        got = await self._poll(members(state) | members(before), "part.accept", {"ballot": ballot, "state": state},
-                               lambda g: covers(set(g), state) and covers(set(g), before))
-        yes = {k for k, a in got.items() if a["ok"]}
-        if covers(yes, state) and covers(yes, before):
+
+        def chosen(ids) -> bool:
+            return covers(ids, state) and covers(ids, before) and ids >= set(must)
+        got = await self._poll(members(state) | members(before), "part.accept",
+                               {"ballot": ballot.wire(), "state": state}, lambda g: chosen(set(g)))
+        if chosen({k for k, a in got.items() if a["ok"]}):
             self.state, self.settled = state, True
             self._publish(self.part, state)
             return True
@@ -165,7 +263,8 @@
         return False
 
     async def _confirm(self) -> bool:
-        got = await self._poll(members(self.state), "part.confirm", {"ballot": self.lead},
+        """Whether this ballot still is the highest that a majority has promised."""
+        got = await self._poll(members(self.state), "part.confirm", {"ballot": self.lead.wire()},
                                lambda g: covers(set(g), self.state))
         if covers({k for k, a in got.items() if a["ok"]}, self.state):
             return True
