rpc: a call names the node it means, carries its time, and belongs to one connection

Cause: calls trusted the address; a node of another life or another machine at that address ran them. Waiting calls belonged to the address, not to its TCP connection, so an answer of an older connection could meet a call of a newer one; a call was run however long it had waited for its turn; a frame over the limit was sent and ended the connection of all others. Change: Envelope.to and within_ms; Server(identity=...) refuses with 2008 and counts rpc.other_node, drops expired calls (rpc.expired); Channel holds one TCP connection and its calls; keys come from one counter of the process; a frame that is too long is refused before it is sent; TcpNetwork gives pool and server.

--- a/lines/erlang/probes/control.py
+++ b/lines/erlang/probes/control.py
@@ -39,7 +39,7 @@
     if not isinstance(one.desk, desk):
         raise TypeError("ControlNode.desk is no Server")
     sink = Sink()
-    await one.desk._run(env(call=1, verb=verb, head=orjson.dumps(doc)), sink)
+    await one.desk._run(env(call=1, verb=verb, head=orjson.dumps(doc)), sink, one.desk.now())
     return sink.size
 
 
--- a/lines/rpc/__init__.py
+++ b/lines/rpc/__init__.py
@@ -1,7 +1,9 @@
 """Connections between the system's own nodes: framed messages, calls and their answers."""
-from .server import Server, Refusal, Handlers
-from .connection import Connection, CallError, ConnectionPool
+from .connection import CallError, Connection, ConnectionPool
 from .messages import Envelope
+from .network import Network, TcpNetwork
 from .pending import PendingCalls
+from .server import Handlers, Refusal, Server
 
-__all__ = ["Server", "Refusal", "Handlers", "Connection", "CallError", "ConnectionPool", "Envelope", "PendingCalls"]
+__all__ = ["CallError", "Connection", "ConnectionPool", "Envelope", "Handlers", "Network", "PendingCalls", "Refusal",
+           "Server", "TcpNetwork"]
--- a/lines/rpc/connection.py
+++ b/lines/rpc/connection.py
@@ -1,17 +1,19 @@
-"""A line to one neighbour: calls go out, answers come back, matched through a slab."""
+"""Calls to one address, over a TCP connection that is opened when it is needed."""
 from __future__ import annotations
 
 import asyncio
 
 import orjson
 
-from .framing import FrameFault, pack, read_frame, tune
+from .channel import Channel, ChannelEnded
+from .framing import FrameFault, pack, tune
 from .messages import Envelope
-from .pending import PendingCalls
+
+MOST_WITHIN_MS = 0xFFFFFFFF
 
 
 class CallError(Exception):
-    """A call that got no answer. sent says whether the neighbour may have read it."""
+    """A call that got no answer. sent says whether the other node may have read it."""
 
     def __init__(self, why: str, sent: bool):
         super().__init__(why)
@@ -19,102 +21,99 @@
 
 
 class Connection:
-    """One connection to one address, dialled when first needed.
+    """The way to one address; one TCP connection at a time, opened when first needed.
 
-    >>> # code, head, body = await line.call("ping", {"a": 1}, secs=0.5)
+    >>> # code, doc, body = await connection.call("ping", {"a": 1}, secs=0.5, to="node-1")
     """
 
-    def __init__(self, addr: str, ctr, dial_s: float = 0.6, idle_s: float = 1.2):
-        self.addr, self.ctr = addr, ctr
+    def __init__(self, addr: str, counters, dial_s: float = 0.6, idle_s: float = 1.2):
+        self.addr, self.counters = addr, counters
         self.dial_s, self.idle_s = dial_s, idle_s
-        self._slab = PendingCalls()
-        self._wr: asyncio.StreamWriter | None = None
-        self._task: asyncio.Task | None = None
-        self._dial = asyncio.Lock()
-        self.heard = float("-inf")
-
-    async def _open(self) -> asyncio.StreamWriter:
-        async with self._dial:
-            if self._wr is not None and not self._wr.is_closing():
-                return self._wr
+        self._channel: Channel | None = None
+        self._dialling = asyncio.Lock()
+
+    async def _open(self) -> Channel:
+        async with self._dialling:
+            if self._channel is not None and self._channel.open:
+                return self._channel
+            self.hang_up()
             host, port = self.addr.rsplit(":", 1)
             try:
-                rd, wr = await asyncio.wait_for(asyncio.open_connection(host, int(port), limit=1 << 20), self.dial_s)
-            except (OSError, asyncio.TimeoutError, TimeoutError) as e:
+                reader, writer = await asyncio.wait_for(
+                    asyncio.open_connection(host, int(port), limit=1 << 20), self.dial_s)
+            except (OSError, TimeoutError) as e:
                 raise CallError(f"{self.addr}: {e!r}", sent=False) from e
-            tune(wr)
-            self._wr = wr
-            self._task = asyncio.get_running_loop().create_task(self._read(rd, wr))
-            return wr
+            tune(writer)
+            self._channel = Channel(reader, writer, self.counters)
+            return self._channel
 
-    async def _read(self, rd, wr) -> None:
+    def hang_up(self) -> None:
+        """End the connection; whoever waits on it is told so. The next call dials again."""
+        channel, self._channel = self._channel, None
+        if channel is not None:
+            channel.end()
+
+    async def call(self, verb: str, doc: object = None, body: bytes = b"", secs: float = 1.0, to: str = ""):
+        """Send a call and wait for its answer: (code, document, body). CallError if none comes.
+
+        to names the node that is meant: another one at this address refuses with 2008 and runs nothing.
+        """
+        channel = await self._open()
+        future = asyncio.get_running_loop().create_future()
+        key = channel.put(future)
+        within_ms = min(MOST_WITHIN_MS, max(1, int(secs * 1000)))
         try:
-            while True:
-                env = await read_frame(rd)
-                self.heard = asyncio.get_running_loop().time()
-                fut = self._slab.take(env.call)
-                if fut is None or fut.done():
-                    self.ctr.add("rpc.late_answer")   # nobody waits for it any more, or it came twice
-                    continue
-                fut.set_result(env)
-        except (OSError, EOFError, FrameFault, asyncio.IncompleteReadError):
-            pass
+            frame = pack(Envelope(call=key, verb=verb, head=orjson.dumps(doc), body=body, to=to, within_ms=within_ms))
+            channel.write(frame)
+            answer = await self._wait(channel, future, verb, secs)
+        except FrameFault as e:
+            raise CallError(f"{self.addr}: {verb}: {e}", sent=False) from e
+        except (ChannelEnded, OSError, RuntimeError) as e:
+            raise CallError(f"{self.addr}: {verb}: broke off: {e!r}", sent=True) from e
         finally:
-            if self._wr is wr:
-                self.hang_up()
-            else:
-                wr.close()
+            channel.forget(key)
+        return answer.code, self._document(verb, answer), answer.body
 
-    def hang_up(self) -> None:
-        """End the connection; whoever waits on it is told so. The next call dials again."""
-        wr, self._wr = self._wr, None
-        if wr is not None:
-            wr.transport.abort()
-        for fut in self._slab.drain():
-            if not fut.done():
-                fut.set_exception(CallError(f"{self.addr}: broke off", sent=True))
-
-    async def call(self, verb: str, doc: object = None, body: bytes = b"", secs: float = 1.0):
-        """Send a call and wait for its answer: (code, document, body). CallError if none comes."""
-        wr = await self._open()
+    async def _wait(self, channel: Channel, future: asyncio.Future, verb: str, secs: float) -> Envelope:
+        """The answer; when nothing at all was heard on the connection for long enough, it is given up."""
         loop = asyncio.get_running_loop()
-        fut = loop.create_future()
-        key = self._slab.put(fut)
         began = loop.time()
         try:
-            wr.write(pack(Envelope(call=key, verb=verb, head=orjson.dumps(doc), body=body)))
-            env = await asyncio.wait_for(fut, secs)
-        except (asyncio.TimeoutError, TimeoutError) as e:
-            if self._wr is wr and secs >= self.idle_s * 0.2 and self.heard < began and loop.time() - began >= min(
-                    secs, self.idle_s) * 0.9:
+            return await asyncio.wait_for(future, secs)
+        except TimeoutError as e:
+            long_enough = secs >= self.idle_s * 0.2 and loop.time() - began >= min(secs, self.idle_s) * 0.9
+            if long_enough and channel.heard < began and self._channel is channel:
                 self.hang_up()
             raise CallError(f"{self.addr}: {verb}: no answer in {secs}s", sent=True) from e
-        except (OSError, RuntimeError) as e:
-            raise CallError(f"{self.addr}: {e!r}", sent=True) from e
-        finally:
-            self._slab.take(key)
-        return env.code, orjson.loads(env.head) if env.head else None, env.body
+
+    def _document(self, verb: str, answer: Envelope) -> object:
+        try:
+            return orjson.loads(answer.head) if answer.head else None
+        except orjson.JSONDecodeError as e:
+            self.counters.add("rpc.bad_answer")
+            raise CallError(f"{self.addr}: {verb}: the answer cannot be read", sent=True) from e
 
 
 class ConnectionPool:
-    """The lines of a process, one for each address.
+    """The connections of a process, one for each address.
 
-    >>> lines = ConnectionPool(Counters()); lines.to("10.0.0.1:7380") is lines.to("10.0.0.1:7380")
+    >>> from ..frame import Counters
+    >>> pool = ConnectionPool(Counters()); pool.to("10.0.0.1:7380") is pool.to("10.0.0.1:7380")
     True
     """
 
-    def __init__(self, ctr):
-        self.ctr = ctr
+    def __init__(self, counters):
+        self.counters = counters
         self._all: dict[str, Connection] = {}
 
     def to(self, addr: str) -> Connection:
-        line = self._all.get(addr)
-        if line is None:
-            line = self._all[addr] = Connection(addr, self.ctr)
-        return line
+        """The way to an address."""
+        connection = self._all.get(addr)
+        if connection is None:
+            connection = self._all[addr] = Connection(addr, self.counters)
+        return connection
 
     def end(self) -> None:
-        for line in self._all.values():
-            line.hang_up()
-            if line._task is not None:
-                line._task.cancel()
+        """Close all of them."""
+        for connection in self._all.values():
+            connection.hang_up()
--- a/lines/rpc/framing.py
+++ b/lines/rpc/framing.py
@@ -1,10 +1,11 @@
-"""Frames on a rpc: four bytes of length, four of checksum, then the envelope."""
+"""Frames on a connection between nodes: four bytes of length, four of checksum, then the envelope."""
 from __future__ import annotations
 
 import asyncio
 import socket
 import struct
 import zlib
+from dataclasses import replace
 
 from .messages import Envelope
 
@@ -18,7 +19,7 @@
 
 
 def pack(env: Envelope) -> bytes:
-    """An envelope as a frame.
+    """An envelope as a frame; FrameFault if it is longer than the other side would take.
 
     >>> len(pack(Envelope(call=1)))
     10
@@ -26,8 +27,10 @@
     if len(env.body) >= WORTH:
         small = zlib.compress(env.body, 1)
         if len(small) < len(env.body):
-            env = Envelope(call=env.call, code=env.code, verb=env.verb, head=env.head, body=small, packed=True)
+            env = replace(env, body=small, packed=True)
     raw = bytes(env)
+    if len(raw) > MAX_FRAME:
+        raise FrameFault(f"frame of {len(raw)} bytes")
     return _HEAD.pack(len(raw), zlib.crc32(raw)) + raw
 
 
--- a/lines/rpc/pending.py
+++ b/lines/rpc/pending.py
@@ -1,43 +1,33 @@
-"""A slab: numbered places for what waits. A place's number carries its turn, so that a late answer finds nothing."""
+"""Calls that wait for their answers on one connection."""
 from __future__ import annotations
 
+import itertools
+
+_KEYS = itertools.count(1)   # of the whole process: a key never names a second call, on whatever connection
+
 
 class PendingCalls:
-    """put() gives a key, take() empties the place; an old key never finds a new tenant.
+    """put() gives a key, take() gives back what waits under it, once.
 
-    >>> s = PendingCalls(); k = s.put("a"); s.take(k), s.take(k)
+    >>> pending = PendingCalls(); key = pending.put("a"); pending.take(key), pending.take(key)
     ('a', None)
     """
 
     def __init__(self):
-        self._vals: list = []
-        self._turns: list[int] = []
-        self._free: list[int] = []
-
-    def put(self, val) -> int:
-        if self._free:
-            at = self._free.pop()
-        else:
-            at = len(self._vals)
-            self._vals.append(None)
-            self._turns.append(0)
-        self._turns[at] += 1
-        self._vals[at] = val
-        return (self._turns[at] << 20) | at
+        self._waiting: dict[int, object] = {}
+
+    def put(self, waiter) -> int:
+        """Let something wait; the key under which it does."""
+        key = next(_KEYS)
+        self._waiting[key] = waiter
+        return key
 
     def take(self, key: int):
-        at, turn = key & 0xFFFFF, key >> 20
-        if at >= len(self._vals) or self._turns[at] != turn or self._vals[at] is None:
-            return None
-        val, self._vals[at] = self._vals[at], None
-        self._free.append(at)
-        return val
+        """What waits under a key; None if nothing does, or does no more."""
+        return self._waiting.pop(key, None)
 
     def drain(self) -> list:
-        """Empty every place; what waited there."""
-        out = [v for v in self._vals if v is not None]
-        for at, v in enumerate(self._vals):
-            if v is not None:
-                self._vals[at] = None
-                self._free.append(at)
-        return out
+        """Everything that waits; afterwards nothing does."""
+        waiters = list(self._waiting.values())
+        self._waiting.clear()
+        return waiters
--- a/lines/rpc/server.py
+++ b/lines/rpc/server.py
@@ -1,13 +1,17 @@
-"""The answering side of a rpc: one task for each connection, one for each call that it carries."""
+"""The answering side: one task for each connection, one for each call that it carries."""
 from __future__ import annotations
 
 import asyncio
+import time
+from collections.abc import Callable
 
 import orjson
 
 from .framing import FrameFault, pack, read_frame, tune
 from .messages import Envelope
 
+OK, BAD_CALL, NOT_THIS_NODE, NO_SUCH_CALL, FAULT = 1000, 2001, 2008, 2009, 5001
+
 
 class Refusal(Exception):
     """Raised by a handler to answer with a result code other than 'done'."""
@@ -20,10 +24,10 @@
 class Handlers:
     """Handlers by verb.
 
-    >>> v = Handlers()
-    >>> @v.on("ping")
+    >>> handlers = Handlers()
+    >>> @handlers.on("ping")
     ... async def ping(doc, body): return {"pong": True}
-    >>> sorted(v.table)
+    >>> sorted(handlers.table)
     ['ping']
     """
 
@@ -31,80 +35,116 @@
         self.table: dict = {}
 
     def on(self, verb: str):
-        def put(fn):
-            self.table[verb] = fn
-            return fn
+        """A decorator that makes a function the handler of a verb."""
+        def put(function):
+            self.table[verb] = function
+            return function
         return put
 
 
 class Server:
-    """Listens on an address and runs the handlers of the verbs that arrive.
+    """Listens on an address and runs the handlers of the calls that arrive.
+
+    identity() gives the id of this node, or the set of its ids; a call that means another node is refused.
 
-    >>> # desk = Server(verbs, log, counters); await desk.open("10.0.0.1:7380")
+    >>> # server = Server(handlers, log, counters, lambda: "node-1"); await server.open("10.0.0.1:7380")
     """
 
-    def __init__(self, verbs: Handlers, log, counters):
-        self.verbs, self.log, self.ctr = verbs, log, counters
-        self._srv = None
+    def __init__(self, handlers: Handlers, log, counters, identity: Callable | None = None,
+                 now: Callable[[], float] = time.monotonic):
+        self.handlers, self.log, self.counters = handlers, log, counters
+        self.identity, self.now = identity, now
+        self._server = None
         self._calls: set = set()
-        self._conns: set = set()
+        self._writers: set = set()
 
     async def open(self, addr: str) -> None:
+        """Start to listen."""
         host, port = addr.rsplit(":", 1)
-        self._srv = await asyncio.start_server(self._serve, host, int(port), limit=1 << 20, backlog=256)
+        self._server = await asyncio.start_server(self._serve, host, int(port), limit=1 << 20, backlog=256)
 
     def port(self) -> int:
-        return self._srv.sockets[0].getsockname()[1]
+        """The port on which it listens."""
+        return self._server.sockets[0].getsockname()[1]
 
-    async def _serve(self, rd, wr) -> None:
-        tune(wr)
-        self._conns.add(wr)
+    async def close(self) -> None:
+        """End all connections and all calls."""
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        for task in list(self._calls):
+            task.cancel()
+        await asyncio.gather(*self._calls, return_exceptions=True)
+
+    async def _serve(self, reader, writer) -> None:
+        tune(writer)
+        self._writers.add(writer)
         try:
             while True:
-                env = await read_frame(rd)
-                task = asyncio.get_running_loop().create_task(self._run(env, wr))
+                call = await read_frame(reader)
+                task = asyncio.get_running_loop().create_task(self._run(call, writer, self.now()))
                 self._calls.add(task)
                 task.add_done_callback(self._calls.discard)
         except FrameFault as e:
-            self.ctr.add("rpc.bad_frame")
-            self.log.warning("a rpc sent no frame: {}", e)
-        except (OSError, EOFError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            self.counters.add("rpc.bad_frame")
+            self.log.warning("a connection between nodes brought no frame: {}", e)
+        except (OSError, EOFError, asyncio.CancelledError):
             pass
         finally:
-            self._conns.discard(wr)
-            wr.transport.abort()
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+    async def _run(self, call: Envelope, writer, arrived: float) -> None:
+        if call.within_ms and self.now() - arrived > call.within_ms / 1000:
+            self.counters.add("rpc.expired")   # its caller waits no more: it must not be carried out now
+            return
+        code, doc, body = await self._answer(call)
+        if writer.is_closing():
+            return
+        try:
+            writer.write(self._pack(call, code, doc, body))
+            await writer.drain()
+        except (OSError, RuntimeError):
+            pass
 
-    async def _run(self, env: Envelope, wr) -> None:
-        code, doc, body = 1000, None, b""
-        fn = self.verbs.table.get(env.verb)
+    def _pack(self, call: Envelope, code: int, doc, body: bytes) -> bytes:
+        head = doc if isinstance(doc, bytes) else orjson.dumps(doc)   # a handler may bring them ready
         try:
-            if fn is None:
-                raise Refusal(2009)
-            out = await fn(orjson.loads(env.head) if env.head else None, env.body)
-            doc, body = out if isinstance(out, tuple) else (out, b"")
+            return pack(Envelope(call=call.call, code=code, head=head, body=body))
+        except FrameFault as e:
+            self.counters.add("rpc.fault")
+            self.log.error("the answer to {} is too long: {}", call.verb, e)
+            return pack(Envelope(call=call.call, code=FAULT, head=orjson.dumps(str(e))))
+
+    async def _answer(self, call: Envelope) -> tuple:
+        """Run the handler: (code, document, body)."""
+        try:
+            function = self._handler(call)
+            out = await function(orjson.loads(call.head) if call.head else None, call.body)
+            return (OK, *out) if isinstance(out, tuple) else (OK, out, b"")
         except Refusal as e:
-            code, doc = e.code, e.doc
+            return e.code, e.doc, b""
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as e:
-            code, doc = 2001, repr(e)
-            self.ctr.add("rpc.bad_call")
-            self.log.opt(exception=e).warning("call {} could not be read", env.verb)
+            self.counters.add("rpc.bad_call")
+            self.log.opt(exception=e).warning("call {} could not be read", call.verb)
+            return BAD_CALL, repr(e), b""
         except Exception as e:
-            code, doc = 5001, repr(e)
-            self.ctr.add("rpc.fault")
-            self.log.opt(exception=e).error("call {} failed", env.verb)
-        if not wr.is_closing():
-            try:
-                head = doc if isinstance(doc, bytes) else orjson.dumps(doc)   # a handler may bring them ready
-                wr.write(pack(Envelope(call=env.call, code=code, head=head, body=body)))
-                await wr.drain()
-            except (OSError, RuntimeError):
-                pass
-
-    async def close(self) -> None:
-        if self._srv is not None:
-            self._srv.close()
-        for wr in list(self._conns):
-            wr.transport.abort()
-        for t in list(self._calls):
-            t.cancel()
-        await asyncio.gather(*self._calls, return_exceptions=True)
+            self.counters.add("rpc.fault")
+            self.log.opt(exception=e).error("call {} failed", call.verb)
+            return FAULT, repr(e), b""
+
+    def _handler(self, call: Envelope):
+        """The handler of a call; Refusal if the call means another node, or none such exists."""
+        if call.to and not self._is_me(call.to):
+            self.counters.add("rpc.other_node")
+            raise Refusal(NOT_THIS_NODE)
+        function = self.handlers.table.get(call.verb)
+        if function is None:
+            raise Refusal(NO_SUCH_CALL)
+        return function
+
+    def _is_me(self, node: str) -> bool:
+        """Whether an id is one of this node's; a server that knows none answers to none."""
+        mine = self.identity() if self.identity is not None else ""
+        return node == mine if isinstance(mine, str) else node in mine
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -4,7 +4,8 @@
 import pytest
 
 from lines.frame import Counters, open_logs
-from lines.rpc import Server, Envelope, CallError, ConnectionPool, Refusal, PendingCalls, Handlers
+from lines.rpc import CallError, ConnectionPool, Envelope, Handlers, PendingCalls, Refusal, TcpNetwork
+from lines.rpc import framing
 from lines.rpc.framing import FrameFault, pack, read_frame
 
 FRAME = pack(Envelope(call=7, verb="ping", head=b"{}"))
@@ -17,6 +18,8 @@
     b = s.put("b")
     assert b != a and s.take(a) is None and s.take(b) == "b"
     assert s.take(12345 << 20 | 999) is None
+    other = PendingCalls()
+    assert other.put("c") not in (a, b) and s.put("d") not in (a, b, other.put("e"))   # of all connections together
 
 
 @pytest.mark.parametrize("data, fault", [
@@ -56,7 +59,7 @@
     run(go())
 
 
-def build():
+def build(identity=None):
     verbs, ctr = Handlers(), Counters()
 
     @verbs.on("echo")
@@ -74,7 +77,8 @@
     @verbs.on("never")
     async def never(doc, body):
         await asyncio.get_running_loop().create_future()
-    return Server(verbs, open_logs("t", "CRITICAL"), ctr), ctr
+
+    return TcpNetwork().server(verbs, open_logs("t", "CRITICAL"), ctr, identity), ctr
 
 
 def test_calls_and_answers(run):
@@ -167,3 +171,172 @@
             await ConnectionPool(Counters()).to(f"127.0.0.1:{port}").call("x")
         assert not e.value.sent
     run(go())
+
+
+@pytest.mark.parametrize("identity, to, code", [
+    (None, "", 1000), (None, "n1", 2008),
+    (lambda: "n1", "", 1000), (lambda: "n1", "n1", 1000), (lambda: "n1", "n", 2008), (lambda: "n1", "n2", 2008),
+    (lambda: {"n1", "n1/life-2"}, "n1/life-2", 1000), (lambda: {"n1"}, "n1/life-1", 2008), (lambda: set(), "n1", 2008),
+    (lambda: "", "n1", 2008)])
+def test_a_call_that_means_another_node_is_not_run(run, identity, to, code):
+    async def go():
+        server, counters = build(identity)
+        ran = []
+        server.handlers.on("mark")(lambda doc, body: ran.append(doc) or asyncio.sleep(0))
+        await server.open("127.0.0.1:0")
+        pool = TcpNetwork().pool(counters)
+        answer = await pool.to(f"127.0.0.1:{server.port()}").call("mark", 1, to=to)
+        assert answer[0] == code and ran == [1] * (code == 1000)
+        assert counters.all["rpc.other_node"] == (code == 2008)
+        pool.end()
+        await server.close()
+    run(go())
+
+
+@pytest.mark.parametrize("within_ms, waited_s, runs", [
+    (0, 99.0, True), (100, 0.0, True), (100, 0.1, True), (100, 0.2, False), (1, 0.0, True), (1, 5.0, False)])
+def test_a_call_whose_caller_waits_no_more_is_not_run(run, clock, within_ms, waited_s, runs):
+    async def go():
+        server, counters = build()
+        server.now, ran = clock.now, []
+        server.handlers.on("mark")(lambda doc, body: ran.append(doc) or asyncio.sleep(0))
+        arrived = clock.now()
+        clock.at += waited_s
+        await server._run(Envelope(call=1, verb="mark", within_ms=within_ms), Sink(), arrived)
+        assert bool(ran) is runs and counters.all["rpc.expired"] == (not runs)
+    run(go())
+
+
+class Sink:
+    """A writer whose connection is gone."""
+
+    def is_closing(self):
+        return True
+
+
+def answer(call, doc):
+    return pack(Envelope(call=call.call, code=1000, head=doc))
+
+
+DAMAGED = bytearray(answer(Envelope(call=1), b"1"))
+DAMAGED[-1] ^= 1
+
+
+@pytest.mark.parametrize("bytes_sent", [
+    b"", b"\x00\x00", answer(Envelope(call=1), b"1")[:-1], bytes(DAMAGED),
+    (framing.MAX_FRAME + 1).to_bytes(4, "big") + bytes(4), b"HTTP/1.1 200 OK\r\n\r\n"])
+def test_what_is_no_answer_ends_its_connection_and_tells_all_its_callers(run, bytes_sent):
+    async def bad(reader, writer):
+        for _ in range(3):
+            await read_frame(reader)
+        writer.write(bytes_sent)
+        writer.close()
+
+    async def go():
+        listener = await asyncio.start_server(bad, "127.0.0.1", 0)
+        server, counters = build()
+        await server.open("127.0.0.1:0")
+        pool = ConnectionPool(counters)
+        good = pool.to(f"127.0.0.1:{server.port()}")
+        other = asyncio.ensure_future(good.call("never", secs=40))
+        lost = pool.to(f"127.0.0.1:{listener.sockets[0].getsockname()[1]}")
+        faults = await asyncio.gather(*(lost.call("x", secs=40) for _ in range(3)), return_exceptions=True)
+        assert [(type(e), e.sent) for e in faults] == [(CallError, True)] * 3
+        assert (await good.call("echo", 1))[1] == 1 and not other.done()
+        pool.end()
+        assert isinstance((await asyncio.gather(other, return_exceptions=True))[0], CallError)
+        listener.close()
+        await server.close()
+    run(go())
+
+
+def test_an_answer_on_another_connection_or_after_a_hang_up_finds_nothing(run):
+    calls, writers = asyncio.Queue(), []
+
+    async def serve(reader, writer):
+        writers.append(writer)
+        while True:
+            await calls.put(await read_frame(reader))
+
+    async def go():
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        counters = Counters()
+        connection = ConnectionPool(counters).to(f"127.0.0.1:{listener.sockets[0].getsockname()[1]}")
+        first = asyncio.ensure_future(connection.call("x", secs=40))
+        old = await calls.get()
+        task = connection._channel._task
+        writers[0].write(answer(old, b"1"))
+        connection.hang_up()   # with the answer on its way
+        with pytest.raises(CallError) as e:
+            await first
+        await asyncio.wait([task])
+        assert e.value.sent and task.done()
+        second = asyncio.ensure_future(connection.call("x", secs=40))
+        new = await calls.get()
+        assert new.call != old.call
+        writers[1].write(answer(old, b"1") + answer(new, b"2"))
+        assert (await second)[1] == 2 and counters.all["rpc.late_answer"] == 1
+        connection.hang_up()
+        listener.close()
+    run(go())
+
+
+def test_an_answer_for_another_open_connection_is_not_taken(run):
+    calls, writers = asyncio.Queue(), []
+
+    async def serve(reader, writer):
+        writers.append(writer)
+        await calls.put(await read_frame(reader))
+        await reader.read()
+
+    async def go():
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        addr, counters = f"127.0.0.1:{listener.sockets[0].getsockname()[1]}", Counters()
+        one, two = ConnectionPool(counters).to(addr), ConnectionPool(counters).to(addr)
+        first = asyncio.ensure_future(one.call("x", secs=40))
+        called = await calls.get()
+        second = asyncio.ensure_future(two.call("x", secs=40))
+        other = await calls.get()
+        writers[1].write(answer(called, b"9") + answer(other, b"2"))
+        assert (await second)[1] == 2 and not first.done() and counters.all["rpc.late_answer"] == 1
+        writers[0].write(answer(called, b"1"))
+        assert (await first)[1] == 1
+        one.hang_up()
+        two.hang_up()
+        listener.close()
+    run(go())
+
+
+def test_a_frame_that_is_too_long_is_not_sent(run, monkeypatch):
+    async def go():
+        server, counters = build()
+
+        @server.handlers.on("long")
+        async def long(doc, body):
+            return "x" * 5000
+        await server.open("127.0.0.1:0")
+        pool = ConnectionPool(counters)
+        connection = pool.to(f"127.0.0.1:{server.port()}")
+        monkeypatch.setattr(framing, "MAX_FRAME", 4000)
+        with pytest.raises(CallError) as e:
+            await connection.call("echo", "x" * 5000)
+        assert not e.value.sent and (await connection.call("echo", 1))[1] == 1
+        assert (await connection.call("long"))[0] == 5001 and (await connection.call("echo", 2))[1] == 2
+        pool.end()
+        await server.close()
+    run(go())
+
+
+def test_an_answer_that_cannot_be_read_leaves_its_call_unclear(run):
+    async def serve(reader, writer):
+        writer.write(answer(await read_frame(reader), b"{"))
+
+    async def go():
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        pool = ConnectionPool(Counters())
+        with pytest.raises(CallError) as e:
+            await pool.to(f"127.0.0.1:{listener.sockets[0].getsockname()[1]}").call("x")
+        assert e.value.sent
+        pool.end()
+        listener.close()
+    run(go())
