Sends: only a whole answer of this very request proves that it did not run

Cause: an answer without an id, a head alone, and an interim answer could count as proof; a refusal (408, 421, 429, 503) that bears no proof was passed on as a promise; bytes on a resting kept connection waited for the next request; a request was written although its time had run out while its connection came up; a resumed stream could give an event again. Change: belongs(), has_end(), PROMISES; KeptProtocol ends a resting connection on which bytes come and looks into the socket before it is used; may_send is asked between connecting and writing (NotSent); Relay split into steps.

--- a/lines/cordboard/worker.py
+++ b/lines/cordboard/worker.py
@@ -9,8 +9,8 @@
 import aiohttp
 import orjson
 
-from ..sends import AGAIN, ECHO, EXPECT_REV, NOT_RUN, SEAL, VERSIONS
-from ..sends.events import EventReader
+from ..sends import AGAIN, ECHO, EXPECT_REV, SEAL, VERSIONS, NotSent, belongs, has_end, says_not_run
+from ..sends.events import EventReader, follows
 from ..sends.heads import LAST_ID, URGENCY
 from ..supervisor.lull import Lull
 from ..supervisor.scoring import Scoring
@@ -334,14 +334,16 @@
         try:
             async with asyncio.timeout(quiet + gap * 2) as limit:
                 async with st.caller.ask(card["addr"], card["engine"], "POST", card["path"], heads,
-                                         base64.b64decode(card["payload"]), 0.0, AGAIN) as resp:
-                    if NOT_RUN in resp.headers or resp.status == 421:
-                        await resp.read()
-                        return self._turned_away(job, resp)
-                    if resp.headers.get(ECHO) != card["iid"]:
+                                         base64.b64decode(card["payload"]), 0.0, AGAIN,
+                                         lambda: self._may_send(job)) as resp:
+                    if not belongs(resp, card["iid"], AGAIN):
                         resp.close()
                         raise ValueError("answer of another item")
+                    if says_not_run(resp):
+                        await resp.read()
+                        return self._turned_away(job, resp)
                     if resp.status == 422:
+                        await resp.read()
                         job.state, job.fails = "scoring", card["sends"]
                         return
                     if resp.status != 200:
@@ -354,13 +356,16 @@
                         self._sign(job, "faulted", gap)
                         job.pause = gap
                         return
-                    if SEAL not in resp.headers:
-                        raise ValueError("no seal")
+                    if SEAL not in resp.headers or not has_end(resp):
+                        resp.close()
+                        raise ValueError("no seal, or nothing that tells where it ends")
                     cur = newest(resp.headers.get(VERSIONS, ""), version)
                     rd, began, n = EventReader(), now(), 0
                     async for raw in resp.content.iter_any():
                         limit.reschedule(asyncio.get_running_loop().time() + quiet)
                         for ev in rd.feed(raw):
+                            if not follows(job.last_id, ev.id):
+                                raise ValueError("an event comes again")
                             if ev.version:
                                 cur = newest(ev.version, cur)
                             job.texts.append(ev.data)
@@ -381,6 +386,9 @@
                 return
             job.state = "scoring"
             return
+        except NotSent:
+            st.ctr.add("item.too_late")
+            return
         except aiohttp.ClientConnectorError:
             self._sign(job, "vanished", gap * 2)
             st.ctr.add("item.no_way")
--- a/lines/sends/caller.py
+++ b/lines/sends/caller.py
@@ -5,6 +5,7 @@
 import enum
 import socket
 import time
+from collections.abc import Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -13,7 +14,7 @@
 from yarl import URL
 
 from .heads import DEADLINE, ECHO, EXPECT_ID, NOT_RUN, SEAL, pass_on
-from .kept import AGAIN, USE, KeptConnector, Use
+from .kept import AGAIN, ONCE, USE, KeptConnector, NotSent, Use
 
 _QUIET = frozenset({"Accept", "Accept-Encoding", "User-Agent", "Content-Type"})
 
@@ -37,7 +38,7 @@
     body: bytes = b""
     why: str = ""
     silent: bool = False
-    stale: bool = False   # a kept connection was reset: it had been forgotten, which is no ill health
+    stale: bool = False   # a kept connection was forgotten, or nothing was sent: which is no ill health
 
     @property
     def good(self) -> bool:
@@ -84,12 +85,15 @@
         return self.kept.idle(addr)
 
     @asynccontextmanager
-    async def ask(self, addr: str, iid: str, method: str, target: str, heads, body: bytes, secs: float, mode: str = ""):
+    async def ask(self, addr: str, iid: str, method: str, target: str, heads, body: bytes, secs: float, mode: str = "",
+                  may_send: Callable[[], bool] | None = None):
         """A request in the making: an async context that gives the raw response.
 
         mode AGAIN: it may be repeated; when a kept connection turns out to be forgotten, it goes out once more at once.
         mode ONCE: it may run only once; it goes on a kept connection only where that is proven safe. Otherwise any kept
         connection is used, and StaleConnection tells that it was forgotten.
+        may_send is asked once the connection is there, right before the write; if it says no, nothing is written, and
+        NotSent is raised.
         """
         out = CIMultiDict(pass_on(heads))
         out[EXPECT_ID] = iid
@@ -98,7 +102,7 @@
             left = max(0.001, end - self.now())
             if secs > 0:
                 out[DEADLINE] = str(max(1, int(left * 1000)))
-            use, resp = Use(mode), None
+            use, resp = Use(mode, may_send=may_send), None
             USE.set(use)
             try:
                 async with self.session.request(
@@ -115,17 +119,23 @@
                     raise
                 if mode != AGAIN:
                     raise StaleConnection(repr(e)) from e
+                if secs > 0 and self.now() >= end:
+                    raise
 
     async def send(self, addr: str, iid: str, method: str, target: str, heads, body: bytes, rid: str,
-                   secs: float, mode: str = "") -> Answer:
+                   secs: float, mode: str = "", may_send: Callable[[], bool] | None = None) -> Answer:
         """Send and read the whole answer; says what is certain about it. The modes are those of ask()."""
         try:
-            async with self.ask(addr, iid, method, target, heads, body, secs, mode) as resp:
-                if resp.headers.get(ECHO, rid) != rid or (ECHO not in resp.headers and resp.status < 300):
+            async with self.ask(addr, iid, method, target, heads, body, secs, mode, may_send) as resp:
+                if not belongs(resp, rid, mode):
                     resp.close()
                     return Answer(Ran.MAYBE, why="answer of another request")
                 data = await resp.read()
+                if not has_end(resp):
+                    return Answer(Ran.MAYBE, resp.status, why="nothing tells where its body ends")
                 return judge(resp.status, list(resp.headers.items()), data)
+        except NotSent as e:
+            return Answer(Ran.NO, why=repr(e), stale=True)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as e:
             return Answer(Ran.NO, why=repr(e), silent=True)   # there was no connection to send it on
         except StaleConnection as e:
@@ -136,6 +146,29 @@
             return Answer(Ran.MAYBE, why=repr(e))
 
 
+def belongs(resp, rid: str, mode: str = "") -> bool:
+    """Whether an answer may count as that of a request: it bears the request's id, once or more often, and no other.
+
+    Without an id it proves nothing, but that a request which may be repeated can go elsewhere. An interim answer (1xx)
+    in the place of the final one is none.
+    """
+    echoes = resp.headers.getall(ECHO, [])
+    if resp.status < 200 or any(echo != rid for echo in echoes):
+        return False
+    return bool(echoes) or (mode != ONCE and says_not_run(resp))
+
+
+def says_not_run(resp) -> bool:
+    """Whether an answer says that its request was turned away."""
+    return NOT_RUN in resp.headers or resp.status == 421
+
+
+def has_end(resp) -> bool:
+    """Whether an answer states where its body ends. One that ends with its connection looks whole when it was cut."""
+    return (resp.method == "HEAD" or resp.status in (204, 304) or "Content-Length" in resp.headers
+            or "chunked" in resp.headers.get("Transfer-Encoding", "").lower())
+
+
 def judge(status: int, heads: list, body: bytes) -> Answer:
     """What a whole answer proves.
 
--- a/lines/sends/events.py
+++ b/lines/sends/events.py
@@ -49,3 +49,16 @@
         elif name == "x-archhatch-weight-versions":
             version = val
     return Event(eid, "\n".join(data), version, raw)
+
+
+def follows(last: str | None, event_id: str) -> bool:
+    """Whether an event may stand behind another one: ids rise, where they are numbers.
+
+    >>> follows("3", "4"), follows("3", "3"), follows(None, "1"), follows("3", "")
+    (True, False, True, False)
+    """
+    if not last:
+        return True
+    if last.isdigit() and event_id.isdigit():
+        return int(event_id) > int(last)
+    return event_id not in ("", last)
--- a/lines/sends/kept.py
+++ b/lines/sends/kept.py
@@ -1,12 +1,16 @@
 """The kept connections to replicas, and how long one may idle before it is no longer trusted."""
 from __future__ import annotations
 
+import functools
 import re
+import select
 import time
+from collections.abc import Callable
 from contextvars import ContextVar
 from dataclasses import dataclass
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 
 STATED = 0.8      # of the time that a replica's Keep-Alive states: its close may be on the way
 PROVEN_S = 30.0   # how long it counts that a connection served after some idle time, or was reset
@@ -26,6 +30,36 @@
     mode: str = ""
     idle: float | None = None
     taken: float = 0.0   # when it got its connection
+    may_send: Callable[[], bool] | None = None   # asked when the connection is there, right before the write
+
+
+class NotSent(aiohttp.ClientConnectionError):
+    """The request may no longer be sent, and nothing of it was written."""
+
+
+class KeptProtocol(ResponseHandler):
+    """aiohttp's side of a connection, which ends when bytes come on it while no request waits: they belong to none."""
+
+    resting = False
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes came."""
+        if self.resting and data:   # aiohttp calls it without data too
+            self.close()
+            return
+        super().data_received(data)
+
+    def usable(self) -> bool:
+        """Whether a request may go on this kept connection: it is open, and nothing waits on it to be read.
+
+        What the process did not read yet is looked at too: after a standstill, the end of the connection, or an answer
+        too many, waits in the socket.
+        """
+        if not self.is_connected() or self.should_close:
+            return False
+        waiting = select.poll()
+        waiting.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not waiting.poll(0)
 
 
 @dataclass(slots=True)
@@ -49,6 +83,7 @@
 
     def __init__(self, now=time.monotonic, **kw):
         super().__init__(**kw)
+        self._factory = functools.partial(KeptProtocol, loop=self._loop)
         self._now = now
         self._keys: dict[str, tuple] = {}
         self._seen: dict[str, _Seen] = {}
@@ -103,12 +138,16 @@
     async def connect(self, req, traces, timeout):
         key = req.connection_key
         self._keys[f"{key.host}:{key.port}"] = key
-        return await super().connect(req, traces, timeout)
+        conn, use = await super().connect(req, traces, timeout), USE.get()
+        if use is not None and use.may_send is not None and not use.may_send():
+            conn.release()
+            raise NotSent("its time was over when the connection was there")
+        return conn
 
     async def _get(self, key, traces):
         # aiohttp would take the one that idled longest, which keeps more of them open than are needed
         kept, use = self._conns.get(key), USE.get()
-        while kept and not kept[-1][0].is_connected():
+        while kept and not kept[-1][0].usable():
             kept.pop()[0].close()
         if not kept:
             self._conns.pop(key, None)
@@ -121,10 +160,12 @@
             return None
         kept.rotate(1)
         conn = await super()._get(key, traces)
+        if conn is not None:
+            conn.protocol.resting = False
         if conn is not None and use is not None:
             use.idle, use.taken = idle, self._now()
         return conn
 
     def _release(self, key, protocol, *, should_close=False):
-        protocol.idle_from = self._now()
+        protocol.idle_from, protocol.resting = self._now(), True
         super()._release(key, protocol, should_close=should_close)
--- a/lines/switchboard/forward.py
+++ b/lines/switchboard/forward.py
@@ -4,7 +4,7 @@
 import asyncio
 
 from ..frame import Result, fault_result
-from ..sends import AGAIN, DEADLINE, ECHO, ONCE, Ran, pass_on
+from ..sends import AGAIN, DEADLINE, ECHO, ONCE, PROMISES, Ran, pass_on
 
 EARLY = 0.5      # of the aim: a repeatable request that is still out then goes to a second replica too (hedging)
 SHORT = 0.9      # of the deadline: what a send may use, so that an answer gets back in time
@@ -96,7 +96,7 @@
             self.fwd.ctr.add("send.early")
         task = asyncio.ensure_future(self.fwd.caller.send(
             line.addr, line.iid, self.method, self.target, self.heads, self.body, self.rid, self.end - now,
-            AGAIN if self.again else ONCE))
+            AGAIN if self.again else ONCE, lambda: self.fwd.clock.now() < self.end))
         self.out[task] = (line, now)
 
     def _judge(self, task) -> Result | None:
@@ -104,7 +104,7 @@
         line.under_way -= 1
         now, ans = self.fwd.clock.now(), task.result()
         self.fwd.picker.judge(line, ans, now, now - at, self.lane.aim_s * 0.3)
-        if ans.ran is Ran.YES and ans.status < 500:
+        if ans.ran is Ran.YES and ans.status < 500 and ans.status not in PROMISES:
             return self._pass(ans)
         self.fwd.ctr.add(f"send.{ans.ran.value}.{ans.status}")
         if ans.ran is not Ran.NO:
@@ -141,4 +141,8 @@
         self.out.clear()
 
     def _pass(self, ans) -> Result:
+        """A replica's answer to the client; a refusal that bears no proof is not passed on, as it would be a promise."""
+        if ans.status in PROMISES:
+            self.fwd.ctr.add("front.no_proof")
+            return fault_result(4001)
         return Result(ans.status, ans.body, pass_on(ans.heads))
--- a/lines/switchboard/relay.py
+++ b/lines/switchboard/relay.py
@@ -2,16 +2,43 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 
 import aiohttp
 from aiohttp import web
 
 from ..frame import Result, fault_result
-from ..sends import AGAIN, DEADLINE, ECHO, NOT_RUN, ONCE, SEAL, Answer, Ran, StaleConnection, pass_on
-from ..sends.events import EventReader
+from ..sends import (
+    AGAIN,
+    DEADLINE,
+    ECHO,
+    ONCE,
+    PROMISES,
+    SEAL,
+    Answer,
+    NotSent,
+    Ran,
+    StaleConnection,
+    belongs,
+    has_end,
+    pass_on,
+    says_not_run,
+)
+from ..sends.events import EventReader, follows
 from ..sends.heads import LAST_ID
 
 
+class BadAnswer(ValueError):
+    """What came is not the answer of this request, or not all of it."""
+
+
+class _After(enum.Enum):
+    """What follows a send."""
+    DONE = "done"    # the client has its answer, or will get it now
+    NEXT = "next"    # another replica may be asked
+    STOP = "stop"    # nobody else may
+
+
 class Relay:
     """Runs one request of a streaming lane.
 
@@ -22,6 +49,7 @@
         self.caller, self.picker, self.clock, self.ctr, self.live = caller, picker, clock, ctr, live
 
     async def run(self, req, lane, body: bytes):
+        """Pass a stream on; what the client's connection is to send or, after the first event, has sent."""
         try:
             allowed = float(req.headers.get(DEADLINE, "60000")) / 1000
         except ValueError:
@@ -30,75 +58,135 @@
         if not rid:
             return fault_result(2001, f"{ECHO} is missing")
         end = self.clock.now() + min(allowed, lane.timeout_s)
-        service = lane.pick()
-        self.live.enter(service)
+        stream = _Stream(self, req, lane, body, rid, end)
+        self.live.enter(stream.service)
         try:
-            return await self._relay(req, lane, body, rid, service, end)
+            return await stream.run()
         finally:
-            self.live.leave(service)
-
-    async def _relay(self, req, lane, body, rid, service, end):
-        out, last, tried, ran = None, None, set(), False
-        for _ in range(lane.sends):
-            line = self.picker.pick(service, tried, self.clock.now(), lane, sure=not lane.resumable)
-            left = end - self.clock.now()
-            if line is None or left <= 0:
+            self.live.leave(stream.service)
+
+
+class _Stream:
+    """One request's stream, over the replicas that make it."""
+
+    def __init__(self, relay, req, lane, body, rid, end):
+        self.relay, self.req, self.lane, self.body = relay, req, lane, body
+        self.rid, self.end, self.service = rid, end, lane.pick()
+        self.mode = AGAIN if lane.resumable else ONCE
+        self.out: web.StreamResponse | None = None   # the answer, from its first head on
+        self.answer: Result | None = None            # an answer that is no stream
+        self.last: str | None = None                 # the id of the last event that was passed on
+        self.events = 0
+        self.may_have_run = False
+
+    async def run(self):
+        """Ask one replica after the other, as far as that is allowed."""
+        tried: set = set()
+        for _ in range(self.lane.sends):
+            now = self.relay.clock.now()
+            line = self.relay.picker.pick(self.service, tried, now, self.lane, sure=not self.lane.resumable)
+            if line is None or now >= self.end:
                 break
             tried.add(line.iid)
             line.under_way += 1
-            heads = [(k, v) for k, v in req.headers.items() if last is None or k.lower() != LAST_ID.lower()]
-            if last is not None:
-                heads.append((LAST_ID, last))
             try:
-                async with self.caller.ask(line.addr, line.iid, req.method, req.raw_path, heads, body, left,
-                                           AGAIN if lane.resumable else ONCE) as resp:
-                    if NOT_RUN in resp.headers or resp.status == 421:
-                        self.picker.judge(line, Answer(Ran.NO, resp.status), self.clock.now(), 0.0, 1.0)
-                        continue
-                    ran = True
-                    if resp.headers.get(ECHO) != rid or (resp.status < 300 and SEAL not in resp.headers):
-                        resp.close()
-                        raise ValueError("answer of another request")
-                    if resp.status >= 300:
-                        data = await resp.read()
-                        self.picker.note(line, "faulted" if resp.status >= 500 else "served", self.clock.now())
-                        if out is not None:
-                            break
-                        return web_answer(resp, data)
-                    if out is None:
-                        out = web.StreamResponse(status=resp.status, headers=pass_on(resp.headers.items()))
-                        out.enable_chunked_encoding()
-                        await out.prepare(req)
-                    rd = EventReader()
-                    async for raw in resp.content.iter_any():
-                        for ev in rd.feed(raw):
-                            last = ev.id or last
-                            await out.write(ev.raw)
-                    if rd.rest:
-                        raise ValueError("stream ended inside an event")
-                    self.picker.note(line, "served", self.clock.now())
-                    await out.write_eof()
-                    return out
-            except (aiohttp.ClientError, OSError, ValueError, asyncio.TimeoutError, TimeoutError) as e:
-                if req.transport is None or req.transport.is_closing():
-                    return out if out is not None else fault_result(4001)   # it is the client that left
-                unreached = isinstance(e, (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError))
-                ran = ran or not unreached
-                if not isinstance(e, StaleConnection):
-                    self.picker.note(line, "vanished" if unreached else "faulted", self.clock.now())
-                if ran and not lane.resumable:
-                    break
+                after = await self._send(line)
             finally:
                 line.under_way -= 1
-        if out is not None:
-            if req.transport is not None:
-                req.transport.abort()   # an answer that ends early must not look whole
-            return out
-        if ran:
+            if after is _After.DONE:
+                return self.out if self.out is not None else self.answer
+            if after is _After.STOP:
+                break
+        return self._give_up()
+
+    def _give_up(self):
+        if self.out is not None:
+            if self.req.transport is not None:
+                self.req.transport.abort()   # an answer that ends early must not look whole
+            return self.out
+        if self.may_have_run:
             return fault_result(4001)
-        return fault_result(self.picker.refusal(service, lane), after_s=min(0.25, lane.aim_s * 0.5))
+        return fault_result(self.relay.picker.refusal(self.service, self.lane),
+                            after_s=min(0.25, self.lane.aim_s * 0.5))
+
+    async def _send(self, line) -> _After:
+        heads = [(k, v) for k, v in self.req.headers.items() if self.last is None or k.lower() != LAST_ID.lower()]
+        if self.last is not None:
+            heads.append((LAST_ID, self.last))
+        clock = self.relay.clock
+        try:
+            async with self.relay.caller.ask(
+                    line.addr, line.iid, self.req.method, self.req.raw_path, heads, self.body, self.end - clock.now(),
+                    self.mode, lambda: clock.now() < self.end) as resp:
+                return await self._take(line, resp)
+        except (aiohttp.ClientError, OSError, ValueError, asyncio.TimeoutError) as e:
+            return self._broke_off(line, e)
 
+    async def _take(self, line, resp) -> _After:
+        """Take up what one replica answers."""
+        if not belongs(resp, self.rid, self.mode):
+            resp.close()
+            raise BadAnswer("answer of another request")
+        if resp.status >= 300:
+            return await self._take_whole(line, resp)
+        self.may_have_run = True
+        if SEAL not in resp.headers or "Content-Encoding" in resp.headers or not has_end(resp):
+            resp.close()
+            raise BadAnswer("no seal, an encoding, or nothing that tells where it ends")
+        if self.out is None:
+            self.out = web.StreamResponse(status=resp.status, headers=pass_on(resp.headers.items()))
+            self.out.enable_chunked_encoding()
+            await self.out.prepare(self.req)
+        await self._pass_events(resp)
+        self.relay.picker.note(line, "served", self.relay.clock.now())
+        await self.out.write_eof()
+        return _After.DONE
+
+    async def _pass_events(self, resp) -> None:
+        reader, resumed = EventReader(), self.events > 0
+        async for raw in resp.content.iter_any():
+            for event in reader.feed(raw):
+                if resumed and not follows(self.last, event.id):
+                    raise BadAnswer("a stream that was resumed gives an event again")
+                self.last = event.id or self.last
+                self.events += 1
+                await self.out.write(event.raw)
+        if reader.rest:
+            raise BadAnswer("stream ended inside an event")
+
+    async def _take_whole(self, line, resp) -> _After:
+        """An answer that is no stream; only once it is whole, it proves what it says."""
+        turned_away = says_not_run(resp)
+        self.may_have_run = self.may_have_run or not turned_away
+        data = await resp.read()
+        if not has_end(resp):
+            raise BadAnswer("nothing tells where its body ends")
+        now = self.relay.clock.now()
+        if turned_away:
+            self.relay.picker.judge(line, Answer(Ran.NO, resp.status), now, 0.0, 1.0)
+            return _After.NEXT
+        self.relay.picker.note(line, "faulted" if resp.status >= 500 else "served", now)
+        if self.out is not None:
+            return _After.STOP
+        self.answer = self._whole_answer(resp, data)
+        return _After.DONE
+
+    def _whole_answer(self, resp, data: bytes) -> Result:
+        if resp.status in PROMISES:   # it bears no proof, and passed on it would be a promise
+            self.relay.ctr.add("front.no_proof")
+            return fault_result(4001)
+        return Result(resp.status, data, pass_on(resp.headers.items()))
 
-def web_answer(resp, data: bytes) -> Result:
-    """A whole answer as a Result."""
-    return Result(resp.status, data, pass_on(resp.headers.items()))
+    def _broke_off(self, line, fault: Exception) -> _After:
+        """What a send that ended without a whole answer leaves."""
+        if self.req.transport is None or self.req.transport.is_closing():
+            self.answer = fault_result(4001)   # it is the client that left
+            return _After.DONE
+        unreached = isinstance(fault, (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError))
+        if not unreached and not isinstance(fault, NotSent):
+            self.may_have_run = True
+        if not isinstance(fault, (StaleConnection, NotSent)):
+            self.relay.picker.note(line, "vanished" if unreached else "faulted", self.relay.clock.now())
+        if self.may_have_run and not self.lane.resumable:
+            return _After.STOP
+        return _After.NEXT if self.last is not None or not self.events else _After.STOP
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -29,7 +29,7 @@
     def __init__(self, answers):
         self.answers, self.sent, self.ended, self.gate = list(answers), [], [], asyncio.Event()
 
-    async def send(self, addr, iid, method, target, heads, body, rid, secs, mode=""):
+    async def send(self, addr, iid, method, target, heads, body, rid, secs, mode="", may_send=None):
         self.sent.append((iid, mode))
         ans = self.answers.pop(0) if self.answers else OUT
         try:
