--- a/lines/control/agreement.py
+++ b/lines/control/agreement.py
@@ -12,6 +12,7 @@
 from .registers import PARTS, PLAN, commands
 
 UNREACHED = 3003
+NOTHING = -1            # below the version of a register that was never changed, which is 0
 REWRITE_BYTES = 1 << 20   # the log is rewritten from this length on,
 REWRITE_GROWTH = 4        # ... once it is so many times as long as after the last rewrite
 
@@ -86,8 +87,8 @@
         return best
 
     def version(self, part: str) -> int:
-        """The version that this node knows to be chosen."""
-        return self.known[part]["stamp"] if part in self.known else 0
+        """The version that this node knows to be chosen; NOTHING if it knows none."""
+        return self.known[part]["stamp"] if part in self.known else NOTHING
 
     def versions(self) -> dict:
         """The same of all registers."""
@@ -100,7 +101,7 @@
     def told_chosen(self, versions: dict) -> list:
         """Another node knows these versions to be chosen; the registers of which it has a newer one."""
         for part, version in versions.items():
-            self.chosen[part] = max(version, self.chosen.get(part, 0))
+            self.chosen[part] = max(version, self.chosen.get(part, NOTHING))
         return [part for part, version in versions.items() if version > self.version(part)]
 
     def behind(self) -> set:
@@ -109,7 +110,7 @@
         for part in PARTS:
             base = self.base(part)
             voters = base["voters"] if base else {}
-            newest = max(self.chosen.get(part, 0), node.contact.newest(part, voters, now))
+            newest = max(self.chosen.get(part, NOTHING), node.contact.newest(part, voters, now))
             if newest > self.version(part):
                 out.add(part)
         return out
@@ -124,7 +125,7 @@
         if state["stamp"] <= self.version(part):
             return False
         self.known[part] = state
-        self.chosen[part] = max(state["stamp"], self.chosen.get(part, 0))
+        self.chosen[part] = max(state["stamp"], self.chosen.get(part, NOTHING))
         if part == PLAN:
             self.node.board.touch("plan")
         self.node.board.touch("news")
--- a/lines/control/contact.py
+++ b/lines/control/contact.py
@@ -50,9 +50,9 @@
         return majority({v for v in voters if v == me or self.proven(v, now)}, voters)
 
     def newest(self, part: str, voters: dict, now: float) -> int:
-        """The highest version that any of the voters in contact has accepted."""
-        told = [self._reports[v].accepted.get(part, 0) for v in voters if self.proven(v, now)]
-        return max(told, default=0)
+        """The highest version that any of the voters in contact has accepted; -1 if none has."""
+        told = [self._reports[v].accepted.get(part, -1) for v in voters if self.proven(v, now)]
+        return max(told, default=-1)
 
 
 class ServingGate:
