--- /dev/null
+++ b/lines/control/store_commands.py
@@ -0,0 +1,192 @@
+"""Commands on the membership of the stores, the runs' leases and the emptying of machines.
+
+The `plan` register holds the stores and, for each run, the highest leadership term that has begun (`runs`); the lease
+itself (holder, life, term) stands in one of the other registers, by the run's name.  A term begins by `run.begin`: from
+then on no older holder's `store.clear` counts, so a leaving store stays a member until the current holder of every run
+has said that its copies are not needed.
+"""
+from __future__ import annotations
+
+from ..batches import Quorum, active
+from ..consensus import Commands
+
+KEEP_DROPPED = 64   # ids of dropped stores that are remembered
+NOT_BEGUN = 0       # an opened run whose first term has not begun
+ACTIVE, LEAVING = "active", "leaving"
+
+commands = Commands()
+
+
+@commands.on("store.list")
+def store_list(val, args):
+    """The stores and the runs, sure to be the newest."""
+    return 1000, {"stores": val.get("stores", {}), "runs": val.get("runs", {})}, False
+
+
+@commands.on("store.join")
+def store_join(val, args):
+    """A store with a disk of its own: {"id", "name", "ip", "zone"}. One that stood at its place before is to leave."""
+    stores = val.setdefault("stores", {})
+    if args["id"] in stores:
+        return 1000, None, False
+    if args["id"] in val.get("dropped", {}) or args["name"] in val.get("retired", {}):
+        return 2008, "dropped", False
+    for sid, store in list(stores.items()):
+        if store["name"] == args["name"] or store["ip"] == args["ip"]:
+            store["state"] = LEAVING
+            _drop_cleared(val, sid)
+    val["count"] = val.get("count", 0) + 1
+    stores[args["id"]] = {"name": args["name"], "ip": args["ip"], "zone": args["zone"], "state": ACTIVE,
+                          "no": val["count"], "clear": {}}
+    return 1000, None, True
+
+
+def _spares(val: dict, sid: str, args: dict) -> bool:
+    """Whether enough active stores stay without one. What is tolerated comes with the command: all nodes must make the
+    same of it, whatever settings they started with."""
+    left = {other: store for other, store in active(val.get("stores", {})).items() if other != sid}
+    return Quorum.read(args.get("quorum")).spares(left)
+
+
+def begun(val: dict, run: str) -> int:
+    """The highest term of a run that has begun. Registers written before terms were noted hold other marks.
+
+    >>> begun({"runs": {"a": 3, "b": "old"}}, "a"), begun({"runs": {"a": 3, "b": "old"}}, "b"), begun({}, "a")
+    (3, 0, 0)
+    """
+    term = val.get("runs", {}).get(run)
+    return term if isinstance(term, int) else NOT_BEGUN
+
+
+def cleared(val: dict, store: dict) -> bool:
+    """Whether the current holder of every run has said that a store is not needed.
+
+    >>> cleared({"runs": {"a": 2}}, {"clear": {"a": 1}}), cleared({"runs": {"a": 2}}, {"clear": {"a": 2}})
+    (False, True)
+    """
+    return all(run in store["clear"] and store["clear"][run] >= begun(val, run) for run in val.get("runs", {}))
+
+
+def _drop_cleared(val: dict, sid: str) -> None:
+    """End the membership of a leaving store that nobody needs; only then is its retirement complete."""
+    store = val["stores"][sid]
+    if store["state"] != LEAVING or not cleared(val, store):
+        return
+    del val["stores"][sid]
+    dropped = val.setdefault("dropped", {})
+    dropped[sid] = 1
+    while len(dropped) > KEEP_DROPPED:
+        del dropped[next(iter(dropped))]
+    if store.get("retire"):
+        val.setdefault("retired", {})[store["name"]] = "complete"
+
+
+@commands.on("store.leave")
+def store_leave(val, args):
+    """A store is to hold nothing any more: {"id", "quorum"}."""
+    store = val.get("stores", {}).get(args["id"])
+    if store is None or store["state"] == LEAVING:
+        return 1000, None, False
+    if not _spares(val, args["id"], args):
+        return 2013, None, False
+    store["state"] = LEAVING
+    _drop_cleared(val, args["id"])
+    return 1000, None, True
+
+
+@commands.on("store.clear")
+def store_clear(val, args):
+    """A run's holder says that a leaving store is not needed for it: {"id", "run", "term", "counted"}.
+
+    `counted` names the stores on which the holder counted copies instead.  2018 if a newer term of the run has begun, or
+    if one of the counted stores is to leave by now: the holder judged by an older membership.
+    """
+    stores = val.get("stores", {})
+    store = stores.get(args["id"])
+    if store is None or store["state"] != LEAVING:
+        return 1000, None, False
+    if args["term"] < begun(val, args["run"]):
+        return 2018, begun(val, args["run"]), False
+    if any(other not in stores or stores[other]["state"] != ACTIVE for other in args.get("counted", ())):
+        return 2018, "membership", False
+    if store["clear"].get(args["run"], NOT_BEGUN) >= args["term"]:
+        return 1000, None, False
+    store["clear"][args["run"]] = args["term"]
+    _drop_cleared(val, args["id"])
+    return 1000, None, True
+
+
+@commands.on("run.open")
+def run_open(val, args):
+    """The runs of a service are to have leases from now on: {"run"}, the service's name."""
+    runs = val.setdefault("runs", {})
+    if args["run"] in runs:
+        return 1000, None, False
+    runs[args["run"]] = NOT_BEGUN
+    for store in val.get("stores", {}).values():
+        store["clear"].pop(args["run"], None)
+    return 1000, None, True
+
+
+@commands.on("run.begin")
+def run_begin(val, args):
+    """A leadership term begins: {"run", "term"}. Tells the stores to gather from; clears of older terms end to count.
+
+    2018 if a higher term has begun already.
+    """
+    runs = val.setdefault("runs", {})
+    before = begun(val, args["run"])
+    if args["term"] < before:
+        return 2018, before, False
+    did = runs.get(args["run"]) != args["term"]
+    runs[args["run"]] = args["term"]
+    return 1000, {"stores": val.get("stores", {}), "runs": runs}, did
+
+
+@commands.on("retire.start")
+def retire_start(val, args):
+    """The operator wants a machine emptied: {"node", "quorum"}."""
+    if args["node"] in val.get("retired", {}):
+        return 1000, {"OperState": val["retired"][args["node"]]}, False
+    for sid, store in val.get("stores", {}).items():
+        if store["name"] == args["node"] and store["state"] == ACTIVE:
+            if not _spares(val, sid, args):
+                return 2013, None, False
+            store["state"], store["retire"] = LEAVING, True
+            _drop_cleared(val, sid)
+            return 1000, {"OperState": "active"}, True
+    for store in val.get("stores", {}).values():
+        if store["name"] == args["node"]:
+            did = not store.get("retire")
+            store["retire"] = True
+            return 1000, {"OperState": "active"}, did
+    return 2008, None, False
+
+
+@commands.on("retire.get")
+def retire_get(val, args):
+    """How far a machine's emptying is: {"node"}."""
+    if args["node"] in val.get("retired", {}):
+        return 1000, {"OperState": val["retired"][args["node"]]}, False
+    if any(store["name"] == args["node"] and store.get("retire") for store in val.get("stores", {}).values()):
+        return 1000, {"OperState": "active"}, False
+    return 2008, None, False
+
+
+@commands.on("tenure.claim")
+def tenure_claim(val, args):
+    """Take a run's lease, if its term is still the one seen: {"run", "holder", "life", "seen"}."""
+    leases = val.setdefault("tenures", {})
+    now = leases.get(args["run"])
+    if now and now["holder"] == args["holder"] and now["life"] == args["life"] and now["term"] > args["seen"]:
+        return 1000, now, False
+    if (now["term"] if now else 0) != args["seen"]:
+        return 2011, now, False
+    leases[args["run"]] = {"holder": args["holder"], "life": args["life"], "term": args["seen"] + 1}
+    return 1000, leases[args["run"]], True
+
+
+@commands.on("tenure.list")
+def tenure_list(val, args):
+    """All leases of the register, sure to be the newest."""
+    return 1000, val.get("tenures", {}), False
