Stores: a lease is kept alive by leading; split the store node; calls name their store

Cause: a holder whose term was over kept its lease as long as it was up; a failed append ended a term for good; calls trusted the address. Change: lines/store is split (membership, join, lease, lease_watch, handlers, repair, departure, disk). The heartbeat says which runs a store leads, since when without progress, and whether its disk takes records; own terms that are over are renewed or handed on, a holder that leads nothing is replaced. Replicators skip disks that take nothing. A leaving process hands on its runs and waits for its copies to be made elsewhere.

--- a/lines/batches/replicator.py
+++ b/lines/batches/replicator.py
@@ -5,9 +5,11 @@
 
 from ..directory import rank
 from ..rpc import CallError
+from ..wal import LogError
 from .quorum import Quorum, active
 from .record import Record, pack_many
 
+
 class Deposed(Exception):
     """Another holds the run under a higher term."""
 
@@ -21,9 +23,12 @@
     >>> # await copier.put("run", 3, recs)
     """
 
-    def __init__(self, me, shelf, lines, members, alive, crew, ctr, secs: float, quorum: Quorum):
+    def __init__(self, me, shelf, lines, members, alive, crew, ctr, secs: float, quorum: Quorum, takes=None, watch=None):
+        """takes(store) says whether a store's disk takes records; watch(write) waits for a write to this one's."""
         self.me, self.shelf, self.lines = me, shelf, lines
         self.members, self.alive = members, alive
+        self.takes = takes or (lambda sid: True)
+        self.watch = watch or (lambda write: write)
         self.crew, self.ctr, self.secs = crew, ctr, secs
         self.quorum = quorum
         self._late: dict[str, float] = {}   # store -> until when it is asked only if no other will do
@@ -36,10 +41,11 @@
 
     def targets(self, lid: str, held, avoid=(), silent: bool = True) -> list:
         """The stores that should have a lot's record besides those that hold it: this one, then by rendezvous of the
-        lot's id those in touch, those that were late with an answer, and if these are not enough also silent ones."""
+        lot's id those in touch, those that were late with an answer, and if these are not enough also silent ones; none whose
+        disk takes nothing."""
         members = active(self.members())
         order = [self.me] + rank(lid, [s for s in members if s != self.me])
-        order = [s for s in order if s not in avoid]
+        order = [s for s in order if s not in avoid and self.takes(s)]
         now, tiers = self.shelf.clock.now(), ([], [], [])
         for sid in order:
             tiers[2 if not self.alive(sid) else 1 if self._late.get(sid, now) > now else 0].append(sid)
@@ -69,7 +75,8 @@
                 raise Deposed(run)
             jobs: dict[str, list] = {}
             for r in lack:
-                coming = {sid for sid, rs in wait.values() if sid not in slow and any(r is x for x in rs)}
+                coming = {sid for sid, rs in wait.values()
+                          if sid not in slow and self.takes(sid) and any(r is x for x in rs)}
                 for sid in self.targets(lid, r.held | coming, avoid=slow):
                     jobs.setdefault(sid, []).append(r)
             for sid, rs in jobs.items():
@@ -95,7 +102,11 @@
                     slow.add(sid)
 
     async def _here(self, term: int, recs: list[Record]):
-        out = await self.shelf.append([Record({**r.head, "by": term}, r.body) for r in recs])
+        try:
+            out = await self.watch(self.shelf.append([Record({**r.head, "by": term}, r.body) for r in recs]))
+        except LogError:
+            self.ctr.add("copy.own_disk")
+            return None   # this store's copy is one like any other: others make up for it
         if not all(out):
             return False
         for r in recs:
@@ -134,7 +145,7 @@
                 code, oks, _ = await self.lines.to(member["addr"]).call("shelf.append", {"to": sid}, pack_many(recs),
                                                                         secs=self.secs)
                 if code != 1000:
-                    # 2008: another life stands there; 3004: it does not know all terms yet
+                    # 2008: another life stands there; 3004: it does not know all terms yet; 3010: its disk is full
                     self.ctr.add(f"copy.refused.{code}")
                     oks = None
             except CallError:
--- a/lines/cordboard/worker.py
+++ b/lines/cordboard/worker.py
@@ -107,6 +107,7 @@
 
     async def _ask(self, sid: str, addr: str, verb: str, doc: dict, body: bytes, secs: float):
         """Call the leader, which may be this very node."""
+        doc = {"to": sid, **doc}
         if sid == self.st.id:
             try:
                 out = await self.st.verbs.table[verb](doc, body)
--- /dev/null
+++ b/lines/store/departure.py
@@ -0,0 +1,51 @@
+"""A planned end: leadership goes to others first, then the copies that count on this store are made elsewhere."""
+from __future__ import annotations
+
+import asyncio
+
+BOUND = 0.5   # of GraceS: how long the others may take to make up for this store's copies
+
+
+class Departure:
+    """What a store does between SIGTERM and its end.
+
+    >>> # await Departure(store).run()
+    """
+
+    def __init__(self, store):
+        self.st = store
+
+    async def run(self) -> None:
+        """Hand on every run and every item in hand, then wait until nobody needs this store, within a bound."""
+        st = self.st
+        end = st.clock.now() + st.boot.secs("GraceS", BOUND)
+        steps = [st.crew.once("leave", self._hand_on_all), st.crew.once("leave", st.worker.leave)]
+        await asyncio.wait(steps, timeout=st.boot.secs("GraceS", BOUND))
+        for reign in list(st.reigns.values()):
+            reign.over()
+        st.leader.sync()
+        while self.needed_for() and st.clock.now() < end:
+            await asyncio.sleep(st.beat_s)
+        left = self.needed_for()
+        if left:
+            st.ctr.add("leave.needed")
+            st.log.warning("store {} ends although its copies are needed by {}", st.id, sorted(left))
+        await asyncio.sleep(st.beat_s)   # the last answers are on their way
+
+    async def _hand_on_all(self) -> None:
+        st = self.st
+        runs = [reign for reign in st.reigns.values() if reign.state != "over"]
+        await asyncio.gather(*(st.lease_watch.hand_on(reign.run, reign.term) for reign in runs))
+
+    def needed_for(self) -> set:
+        """The runs with records here whose holder has not said that it can do without this store."""
+        st = self.st
+        here = {entry["run"] for entry in st.shelf.lots.values()}
+        return {run for run in here if not self._spared(run, st.leases().get(run))}
+
+    def _spared(self, run: str, lease: dict | None) -> bool:
+        if lease is None:
+            return True
+        word = self.st.membership.words.get(lease["holder"])
+        lead = (word.leads or {}).get(run) if word is not None else None
+        return lead is not None and lead.term >= lease["term"] and self.st.id in lead.spared
--- /dev/null
+++ b/lines/store/membership.py
@@ -0,0 +1,159 @@
+"""The other stores as this one sees them: heartbeats, who is in touch, and what each last said of itself."""
+from __future__ import annotations
+
+import asyncio
+
+from ..batches import active
+from ..directory import Neighbours
+from ..rpc import CallError
+from .heartbeat import HeartbeatWord
+
+SLOW = 4.0            # times later than the middle one's timers: a node that should not lead
+SLOW_FLOOR = 0.4      # of a heartbeat: timers that are late by less say nothing
+LAG_WEIGHT = 0.3      # of the newest look at this node's timers
+
+
+class Membership:
+    """Pings the stores of the membership and keeps their words.
+
+    >>> # membership = Membership(store); crew.keep("pings", membership.run); membership.alive(sid)
+    """
+
+    def __init__(self, store):
+        self.st = store
+        self.cards = Neighbours()
+        self.woke = store.clock.now()          # the end of this node's last stand-still, or its start
+        self.met: dict[str, float] = {}        # when this node first heard of a store
+        self.proofs: dict[str, tuple] = {}     # store -> (when it was asked, the terms that it had promised)
+        self.words: dict[str, HeartbeatWord] = {}
+        self.lag = 0.0                         # how late this node's timers are, lately
+
+    # -- what is known of others
+
+    def silent(self, sid: str) -> bool:
+        """Whether a store has not been heard for so long that it passes for gone."""
+        now = self.st.clock.now()
+        met = self.met.setdefault(sid, now)   # one just heard of has not had its time to speak
+        return min(self.cards.silent(sid, now), now - max(self.woke, met)) >= self.st.quiet_s
+
+    def alive(self, sid: str) -> bool:
+        """Whether a store is in touch."""
+        return sid == self.st.id or not self.silent(sid)
+
+    def takes(self, sid: str) -> bool:
+        """Whether a store's disk takes records, by its own word."""
+        if sid == self.st.id:
+            return self.st.disk.takes
+        word = self.words.get(sid)
+        return word is None or word.takes
+
+    def departing(self, sid: str) -> bool:
+        """Whether a store said that it is about to end."""
+        if sid == self.st.id:
+            return self.st.leaving
+        word = self.words.get(sid)
+        return word is not None and word.departing
+
+    def stays(self, sid: str) -> bool:
+        """Whether copies may count on a store: it is in touch and not about to end."""
+        return self.st.alive(sid) and not self.departing(sid)
+
+    def confirmed(self, run: str, term: int, secs: float) -> bool:
+        """Whether so many stores, this one among them, said within secs that they know no higher term of a run that no
+        other can have gathered its holder's right without one of them."""
+        if self.st.shelf.promised.get(run, 0) > term:
+            return False
+        now = self.st.clock.now()
+        good = {sid for sid, (at, promised) in self.proofs.items() if now - at <= secs and promised.get(run, 0) <= term}
+        return self.st.quorum.enough(good | {self.st.id}, active(self.st.members()))
+
+    def hears_enough(self) -> bool:
+        """Whether this store hears so many that a gather could succeed: the others would not do better."""
+        members = self.st.members()
+        return self.st.quorum.heard([sid for sid in members if self.st.alive(sid)], members)
+
+    def gatherable(self) -> bool:
+        """Whether enough stores are in touch and can write down a promise that a successor's gather could succeed."""
+        members = self.st.members()
+        able = [sid for sid in members if self.st.alive(sid) and self.takes(sid)]
+        return self.st.quorum.heard(able, members)
+
+    def lags(self, names) -> dict:
+        """How late the timers of these stores are."""
+        return {sid: self.lag if sid == self.st.id else self._lag(sid) for sid in names}
+
+    def _lag(self, sid: str) -> float:
+        word = self.words.get(sid)
+        return word.lag if word is not None else 0.0
+
+    def slow(self) -> bool:
+        """Whether this node's timers are far later than those of most others that it hears."""
+        others = sorted(self._lag(sid) for sid in self.words if sid in self.st.members() and self.alive(sid))
+        return bool(others) and self.lag > max(SLOW * others[len(others) // 2], self.st.beat_s * SLOW_FLOOR)
+
+    def fit_to_lead(self) -> list:
+        """The active stores in touch whose disks take records, without those that are slow if others are left."""
+        members = active(self.st.members())
+        names = [sid for sid in members if self.stays(sid) and self.takes(sid)]
+        lags = self.lags(names)
+        row = sorted(lags.values())
+        bound = max(SLOW * row[len(row) // 2], self.st.beat_s * SLOW_FLOOR) if row else 0.0
+        return [sid for sid in names if lags[sid] <= bound] or names
+
+    def life_of(self, sid: str) -> str | None:
+        """The life that a store last named."""
+        return self.st.life if sid == self.st.id else self.cards.cards.get(sid, {}).get("life")
+
+    # -- heartbeats
+
+    def word(self) -> HeartbeatWord:
+        """What others are told at a ping. A store that has not read all terms yet proves nothing about them."""
+        st = self.st
+        return HeartbeatWord(st.card(), st.shelf.promised if st.ready else None, self.lag,
+                             takes=st.disk.takes and st.ready and not st.leaving, departing=st.leaving,
+                             oldest_write_s=st.disk.oldest_write_s(),
+                             leads={run: reign.leading() for run, reign in st.reigns.items() if reign.state != "over"})
+
+    def hear(self, doc: dict, asked_at: float) -> None:
+        """Take up a store's word, given in answer to a ping that was sent at asked_at."""
+        word = HeartbeatWord.read(doc)
+        sid = word.card["id"]
+        self.cards.hear(word.card, self.st.clock.now())
+        self.words[sid] = word
+        if word.promised is not None:
+            self.proofs[sid] = (asked_at, word.promised)
+
+    async def run(self) -> None:
+        """Ping every member at each heartbeat, and notice when this node stood still."""
+        st = self.st
+        tasks: dict[str, asyncio.Task] = {}
+        while True:
+            for sid, member in st.members().items():
+                if sid != st.id and (sid not in tasks or tasks[sid].done()):
+                    tasks[sid] = st.crew.once("ping", self.ping, sid, member["addr"])
+            before = st.clock.now()
+            await asyncio.sleep(st.beat_s)
+            self.look_at_timers(st.clock.now() - before)
+            st.disk.judge([word.oldest_write_s for sid, word in self.words.items() if self.alive(sid)])
+
+    def look_at_timers(self, slept_s: float) -> None:
+        """Judge this node by how late it woke from one heartbeat's sleep."""
+        late = max(0.0, slept_s - self.st.beat_s)
+        self.lag += LAG_WEIGHT * (late - self.lag)
+        if slept_s > self.st.quiet_s:
+            self.woke = self.st.clock.now()
+            self.proofs.clear()
+            self.st.ctr.add("woke")
+
+    async def ping(self, sid: str, addr: str) -> None:
+        """Ask a store for its word; what another life at its address answers is not believed."""
+        at = self.st.clock.now()
+        try:
+            code, doc, _ = await self.st.lines.to(addr).call("store.ping", {"to": sid, "card": self.st.card()},
+                                                             secs=self.st.quiet_s)
+        except CallError:
+            return
+        if code == 2008 or (code == 1000 and doc["card"]["id"] != sid):
+            self.st.ctr.add("ping.other_life")
+        elif code == 1000:
+            self.hear(doc, at)
--- a/lines/supervisor/reign.py
+++ b/lines/supervisor/reign.py
@@ -11,6 +11,7 @@
 from ..batches import Deposed, Lot, Record, active, read_lot
 from ..batches.record import unpack_many
 from ..rpc import CallError
+from ..store.heartbeat import Leading
 
 MOVES = [
     {"trigger": "gathered", "source": "reading", "dest": "holding"},
@@ -43,6 +44,11 @@
         self.pending: dict[str, dict] = {}   # ended lots that are still to be taken up -> what the stores said of them
         self._thin: list = []         # records with too few copies on stores in touch, each with its lot
         self._copying: dict[tuple, asyncio.Task] = {}   # what is being copied, by the place of its first record
+        self.offered: set = set()     # lots that were handed in under this term, whatever became of them
+        self._older: set = set()      # copies under way since before the stores last changed, by place
+        self.spared: tuple = ()       # departing stores whose copies this run does not need any more
+        self._heard: set = set()      # stores that have answered this term's gather
+        self._progress_at = self.began
 
     # -- taking over
 
@@ -55,10 +61,14 @@
             except Deposed:
                 self.over()
                 return
+            except Exception:
+                self.over()   # whatever it was: the lease must not stay with a term that leads nothing
+                raise
             await asyncio.sleep(st.beat_s)
         if self.state != "reading":
             return
         self.gathered()
+        self._progress_at = st.clock.now()
         st.log.info("run {}: held under term {} with {} lots", self.run, self.term, len(self.lots))
         st.ctr.add("reign.begun")
         for lot in list(self.lots.values()):
@@ -88,7 +98,10 @@
 
     async def _gather(self) -> bool:
         st = self.st
-        code, doc = await st.news.do("plan", "store.list", {})
+        # from here on no older holder's word ends the membership of a store that this gather counts on
+        code, doc = await st.news.do("plan", "run.begin", {"run": self.run, "term": self.term})
+        if code == 2018:
+            raise Deposed(self.run)
         if code != 1000:
             return False
         members = doc["stores"]
@@ -114,6 +127,7 @@
                     if not out["ok"]:
                         raise Deposed(self.run)
                     got[tasks[t]] = out["lots"]
+                    self._note_heard(tasks[t])
                     told.append(out)
                     self.window_recs += out["windows"]
         finally:
@@ -140,6 +154,7 @@
                 well = await self._adopt(lid, seen[lid], self._addrs)
                 if well:
                     self.pending.pop(lid, None)
+                    self._progress_at = self.st.clock.now()
                 return well
         tasks = [asyncio.ensure_future(adopt(lid)) for lid in sorted(seen)]
         try:
@@ -148,6 +163,11 @@
             for t in tasks:
                 t.cancel()
 
+    def _note_heard(self, sid: str) -> None:
+        if sid not in self._heard:
+            self._heard.add(sid)
+            self._progress_at = self.st.clock.now()
+
     def _heed_orders(self, told: list) -> None:
         """An earlier holder meant to order from these replicas: wait out its right to, and then the lease.
 
@@ -233,6 +253,17 @@
         self.next[lot.model] = max(self.next.get(lot.model, 0), lot.base + lot.total)
         return True
 
+    # -- what others are told
+
+    def note_progress(self) -> None:
+        """Called at each heartbeat: a holder that enough stores confirm is making progress."""
+        if self.fresh():
+            self._progress_at = self.st.clock.now()
+
+    def leading(self) -> Leading:
+        """What a heartbeat says of this run."""
+        return Leading(self.term, self.st.clock.now() - self._progress_at, self.spared)
+
     # -- serving
 
     def fresh(self) -> bool:
@@ -262,6 +293,9 @@
         except Deposed:
             self.over()
             return False
+        except Exception:
+            self.over()   # a record without its copies must not stand in a term that goes on
+            raise
         finally:
             self._copying.pop(key, None)
         if key[0] == "L":
@@ -283,6 +317,7 @@
 
     async def put(self, head: dict, body: bytes) -> None:
         """Take a lot, once; returns when enough stores have it."""
+        self.offered.add(head["lot"])
         if head["lot"] in self.lots:
             return
         rec = Record({"k": "L", "lot": head["lot"], "run": self.run, "host": head["host"], "path": head["path"]}, body)
@@ -361,44 +396,64 @@
     # -- repair
 
     async def mend(self) -> None:
-        """Bring records to enough stores in touch; say which leaving stores are not needed any more. All records are
-        looked at when the stores change, after that only those that lack copies."""
+        """Bring records to enough stores that stay in touch; say which leaving stores are not needed any more. All
+        records are looked at when the stores change, after that only those that lack copies."""
         st = self.st
         members = st.members()
         stay = active(members)
-        up = {sid: m for sid, m in stay.items() if st.alive(sid)}
+        up = {sid: m for sid, m in stay.items() if st.membership.stays(sid)}
         if (stay.keys(), up.keys()) != self._mended:
             self._mended, self._up = (stay.keys(), up.keys()), up
+            self._older = set(self._copying)   # these may yet count on a store that does not stay
             self._thin = self._without_copies(up)
         thin, self._thin = [x for x in self._thin if self.lots.get(x[0].lid) is x[0]], []
         st.ctr.add("mend.looked", len(thin))
+        await self._thicken(thin, up)
+        for lot in {id(lot): lot for lot, _ in thin}.values():
+            if self._advance(lot):
+                st.board.touch(("lot", lot.lid))
+        # what ended its copying meanwhile, without enough stores in touch, was put into the new list
+        left = {id(r): (lot, r) for lot, r in thin + self._thin if not st.quorum.enough(r.held, up)}
+        self._thin = list(left.values())
+        departing = tuple(sid for sid in stay if sid not in up and st.membership.departing(sid))
+        self._older &= self._copying.keys()
+        self.spared = () if self._thin or self._older or self.pending else departing
+        if self._whole(stay):
+            await self._clear_leaving(members, stay)
+
+    async def _thicken(self, thin: list, up: dict) -> None:
+        """Copy records to stores in touch that lack them, a bounded number of bytes at a time."""
         sends, size, picks = [], 0, {}
         for lot, rec in thin:
             if _place(rec) in self._copying:
                 continue   # its own task sees to it, and acknowledges it only when enough stores that stay have it
             have = frozenset(rec.held & up.keys())
             if (lot.lid, have) not in picks:
-                picks[lot.lid, have] = st.copier.targets(lot.lid, have, silent=False)
+                picks[lot.lid, have] = self.st.copier.targets(lot.lid, have, silent=False)
             for sid in picks[lot.lid, have]:
-                sends.append(st.copier.send(sid, self.run, self.term, [rec]))
+                sends.append(self.st.copier.send(sid, self.run, self.term, [rec]))
                 size += len(rec.body) + 200
             if size > BURST:
                 await self._sent(sends)
                 sends, size = [], 0
         await self._sent(sends)
-        for lot in {id(lot): lot for lot, _ in thin}.values():
-            if self._advance(lot):
-                st.board.touch(("lot", lot.lid))
-        # what ended its copying meanwhile, without enough stores in touch, was put into the new list
-        left = {id(r): (lot, r) for lot, r in thin + self._thin if not st.quorum.enough(r.held, up)}
-        self._thin = list(left.values())
-        whole = all(_place(r) in self._copying or st.quorum.enough(r.held, stay) for _, r in self._thin)
-        if not whole or self.pending or not self.fresh():
-            return
-        for sid, m in members.items():
-            if m["state"] == "leaving" and self.run not in m["clear"]:
+
+    def _whole(self, stay: dict) -> bool:
+        """Whether all that this run holds has enough copies on the stores that stay, and this is surely its holder."""
+        return not self.pending and self.fresh() and all(
+            _place(r) in self._copying or self.st.quorum.enough(r.held, stay) for _, r in self._thin)
+
+    async def _clear_leaving(self, members: dict, stay: dict) -> None:
+        """Say of each leaving store that this run does not need it, once for each term."""
+        st = self.st
+        gone = [sid for sid, m in members.items()
+                if m["state"] == "leaving" and m["clear"].get(self.run, 0) < self.term]
+        outs = await asyncio.gather(*(st.news.do("plan", "store.clear", {
+            "id": sid, "run": self.run, "term": self.term, "counted": sorted(stay)}) for sid in gone))
+        for sid, (code, _) in zip(gone, outs):
+            st.ctr.add(f"store.clear.{code}")
+            if code == 1000:
                 st.log.info("run {}: store {} is not needed any more", self.run, sid)
-                await st.news.do("plan", "store.clear", {"id": sid, "run": self.run, "term": self.term})
 
     def _without_copies(self, members: dict) -> list:
         """Every record that these stores have too few copies of, with its lot."""
--- a/lines/switchboard/lotdesk.py
+++ b/lines/switchboard/lotdesk.py
@@ -10,6 +10,9 @@
 from ..batches import BadLot, Quorum, check_lot
 from ..rpc import CallError
 
+NOT_TAKEN = {2008, 3001, 3005}   # refusals after which this very call has put nothing anywhere
+UNCLEAR_KEPT = 4096              # hand-ins without a clear outcome that are remembered
+
 
 class LotDesk:
     """Hands lots in, reads them, ends them.
@@ -21,6 +24,7 @@
         self.boot, self.news, self.lines, self.ctr, self.clock = boot, news, lines, ctr, clock
         self.port = boot.ports[0] + 1
         self.run_of: dict[str, str] = {}
+        self.unclear: dict[str, None] = {}   # lots that were sent to a store without a clear answer, oldest first
         self.quorum = Quorum.of(boot)
 
     def _stores(self) -> dict:
@@ -48,24 +52,45 @@
         run = self.news.plan.models().get(model, lane.split[0][0])
         head = {"lot": lid, "run": run, "host": req.headers.get("Host", ""), "path": req.raw_path}
         end = self.clock.now() + max(0.4, self.boot.secs("ContactMs", 0.6))
-        sent = False
         while self.clock.now() < end:
-            addr = self._addr(self._tenures().get(run, {}).get("holder"))
+            lease = self._tenures().get(run, {})
+            addr = self._addr(lease.get("holder"))
             if addr is not None:
-                try:
-                    code, doc, _ = await self.lines.to(addr).call("lot.put", head, body,
-                                                                  secs=max(0.2, end - self.clock.now()))
-                    if code == 1000:
-                        self.run_of[lid] = run
-                        return Result(202)
-                    sent = sent or code not in (3005, 3001)
-                    if code == 2003:
-                        return fault_result(2003, str(doc))
-                except CallError as e:
-                    sent = sent or e.sent
+                result = await self._put(addr, lease, head, body, max(0.2, end - self.clock.now()))
+                if result is not None:
+                    return result
             await asyncio.sleep(0.1)
-        self.ctr.add("lot.unclear" if sent else "lot.refused")
-        return fault_result(4003) if sent else fault_result(3005, after_s=0.3)
+        # a copy of this lot that went out earlier may still be taken, whatever the later ones met
+        unclear = lid in self.unclear
+        self.ctr.add("lot.unclear" if unclear else "lot.refused")
+        return fault_result(4003) if unclear else fault_result(3005, after_s=0.3)
+
+    async def _put(self, addr: str, lease: dict, head: dict, body: bytes, secs: float) -> Result | None:
+        """Hand a lot to a run's holder; None if it did not take it, or did not say so."""
+        lid = head["lot"]
+        try:
+            code, doc, _ = await self.lines.to(addr).call(
+                "lot.put", {"to": lease["holder"], "term": lease["term"], **head}, body, secs=secs)
+        except CallError as e:
+            if e.sent:
+                self._note_unclear(lid)
+            return None
+        if code == 1000 and doc["me"] == lease["holder"]:
+            self.run_of[lid] = head["run"]
+            self.unclear.pop(lid, None)
+            return Result(202)
+        if code == 2003:
+            return fault_result(2003, str(doc))
+        if code == 2008:
+            self.ctr.add("lot.other_life")
+        if code not in NOT_TAKEN:
+            self._note_unclear(lid)
+        return None
+
+    def _note_unclear(self, lid: str) -> None:
+        self.unclear[lid] = None
+        while len(self.unclear) > UNCLEAR_KEPT:
+            del self.unclear[next(iter(self.unclear))]
 
     async def read(self, req, path: str, target: str) -> Result:
         _, _, kind, lid = path.split("/", 3)
@@ -100,10 +125,15 @@
                 unsure = True
                 continue
             try:
-                code, out, raw = await self.lines.to(addr).call(verb, doc, secs=max(0.3, end - self.clock.now()))
+                code, out, raw = await self.lines.to(addr).call(verb, {"to": sid, **doc},
+                                                                secs=max(0.3, end - self.clock.now()))
             except CallError:
                 unsure = True
                 continue
+            if code == 2008 or (code == 1000 and not self._from_holder(sid, out)):
+                self.ctr.add("lot.other_life")
+                unsure = True
+                continue
             if code == 1000:
                 self.run_of[doc["lot"]] = out["run"]
                 kind = "application/json" if verb != "lot.item" else "application/octet-stream"
@@ -116,6 +146,10 @@
             return fault_result(3004, after_s=0.2)
         return fault_result(2007)
 
+    def _from_holder(self, sid: str, out: dict) -> bool:
+        """Whether an answer comes from the store that was asked, under no older term than the newest one known."""
+        return out["me"] == sid and out["term"] >= self._tenures().get(out["run"], {}).get("term", 0)
+
     async def _nowhere(self, lid: str) -> bool:
         """Whether so many stores lack the lot that it cannot have been accepted. Members that only the stores know of
         count too: the news of an edge that stood still are old."""
@@ -129,9 +163,9 @@
 
     async def _lacks(self, addr: str, sid: str, lid: str) -> dict | None:
         try:
-            code, out, _ = await self.lines.to(addr).call("shelf.lacks", {"lot": lid}, secs=0.4)
+            code, out, _ = await self.lines.to(addr).call("shelf.lacks", {"to": sid, "lot": lid}, secs=0.4)
         except CallError:
             return None
-        if code == 1000 and out["me"] != sid:
+        if code == 2008 or (code == 1000 and out["me"] != sid):
             self.ctr.add("lot.other_life")
         return out if code == 1000 and out["me"] == sid else None
--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -8,8 +8,11 @@
 from conftest import MemBook
 from test_batches import LOT
 
-from lines.directory import Neighbours, rank
+from lines.directory import rank
 from lines.control.registers import commands
+from lines.store.disk import DiskState
+from lines.store.handlers import lacks
+from lines.store.membership import Membership
 from lines.store.node import StoreNode
 from lines.frame import Board, Counters, Crew, open_logs
 from lines.frame.boot import check_boot
@@ -64,9 +67,9 @@
             raise CallError(addr, sent=True)
         node = self.at[addr]
         if verb == "store.ping":
-            return 1000, orjson.loads(orjson.dumps(StoreNode.word(node))), b""
+            return 1000, orjson.loads(orjson.dumps(node.membership.word().doc())), b""
         if verb == "shelf.lacks":
-            return 1000, StoreNode.lacks(node, doc["lot"]), b""
+            return 1000, lacks(node, doc["lot"]), b""
         if doc["to"] != node.id:
             return 2008, None, b""
         if verb == "shelf.append":
@@ -80,7 +83,7 @@
 class Node:
     """What a reign needs of a store."""
 
-    confirmed, fetch, ask_store, ping = StoreNode.confirmed, StoreNode.fetch, StoreNode.ask_store, StoreNode._ping_one
+    confirmed, fetch, ask_store = StoreNode.confirmed, StoreNode.fetch, StoreNode.ask_store
 
     def __init__(self, site, place, book, sid):
         self.site, self.place, self.id, self.clock, self.boot = site, place, sid, site.clock, site.boot
@@ -89,7 +92,10 @@
         self.shelf.load(book.raws)
         self.crew, self.lines, self.news, self.quorum = Crew(LOG, self.ctr), site, self, Quorum.of(site.boot)
         self.copier = Replicator(sid, self.shelf, site, self.members, self.alive, self.crew, self.ctr, 0.05, self.quorum)
-        self.proofs, self.ready, self.others, self.lag, self.lags = {}, True, Neighbours(), 0.0, {}
+        self.ready, self.leaving, self.reigns, self.life = True, False, {}, "life"
+        self.disk = DiskState(self.clock, 3.0, self.ctr)
+        self.membership = Membership(self)
+        self.proofs, self.ping = self.membership.proofs, self.membership.ping
         self.verbs = SimpleNamespace(table={"shelf.prepare": self._prepare})
 
     async def _prepare(self, doc, body):
@@ -99,7 +105,7 @@
         code, doc, _ = commands.run(self.site.val, name, args)
         return code, orjson.loads(orjson.dumps(doc))
 
-    def _card(self):
+    def card(self):
         return {"id": self.id}
 
     def members(self):
--- a/tests/test_share_group.py
+++ b/tests/test_share_group.py
@@ -139,6 +139,7 @@
 
 
 REFUSED = [  # what a worker asks of a leader, how it is refused
+    ("share.commit", {"to": "another"}, 2008), ("share.fetch", {"to": "another"}, 2008),
     ("share.commit", {"epoch": -1}, 3007), ("share.commit", {"epoch": 99}, 3007), ("share.commit", {"run": "x"}, 3005),
     ("share.fetch", {"epoch": 99}, 3007), ("share.fetch", {"run": "x"}, 3005),
     ("share.fetch", {"worker": "s-unknown"}, 3007), ("share.fetch", {"life": "another"}, 3007)]
@@ -152,13 +153,14 @@
             rows = await w.read_all("lot1")
             lead = holder(w)
             seat = next(iter(lead.leader.runs["llm"].seats.values()))
-            good = {"worker": seat.worker, "life": seat.life, "zone": "z1", "lag": 0.0, "run": "llm",
-                    "epoch": lead.reigns["llm"].term, "poll": 10 ** 6, "hold": 0.0, "off": [], "got": [], "holding": None}
+            good = {"to": lead.id, "worker": seat.worker, "life": seat.life, "zone": "z1", "lag": 0.0, "run": "llm",
+                    "epoch": lead.reigns["llm"].term, "poll": 10 ** 6, "hold": 0.0, "off": [], "got": [],
+                    "holding": None}
             for verb, change, code in REFUSED:
                 with pytest.raises(Refusal) as no:
                     await lead.verbs.table[verb]({**good, **change}, b"[]")
                 assert no.value.code == code, (verb, change)
-            assert lead.ctr.all["share.other_epoch"] == 3
+            assert lead.ctr.all["share.other_epoch"] == 3 and lead.ctr.all["call.other_life"] == 2
             bad = [{"part": p, "off": o, "dc": 1, "kind": "accept", "engine": "", "signs": [], "doc": {}}
                    for p, o in (("m", 0), ("m", 10 ** 9), ("m", -1), ("nobody", 0))]
             out = await lead.leader.commit(good, orjson.dumps(bad))
@@ -179,8 +181,8 @@
             held = [(e.offset, e.worker, e.deliveries) for win in old.leader.runs["llm"].windows.values()
                     for e in win.locked.values()]
             # the old one is cut off from news and pings, and thinks that it leads
-            old._watch_run = lambda *a: asyncio.sleep(0)
-            await other._claim("llm", reign.term, other.id, other.life)
+            old.lease_watch.look = lambda: None
+            await other.lease_watch.claim("llm", reign.term, other.id, other.life)
             await w.until(other.board, "work", lambda: "llm" in other.reigns and other.reigns["llm"].state == "holding")
             if reign.state == "holding":
                 offset, worker, delivery = held[0]
