--- a/lines/store/lease_watch.py
+++ b/lines/store/lease_watch.py
@@ -151,7 +151,7 @@
 
     def _note_renewal(self, run: str) -> None:
         now, reign = self.st.clock.now(), self.st.reigns[run]
-        early = now - reign.began < self.st.quiet_s * SETTLED
+        early = reign.ended_at - reign.began < self.st.quiet_s * SETTLED
         count, _ = self._renewals.get(run, (0, now))
         self._renewals[run] = (count + 1 if early else 0, now)
 
--- a/lines/supervisor/reign.py
+++ b/lines/supervisor/reign.py
@@ -49,6 +49,7 @@
         self.spared: tuple = ()       # departing stores whose copies this run does not need any more
         self._heard: set = set()      # stores that have answered this term's gather
         self._progress_at = self.began
+        self.ended_at = float("inf")
 
     # -- taking over
 
@@ -88,6 +89,7 @@
     def over(self) -> None:
         if self.state != "over":
             self.deposed()
+            self.ended_at = self.st.clock.now()
             self.st.ctr.add("reign.over")
             self.st.log.info("run {}: term {} is over", self.run, self.term)
             for task in self._copying.values():
--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -35,6 +35,8 @@
 class Site:
     """Stores by place; what the control nodes agreed on; which places are dark."""
 
+    node = property(lambda self: Node)
+
     def __init__(self, clock, boot, n, zones=("z",)):
         self.clock, self.boot, self.val, self.at, self.dark = clock, boot, {"runs": {"s": 1}}, {}, set()
         self.ids, self.zones = itertools.count(), zones
@@ -43,7 +45,7 @@
 
     def start(self, place, book, sid=None):
         """A process on this disk; an empty one has a new id and joins."""
-        node = self.at[place] = Node(self, place, book, sid or f"s{next(self.ids)}")
+        node = self.at[place] = self.node(self, place, book, sid or f"s{next(self.ids)}")
         zone = self.zones[int(place[1:]) % len(self.zones)]
         commands.run(self.val, "store.join", {"id": node.id, "name": place, "ip": place, "zone": zone})
         return node
