--- a/lines/store/join.py
+++ b/lines/store/join.py
@@ -32,6 +32,7 @@
                 await self._start_over(register)
             elif not st.ready and st.id in st.members():
                 await self.join()
+            st.membership.ping_all(only_new=True)
             for name in ("work", "orders", "members"):
                 st.board.touch(name)
             turn = await st.board.news("parts", turn, st.beat_s * (CALM if st.ready else 1))
--- a/lines/store/lease_watch.py
+++ b/lines/store/lease_watch.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 from ..directory import rank
 from ..supervisor import Reign
@@ -23,6 +24,8 @@
 
     def __init__(self, store):
         self.st = store
+        self._members: dict = {}                    # of the present look, as is
+        self._slow = False                          # whether this node's timers are far later than the others'
         self._lost: dict[str, tuple] = {}           # run -> (its lease, since when its holder seems lost)
         self._tasks: dict[str, asyncio.Task] = {}
         self._renewals: dict[str, tuple] = {}       # run -> (terms that ended early in a row, when the last one was taken)
@@ -40,6 +43,7 @@
         st = self.st
         register = st.news.parts.get("plan") or {}
         leases = st.leases()
+        self._members, self._slow = st.members(), st.membership.slow()
         for reign in st.reigns.values():
             reign.note_progress()
         for run in sorted(set(st.plan.models().values()) | set(register.get("runs", {}))):
@@ -65,9 +69,11 @@
         st = self.st
         begun = reign is not None and reign.term >= lease["term"]
         phase = Phase(reign.state) if begun else Phase.NONE
-        settled = begun and st.clock.now() - reign.began > st.quiet_s * SETTLED
-        step = own_step(OwnLease(phase, takes=st.disk.takes, slow=settled and st.membership.slow(),
-                                 successor=self.successor(run) is not None, gatherable=st.membership.gatherable()))
+        slow = begun and self._slow and st.clock.now() - reign.began > st.quiet_s * SETTLED
+        own = OwnLease(phase, takes=st.disk.takes, slow=slow)
+        if slow or not st.disk.takes:   # only then who would follow matters
+            own = replace(own, successor=self.successor(run) is not None, gatherable=st.membership.gatherable())
+        step = own_step(own)
         if step is Step.RENEW and not self._may_renew(run, reign):
             return Step.WAIT
         return step
@@ -116,7 +122,7 @@
         st = self.st
         if lease is None or lease["holder"] == st.id:
             return 0.0
-        member = st.members().get(lease["holder"])
+        member = self._members.get(lease["holder"])
         if member is None or member["state"] != "active" or not st.alive(lease["holder"]):
             return 0.0
         word = st.membership.words.get(lease["holder"])
--- a/lines/store/membership.py
+++ b/lines/store/membership.py
@@ -26,6 +26,7 @@
         self.met: dict[str, float] = {}        # when this node first heard of a store
         self.proofs: dict[str, tuple] = {}     # store -> (when it was asked, the terms that it had promised)
         self.words: dict[str, HeartbeatWord] = {}
+        self._pings: dict[str, asyncio.Task] = {}
         self.lag = 0.0                         # how late this node's timers are, lately
 
     # -- what is known of others
@@ -119,23 +120,31 @@
         word = HeartbeatWord.read(doc)
         sid = word.card["id"]
         self.cards.hear(word.card, self.st.clock.now())
-        self.words[sid] = word
+        before, self.words[sid] = self.words.get(sid), word
+        if before is None or (before.takes, before.departing) != (word.takes, word.departing):
+            self.st.board.touch("members")
         if word.promised is not None:
             self.proofs[sid] = (asked_at, word.promised)
 
     async def run(self) -> None:
         """Ping every member at each heartbeat, and notice when this node stood still."""
         st = self.st
-        tasks: dict[str, asyncio.Task] = {}
         while True:
-            for sid, member in st.members().items():
-                if sid != st.id and (sid not in tasks or tasks[sid].done()):
-                    tasks[sid] = st.crew.once("ping", self.ping, sid, member["addr"])
+            self.ping_all()
             before = st.clock.now()
             await asyncio.sleep(st.beat_s)
             self.look_at_timers(st.clock.now() - before)
             st.disk.judge([word.oldest_write_s for sid, word in self.words.items() if self.alive(sid)])
 
+    def ping_all(self, only_new: bool = False) -> None:
+        """Ping every member that has no ping under way, or only those that have not said anything yet."""
+        st = self.st
+        for sid, member in st.members().items():
+            task = self._pings.get(sid)
+            if sid == st.id or (task is not None and not task.done()) or (only_new and sid in self.words):
+                continue
+            self._pings[sid] = st.crew.once("ping", self.ping, sid, member["addr"])
+
     def look_at_timers(self, slept_s: float) -> None:
         """Judge this node by how late it woke from one heartbeat's sleep."""
         late = max(0.0, slept_s - self.st.beat_s)
--- a/lines/store/repair.py
+++ b/lines/store/repair.py
@@ -6,7 +6,7 @@
 from ..batches import Record, pack
 from ..wal import LogError
 
-PACE = 3                    # heartbeats between rounds while the membership does not change
+PACE = 3                    # heartbeats between rounds while the stores do not change and no copy is lacking
 REWRITE_BYTES = 8 << 20     # a log is rewritten when it is longer than this, and ...
 REWRITE_RATIO = 2           # ... so many times longer than what is kept
 PROBE_BYTES = 4096          # what a disk must take before it counts as taking records again
@@ -25,7 +25,8 @@
         """One round after the other."""
         st, turn = self.st, 0
         while True:
-            turn = await st.board.news("members", turn, st.beat_s * PACE)
+            lacking = any(reign.lacks_copies() for reign in st.reigns.values())
+            turn = await st.board.news("members", turn, st.beat_s * (1 if lacking else PACE))
             await self.round()
 
     async def round(self) -> None:
--- a/lines/supervisor/reign.py
+++ b/lines/supervisor/reign.py
@@ -75,6 +75,7 @@
         for lot in list(self.lots.values()):
             st.board.touch(("lot", lot.lid))
         st.board.touch("work")
+        st.board.touch("members")   # what lacks copies is repaired at once
         await self._take_up_ended()
 
     async def _take_up_ended(self) -> None:
@@ -423,6 +424,10 @@
         if self._whole(stay):
             await self._clear_leaving(members, stay)
 
+    def lacks_copies(self) -> bool:
+        """Whether the last round of repair left something to do."""
+        return self.state == "holding" and bool(self._thin or self.pending)
+
     async def _thicken(self, thin: list, up: dict) -> None:
         """Copy records to stores in touch that lack them, a bounded number of bytes at a time."""
         sends, size, picks = [], 0, {}
--- /dev/null
+++ b/tests/test_lotdesk.py
@@ -0,0 +1,96 @@
+"""What an edge says of a lot: only a proof that no copy of the call was taken is a refusal, and only the store that was
+asked is believed."""
+import asyncio
+from types import SimpleNamespace
+
+import orjson
+import pytest
+from conftest import HandClock
+from test_batches import LOT
+from test_quorum import settings
+
+from lines.frame import Counters
+from lines.rpc import CallError
+from lines.sends import ECHO
+from lines.switchboard.lotdesk import UNCLEAR_KEPT, LotDesk
+
+LEASE = {"holder": "s0", "life": "l", "term": 4}
+STORES = {"s0": {"ip": "p0", "zone": "z", "state": "active"}}
+MINE = {"run": "s", "me": "s0", "term": 4}
+LOST, UNSENT = CallError("no answer", sent=True), CallError("no connection", sent=False)
+
+
+class Edge:
+    """A desk whose calls are answered from a list, the last answer again and again; each takes time."""
+
+    def __init__(self, *answers):
+        self.clock, self.answers, self.calls = HandClock(), list(answers), []
+        news = SimpleNamespace(parts={"plan": {"stores": STORES}, "p0": {"tenures": {"s": LEASE}}},
+                               plan=SimpleNamespace(models=lambda: {}))
+        self.desk = LotDesk(settings(Machines=0), news, self, Counters(), self.clock)
+
+    def to(self, addr):
+        return self
+
+    async def call(self, verb, doc, body=b"", secs=1.0):
+        self.calls.append((verb, doc))
+        self.clock.at += 1.0
+        answer = self.answers[0] if len(self.answers) == 1 else self.answers.pop(0)
+        if isinstance(answer, CallError):
+            raise answer
+        code, out = answer
+        return code, out, b"page"
+
+    async def hand_in(self, lid="l"):
+        req = SimpleNamespace(headers={ECHO: lid, "Host": "h"}, raw_path="/p/")
+        lane = SimpleNamespace(split=[("s", 1)])
+        return (await self.desk.hand_in(req, lane, orjson.dumps(LOT))).status
+
+
+HAND_INS = [  # what the holder answers, in turn -> the status of the hand-in
+    ([(1000, MINE)], 202), ([(3005, None)], 503), ([UNSENT], 503), ([(2008, None)], 503), ([LOST], 504),
+    ([(3004, None)], 504), ([(5001, None)], 504),
+    ([LOST, (3005, None)], 504),                  # the copy that got no answer may still be taken
+    ([(3004, None), (3005, None)], 504), ([(3005, None), (1000, MINE)], 202),
+    ([(1000, {**MINE, "me": "another"}), (3005, None)], 504)]      # another's word is no acknowledgement
+
+
+@pytest.mark.parametrize("answers, status", HAND_INS)
+def test_a_refusal_is_said_only_if_nothing_can_have_been_taken(run, answers, status):
+    edge = Edge(*answers)
+    assert run(edge.hand_in()) == status
+    assert all((doc["to"], doc["term"]) == ("s0", 4) for _, doc in edge.calls)
+
+
+@pytest.mark.parametrize("first, lid, status", [(LOST, "l", 504), (LOST, "other", 503), (UNSENT, "l", 503)])
+def test_a_later_try_does_not_promise_for_an_earlier_one(run, first, lid, status):
+    async def go():
+        edge = Edge(first)
+        await edge.hand_in("l")
+        edge.answers = [(3005, None)]
+        assert await edge.hand_in(lid) == status
+        edge.answers = [(1000, MINE)]
+        assert await edge.hand_in(lid) == 202 and lid not in edge.desk.unclear
+    run(go())
+
+
+def test_what_is_remembered_of_unclear_lots_is_bounded():
+    desk = Edge((3005, None)).desk
+    for n in range(UNCLEAR_KEPT + 9):
+        desk._note_unclear(f"l{n}")
+    assert len(desk.unclear) == UNCLEAR_KEPT and "l0" not in desk.unclear
+
+
+@pytest.mark.parametrize("answer, status, counted", [
+    ((1000, MINE), 200, 0), ((1000, {**MINE, "term": 5}), 200, 0), ((1000, {**MINE, "me": "s1"}), 503, 1),
+    ((1000, {**MINE, "term": 3}), 503, 1),            # an older term's answer
+    ((2008, None), 503, 1), ((3004, None), 503, 0), (LOST, 503, 0)])
+def test_only_the_holder_that_was_asked_is_believed(run, answer, status, counted):
+    edge = Edge(answer)
+
+    async def nowhere(lid):
+        return True
+    edge.desk._nowhere = nowhere
+    result = run(asyncio.wait_for(edge.desk._ask("lot.read", {"lot": "l", "after": 0, "hold": 0.0}, 0.0), 5))
+    assert result.status == status and edge.desk.ctr.all["lot.other_life"] == counted
+    assert edge.calls[0][1]["to"] == "s0"
