Record store: nothing counts or is told before its sync returned; a reserve for all but new lots

Cause: records, promises and the store's id were taken up before the write; after a failed write the second try found the record there and acknowledged it, and a restart lost it. Nodes call the log anew; the doctor knows the generations' names.

--- a/lines/batches/record_store.py
+++ b/lines/batches/record_store.py
@@ -1,173 +1,196 @@
-"""What one store keeps: records by lot and the terms that it promised to runs. Synced before it is answered."""
+"""What one store keeps, and the way of a record to the disk: nothing counts, or is told, before its sync returned.
+
+A record that is being written is only known to be on its way. Whoever brings the same one meanwhile waits for that very
+write and shares its fate: if it fails, neither is acknowledged, and the next try writes anew.
+
+A term is checked twice: when a record comes, and when its sync has returned. One whose run was promised to a higher term in
+between is refused, though the disk has it: the new holder was, or will be, told what counted when the promise did, and
+this record was not among it. Like any record that too few stores hold, it may be found there after a restart.
+"""
 from __future__ import annotations
 
+import asyncio
+from dataclasses import dataclass
+
+from ..wal import LogError
+from .record import Kind, Record, pack
+from .record_state import RecordState
+
+RESERVE = 1 / 8             # of the disk: kept free of new lots, for promises, results and ends
+REWRITE_FROM = 8 << 20      # a shorter log is not worth a rewrite
+REWRITE_RATIO = 2           # of the log's size to what it must keep: a longer one is rewritten
+CRAMPED_RATIO = 5 / 4       # the same while the disk has no room for new lots
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class _Entry:
+    """A record, and the term of the holder that brings it."""
+
+    by: int
+    record: Record
+
 
-from .record import Record, pack, unpack
+@dataclass(frozen=True, slots=True)
+class _Coming:
+    """A record on its way to the disk, and the write that carries it."""
 
+    record: Record
+    write: asyncio.Task
 
-class RecordStore:
+
+class RecordStore(RecordState):
     """All records on this store.
 
-    >>> # shelf = RecordStore(book, clock, ctr); shelf.load(raws); ok = await shelf.append(term, recs)
+    >>> # store = RecordStore(log, clock, counters); store.load(log.load()); taken = await store.append(records)
     """
 
     def __init__(self, book, clock, ctr):
-        self.book, self.clock, self.ctr = book, clock, ctr
-        self.id = ""
-        self.promised: dict[str, int] = {}
-        self.lots: dict[str, dict] = {}
-        self.windows: dict[tuple, list] = {}   # (run, partition) -> its newest snapshot and the deltas behind it
-        self.ticks: dict[str, tuple] = {}    # run -> the newest (term, seconds of that term) that a record bears
-        self.noted: dict[str, dict] = {}     # run -> replica -> (term, seconds of that term) of its last intent to order
-        self.orders: dict[str, dict] = {}   # run -> replica -> when the last intent to order came here
-
-    def load(self, raws: list) -> None:
-        for raw in raws:
-            rec = unpack(raw)
-            k = rec.head["k"]
-            if k == "I":
-                self.id = rec.head["id"]
-            elif k == "P":
-                self._promise(rec.head["run"], rec.head["term"])
-            else:
-                if "term" in rec.head:
-                    self._promise(rec.head["run"], rec.head["term"])
-                self._apply(rec)
-
-    def _promise(self, run: str, term: int) -> bool:
-        if term > self.promised.get(run, 0):
-            self.promised[run] = term
-            return True
-        return False
-
-    def _entry(self, lid: str, run: str) -> dict:
-        ent = self.lots.get(lid)
-        if ent is None:
-            ent = self.lots[lid] = {"run": run, "lot": None, "results": {}, "end": None, "at": self.clock.now()}
-        return ent
-
-    def _apply(self, rec: Record) -> bool:
-        """Put a record in its place; False if one as good stands there."""
-        h = rec.head
-        if "t" in h:
-            self.ticks[h["run"]] = max(self.ticks.get(h["run"], (0, 0.0)), (h["term"], h["t"]))
-        if h["k"] == "O":
-            self.orders.setdefault(h["run"], {})[h["iid"]] = self.clock.now()
-            if "t" in h:
-                self.noted.setdefault(h["run"], {})[h["iid"]] = (h["term"], h["t"])
-            return True
-        if h["k"] in ("S", "U"):
-            return self._apply_window(rec)
-        ent = self._entry(h["lot"], h["run"])
-        if h["k"] == "L":
-            if ent["lot"] is not None:
-                return False
-            ent["lot"] = rec
-        elif h["k"] == "E":
-            if ent["end"] is not None:
-                return False
-            ent["end"] = rec
-        else:
-            old = ent["results"].get(h["pos"])
-            if old is not None and old.head["term"] >= h["term"]:
-                return False
-            ent["results"][h["pos"]] = rec
-        return True
+        super().__init__(clock)
+        self.book, self.ctr = book, ctr
+        self._coming: dict[tuple, _Coming] = {}
+        book.snapshot = self.snapshot
 
-    def _apply_window(self, rec: Record) -> bool:
-        """A newer snapshot deletes what lay before it; a delta stands only behind its own snapshot."""
-        h = rec.head
-        have = self.windows.get((h["run"], h["part"]))
-        if h["k"] == "S":
-            if have and (have[0].head["term"], have[0].head["se"]) >= (h["term"], h["se"]):
-                return False
-            self.windows[h["run"], h["part"]] = [rec]
-            return True
-        if not have or (have[0].head["term"], have[0].head["se"]) != (h["term"], h["se"]) \
-                or any(r.head["n"] == h["n"] for r in have[1:]):
-            return False
-        have.append(rec)
-        return True
+    # -- identity
+
+    async def take_id(self, new: str) -> None:
+        """Be known by this id, once it is on the disk."""
+        await self.book.append(pack(Record({"k": Kind.IDENTITY, "id": new})))
+        self.id = new
+
+    async def start_over(self, new: str) -> None:
+        """Be empty under another id, once the disk is; until then, and after a LogError, all is as before."""
+        await self.book.rewrite(lambda: [pack(Record({"k": Kind.IDENTITY, "id": new}))])
+        self._clear()
+        self.id = new
+
+    # -- terms
 
     async def prepare(self, run: str, term: int) -> dict:
         """Promise a run's new holder to take nothing from older ones; tells what is here of the run."""
+        if term > self.promised.get(run, 0):
+            await self._keep(_Entry(term, Record({"k": Kind.PROMISE, "run": run, "term": term})))
         if term < self.promised.get(run, 0):
             self.ctr.add("shelf.prepare_refused")
             return {"ok": False, "promised": self.promised[run]}
-        fresh = [pack(Record({"k": "P", "run": run, "term": term}))] if self._promise(run, term) else []
-        lots = {}
-        for lid, ent in self.lots.items():
-            if ent["run"] == run:
-                lots[lid] = {"lot": ent["lot"] is not None, "end": ent["end"] is not None,
-                             "results": [[p, r.head["term"], r.head["item"]] for p, r in ent["results"].items()]}
-        # what is told must be on the disk, also when the promise stood before: others count on these copies
-        await self.book.append(*fresh)
-        if self.promised[run] != term:
-            return {"ok": False, "promised": self.promised[run]}
-        now = self.clock.now()
-        windows = [[r.head, r.body.decode()] for (of, _), recs in self.windows.items() if of == run for r in recs]
-        last = self.orders.get(run, {})
-        return {"ok": True, "lots": lots, "windows": windows, "orders": {i: now - at for i, at in last.items()},
-                "noted": {i: at for i, at in self.noted.get(run, {}).items() if i in last},
-                "tick": self.ticks.get(run)}
+        return {"ok": True, **self.told(run)}
+
+    async def _keep(self, entry: _Entry) -> None:
+        """Have a record on the disk, by a write that is under way if there is one."""
+        coming = self._on_its_way(entry.record)
+        await asyncio.shield(coming.write if coming else self._write([entry]))
+
+    # -- records
 
     async def append(self, recs: list) -> list:
-        """Take records, each under its run's term; the answer says for each whether it is here and synced."""
-        out, fresh = [], []
-        for rec in recs:
-            run, term = rec.head["run"], rec.head["by"]
-            if term < self.promised.get(run, 0):
-                self.ctr.add("shelf.stale_term")
-                out.append(False)
-                continue
-            if self._promise(run, term):
-                fresh.append(pack(Record({"k": "P", "run": run, "term": term})))
-            kept = Record({k: v for k, v in rec.head.items() if k != "by"}, rec.body)
-            if self._apply(kept):
-                fresh.append(pack(kept))
-            out.append(True)
-        # also when nothing is new: an earlier copy may still be on its way to the disk
-        await self.book.append(*fresh)
-        return out
-
-    def fetch(self, lid: str, poss: list, lot: bool) -> list:
-        """Records of a lot that are here."""
-        ent = self.lots.get(lid)
-        if ent is None:
-            return []
-        out = [ent["lot"]] if lot and ent["lot"] is not None else []
-        if ent["end"] is not None:
-            out.append(ent["end"])
-        return out + [ent["results"][p] for p in poss if p in ent["results"]]
-
-    def forget(self, lids, order_s: float) -> None:
-        """Lots that nobody may ask for any more, and intents to order that are older than order_s."""
-        now = self.clock.now()
-        for run, last in self.orders.items():
-            self.orders[run] = {i: at for i, at in last.items() if now - at <= order_s}
-            self.noted[run] = {i: at for i, at in self.noted.get(run, {}).items() if i in self.orders[run]}
-        for lid in lids:
-            self.lots.pop(lid, None)
-
-    def snapshot(self) -> list[bytes]:
-        """All that is kept, for a rewritten book."""
-        out = [pack(Record({"k": "I", "id": self.id}))]
-        out += [pack(Record({"k": "P", "run": r, "term": t})) for r, t in self.promised.items()]
-        for run, last in self.orders.items():
-            for iid in last:
-                head = {"k": "O", "lot": "", "run": run, "iid": iid}
-                if iid in self.noted.get(run, {}):
-                    head["term"], head["t"] = self.noted[run][iid]
-                out.append(pack(Record(head)))
-        out += [pack(r) for recs in self.windows.values() for r in recs]
-        for ent in self.lots.values():
-            for rec in [ent["lot"], ent["end"], *ent["results"].values()]:
-                if rec is not None:
-                    out.append(pack(rec))
-        return out
-
-    def size(self) -> int:
-        return sum(len(r.body) + 200 for e in self.lots.values() for r in [e["lot"], *e["results"].values()]
-                   if r is not None)
+        """Take records, each under its run's term (`by` in its head). For each: True if it, or one as good, is synced
+        here; False if its run was promised to a higher term; None if it is a new lot and the disk lacks the room."""
+        entries = [_Entry(rec.head["by"], Record({k: v for k, v in rec.head.items() if k != "by"}, rec.body))
+                   for rec in recs]
+        verdicts: dict[_Entry, bool | None] = {}
+        while len(verdicts) < len(entries):
+            fresh, writes = [], {}   # writes in their order, each once
+            for entry in entries:
+                if entry not in verdicts:
+                    self._sort(entry, verdicts, fresh, writes)
+            own = self._write(fresh) if fresh else None
+            for write in [*writes, own] if own else writes:
+                await asyncio.shield(write)
+            if own is not None:
+                verdicts.update(zip(fresh, own.result()))
+        return [verdicts[entry] for entry in entries]
+
+    def _sort(self, entry: _Entry, verdicts: dict, fresh: list, writes: dict) -> None:
+        """Say at once what becomes of a record, have it written, or wait for the write that carries it already."""
+        promised = self.promised.get(entry.record.head["run"], 0)
+        standing = self.standing(entry.record)
+        coming = None if standing else self._on_its_way(entry.record)
+        if entry.by < promised:
+            self.ctr.add("shelf.stale_term")
+            verdicts[entry] = False
+        elif standing and entry.by == promised:
+            verdicts[entry] = True
+        elif coming:
+            writes[coming.write] = True
+        elif entry.record.head["k"] == Kind.LOT and not standing and not self.has_room(len(entry.record.body)):
+            self.ctr.add("shelf.no_room")
+            verdicts[entry] = None
+        else:
+            fresh.append(entry)
+
+    def _on_its_way(self, record: Record) -> _Coming | None:
+        coming = self._coming.get(record.place())
+        return coming if coming and coming.record.rank() >= record.rank() else None
+
+    # -- the way to the disk
+
+    def _write(self, entries: list[_Entry]) -> asyncio.Task:
+        """Begin to write records; goes on whatever becomes of those who wait for it."""
+        write = asyncio.get_running_loop().create_task(self._carry(entries))
+        write.add_done_callback(self._count_failure)
+        for entry in entries:
+            if entry.record.place() is not None:
+                self._coming[entry.record.place()] = _Coming(entry.record, write)
+        return write
+
+    def _count_failure(self, write: asyncio.Task) -> None:
+        if not write.cancelled() and write.exception() is not None:
+            self.ctr.add("shelf.write_failed")
+
+    async def _carry(self, entries: list[_Entry]) -> list[bool]:
+        raws, terms = [], {}
+        for entry in entries:
+            run = entry.record.head["run"]
+            if entry.by > max(self.promised.get(run, 0), terms.get(run, 0)):
+                terms[run] = entry.by
+                raws.append(pack(Record({"k": Kind.PROMISE, "run": run, "term": entry.by})))
+            if entry.record.head["k"] != Kind.PROMISE and not self.standing(entry.record):
+                raws.append(pack(entry.record))
+        try:
+            await self.book.append(*raws)
+        finally:
+            self._arrived(entries, asyncio.current_task())
+        return [self._count(entry) for entry in entries]   # no await in between: the log relies on it
+
+    def _arrived(self, entries: list[_Entry], write: asyncio.Task) -> None:
+        """A write ended, well or not: its records are no longer on their way."""
+        for entry in entries:
+            coming = self._coming.get(entry.record.place())
+            if coming is not None and coming.write is write:
+                del self._coming[entry.record.place()]
+
+    def _count(self, entry: _Entry) -> bool:
+        """A record is on the disk: from now on it counts, unless its run went to a higher term meanwhile."""
+        run = entry.record.head["run"]
+        if entry.by < self.promised.get(run, 0):
+            self.ctr.add("shelf.overtaken")
+            return False
+        self._promise(run, entry.by)
+        if entry.record.head["k"] != Kind.PROMISE and not self.standing(entry.record):
+            self.apply(entry.record)
+        return True
+
+    # -- space
 
+    def admits(self, lid: str, size: int) -> bool:
+        """Whether a lot may be taken: it is here or on its way, or there is room for it."""
+        return lid in self.lots or (Kind.LOT, lid) in self._coming or self.has_room(size)
 
+    def has_room(self, more: int) -> bool:
+        """Whether a lot of so many bytes leaves the reserve, and room for a rewrite of all that is kept."""
+        if not self.book.limit_bytes:
+            return True
+        return self.book.room() - more >= self.book.limit_bytes * RESERVE + self.size() + more
+
+    def wants_rewrite(self) -> bool:
+        """Whether the log is much longer than what it must keep."""
+        ratio = REWRITE_RATIO if self.has_room(0) else CRAMPED_RATIO
+        return self.book.size > REWRITE_FROM and self.book.size > self.size() * ratio
+
+    async def rewrite_if_due(self) -> None:
+        """Rewrite the log if it wants it; one that fails is counted, loses nothing, and is tried again another time."""
+        if not self.wants_rewrite():
+            return
+        try:
+            await self.book.rewrite()
+        except LogError:
+            self.ctr.add("shelf.rewrite_failed")
--- a/lines/batches/replicator.py
+++ b/lines/batches/replicator.py
@@ -97,7 +97,7 @@
     async def _here(self, term: int, recs: list[Record]):
         out = await self.shelf.append([Record({**r.head, "by": term}, r.body) for r in recs])
         if not all(out):
-            return False
+            return None if None in out else False
         for r in recs:
             r.held.add(self.me)
         return True
@@ -143,9 +143,12 @@
         for _, _, rs, fut in jobs:
             out = None
             if oks is not None:
-                out = all(oks[at:at + len(rs)])
+                said = oks[at:at + len(rs)]
+                out = all(said) if None not in said else None
                 at += len(rs)
-                if not out:
+                if out is None:
+                    self.ctr.add("copy.no_room")
+                if out is False:
                     self.ctr.add("copy.stale_term")
                 if out:
                     for r in rs:
--- a/lines/control/node.py
+++ b/lines/control/node.py
@@ -63,7 +63,9 @@
     # -- life
 
     async def start(self) -> None:
-        self.book = WriteAheadLog(self.boot.data_dir or "/tmp/archhatch", "core", self.log)
+        self.book = WriteAheadLog(self.boot.data_dir or "/tmp/archhatch", "core", self.log, clock=self.clock,
+                                  counters=self.ctr, limit_bytes=self.boot.disk_mb * 1_000_000)
+        self.book.snapshot = self._log_records
         for p in PARTS:
             self.keepers[p] = Acceptor(p, self.book, self.ctr)
         for raw in self.book.load():
@@ -514,10 +516,13 @@
     async def _try(self, part, name, args) -> None:
         await self.try_command(part, name, args)
 
+    def _log_records(self) -> list[bytes]:
+        """All that the log must hold."""
+        first = orjson.dumps({"id": self.id, "founders": self.founders})
+        return [first] + [keeper.record() for keeper in self.keepers.values()]
+
     async def _rewrite(self) -> None:
-        recs = [orjson.dumps({"id": self.id, "founders": self.founders})]
-        recs += [k.record() for k in self.keepers.values()]
-        await self.book.rewrite(recs)
+        await self.book.rewrite()
         self.board.post("rewritten", self.book.size)
 
     # -- calls from outside
--- a/lines/frame/codes.py
+++ b/lines/frame/codes.py
@@ -36,6 +36,7 @@
     3005: (503, "no store holds the run at the moment; not taken"),
     3006: (429, "too many at once; it has not run"),
     3007: (503, "another epoch leads the partition, or the worker is not known there; attach anew"),
+    3008: (503, "too little room on the disk for a new lot"),
     3101: (503, "no region that may run it is in; it has not run"),
     4001: (502, "the replica broke off"),
     4002: (504, "the time is up; it may have run"),
--- a/lines/store/node.py
+++ b/lines/store/node.py
@@ -11,7 +11,7 @@
 from ..cordboard import Leader, Worker
 from ..supervisor import Engines, Orders, Reign
 from ..supervisor.reign import fetch_over
-from ..batches import Replicator, Deposed, Quorum, Record, RecordStore, active, pack
+from ..batches import Replicator, Deposed, Quorum, RecordStore, active
 from ..batches.record import pack_many, unpack_many
 from ..wal import WriteAheadLog
 from ..rpc import Server, CallError, ConnectionPool, Refusal, Handlers
@@ -57,7 +57,8 @@
         self.desk = Server(self.verbs, log, self.ctr)
 
     async def start(self) -> None:
-        self.book = WriteAheadLog(self.boot.data_dir or "/tmp/archhatch", "store", self.log)
+        self.book = WriteAheadLog(self.boot.data_dir or "/tmp/archhatch", "store", self.log, clock=self.clock,
+                                  counters=self.ctr, limit_bytes=self.boot.disk_mb * 1_000_000)
         self.shelf = RecordStore(self.book, self.clock, self.ctr)
         self.shelf.load(self.book.load())
         self.book.start()
@@ -91,8 +92,7 @@
         return self.shelf.id
 
     async def _new_id(self) -> None:
-        self.shelf.id = f"s-{random.getrandbits(64):016x}"
-        await self.book.append(pack(Record({"k": "I", "id": self.shelf.id})))
+        await self.shelf.take_id(f"s-{random.getrandbits(64):016x}")
 
     def _card(self) -> dict:
         return {"id": self.id, "klass": "store", "name": self.boot.node, "ip": self.boot.ip, "zone": self.boot.zone,
@@ -250,6 +250,8 @@
                 raise Refusal(3005)
             if doc["lot"] in reign.pending:
                 raise Refusal(3004)
+            if not self.shelf.admits(doc["lot"], len(body)):
+                raise Refusal(3008)
             try:
                 await reign.put(doc, body)
             except Deposed:
@@ -325,10 +327,7 @@
             reign.over()
         if retired:
             return
-        self.shelf.lots.clear()
-        self.shelf.promised.clear()
-        self.shelf.id = f"s-{random.getrandbits(64):016x}"
-        await self.book.rewrite(self.shelf.snapshot())
+        await self.shelf.start_over(f"s-{random.getrandbits(64):016x}")
         self.copier.me = self.shelf.id
         self.news.card = self._card()
 
@@ -458,5 +457,4 @@
             now = self.clock.now()
             self.shelf.forget([lid for lid, e in self.shelf.lots.items() if e["end"] is not None and now - e["at"] > keep],
                               self.boot.secs("LeaseMs", 2))
-            if self.book.size > (8 << 20) and self.book.size > self.shelf.size() * 2:
-                await self.book.rewrite(self.shelf.snapshot())
+            await self.shelf.rewrite_if_due()
--- a/lines/testdesk/doctor.py
+++ b/lines/testdesk/doctor.py
@@ -8,7 +8,7 @@
 import orjson
 
 from ..frame import CODES, BootFault, Counters, read_boot
-from ..wal import read_records
+from ..wal import generation_number, read_records
 from ..rpc import CallError, ConnectionPool
 
 CHECKS: list = []
@@ -108,7 +108,7 @@
     def _book(self, path: str, name: str) -> list:
         if name.endswith(".damaged"):
             return [Finding(6006, path, "a damaged write-ahead log was set aside here")]
-        if name not in ("core", "store"):
+        if all(generation_number(name, base) is None for base in ("core", "store")):
             return []
         try:
             with open(path, "rb") as f:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,6 +23,8 @@
 class MemBook:
     """A wal in memory: what was synced, and what a loss of power leaves."""
 
+    limit_bytes = 0
+
     def __init__(self):
         self.raws: list = []
 
