--- a/lines/batches/replicator.py
+++ b/lines/batches/replicator.py
@@ -107,10 +107,19 @@
         except LogError:
             self.ctr.add("copy.own_disk")
             return None   # this store's copy is one like any other: others make up for it
-        if not all(out):
+        return self._settle(self.me, out, recs)
+
+    def _settle(self, sid: str, verdicts: list, recs: list[Record]) -> bool | None:
+        """What a store's verdicts on a job's records come to: False if any met a higher term, None if the disk lacks
+        the room for any; only if all are synced do they count as held there."""
+        if False in verdicts:
+            self.ctr.add("copy.stale_term")
             return False
-        for r in recs:
-            r.held.add(self.me)
+        if None in verdicts:
+            self.ctr.add("copy.no_room")
+            return None
+        for rec in recs:
+            rec.held.add(sid)
         return True
 
     def send(self, sid: str, run: str, term: int, recs: list[Record]) -> asyncio.Future:
@@ -154,12 +163,7 @@
         for _, _, rs, fut in jobs:
             out = None
             if oks is not None:
-                out = all(oks[at:at + len(rs)])
+                out = self._settle(sid, oks[at:at + len(rs)], rs)
                 at += len(rs)
-                if not out:
-                    self.ctr.add("copy.stale_term")
-                if out:
-                    for r in rs:
-                        r.held.add(sid)
             if not fut.done():
                 fut.set_result(out)
--- a/lines/store/handlers.py
+++ b/lines/store/handlers.py
@@ -93,6 +93,8 @@
             raise Refusal(3004 if may_be_taken(self.st, doc["run"], doc["lot"]) else 3005)
         if doc["lot"] in reign.pending:
             raise Refusal(3004)
+        if doc["lot"] not in reign.lots and not self.st.membership.admits(doc["lot"], len(body)):
+            raise Refusal(3004 if may_be_taken(self.st, doc["run"], doc["lot"]) else 3008)
         try:
             await reign.put(doc, body)
         except Deposed:
--- a/lines/store/heartbeat.py
+++ b/lines/store/heartbeat.py
@@ -28,6 +28,7 @@
     promised: dict | None = None
     lag: float = 0.0
     takes: bool = True          # its disk takes new records
+    roomy: bool = True          # there is room for new lots as well
     departing: bool = False     # it is about to end: copies must not count on it
     oldest_write_s: float = 0.0
     leads: dict[str, Leading] | None = field(default_factory=dict)
@@ -37,7 +38,7 @@
         leads = None if self.leads is None else {
             run: [lead.term, round(lead.idle_s, 3), list(lead.spared)] for run, lead in self.leads.items()}
         return {"card": self.card, "promised": self.promised, "lag": self.lag, "takes": self.takes,
-                "departing": self.departing, "oldest_write_s": self.oldest_write_s, "leads": leads}
+                "roomy": self.roomy, "departing": self.departing, "oldest_write_s": self.oldest_write_s, "leads": leads}
 
     @classmethod
     def read(cls, doc: dict) -> HeartbeatWord:
@@ -45,5 +46,5 @@
         leads = doc.get("leads")
         if leads is not None:
             leads = {run: Leading(term, idle_s, tuple(spared)) for run, (term, idle_s, spared) in leads.items()}
-        return cls(doc["card"], doc["promised"], doc["lag"], doc.get("takes", True), doc.get("departing", False),
-                   doc.get("oldest_write_s", 0.0), leads)
+        return cls(doc["card"], doc["promised"], doc["lag"], doc.get("takes", True), doc.get("roomy", True),
+                   doc.get("departing", False), doc.get("oldest_write_s", 0.0), leads)
--- a/lines/store/join.py
+++ b/lines/store/join.py
@@ -4,7 +4,6 @@
 import asyncio
 import random
 
-from ..batches import Record, pack
 from ..dialplan import Plan
 from ..wal import LogError
 
@@ -76,13 +75,10 @@
             reign.over()
         if retired:
             return
-        new_id = f"s-{random.getrandbits(64):016x}"
         try:
-            await st.book.rewrite([pack(Record({"k": "I", "id": new_id}))])
+            await st.disk.watch(st.shelf.start_over(f"s-{random.getrandbits(64):016x}"))
         except LogError:
             st.ctr.add("join.put_off")
             return
-        for kept in (st.shelf.lots, st.shelf.promised, st.shelf.windows):
-            kept.clear()
-        st.shelf.id = st.copier.me = new_id
+        st.copier.me = st.id
         st.news.card = st.card()
--- a/lines/store/membership.py
+++ b/lines/store/membership.py
@@ -48,6 +48,14 @@
         word = self.words.get(sid)
         return word is None or word.takes
 
+    def admits(self, lid: str, size: int) -> bool:
+        """Whether a new lot may be taken: enough stores in touch have the room for its copies."""
+        members = active(self.st.members())
+        roomy = [sid for sid in members if sid != self.st.id and self.stays(sid) and self.takes(sid)
+                 and (sid not in self.words or self.words[sid].roomy)]
+        here = [self.st.id] if self.st.disk.takes and self.st.shelf.admits(lid, size) else []
+        return self.st.quorum.enough(roomy + here, members)
+
     def departing(self, sid: str) -> bool:
         """Whether a store said that it is about to end."""
         if sid == self.st.id:
@@ -111,7 +119,8 @@
         """What others are told at a ping. A store that has not read all terms yet proves nothing about them."""
         st = self.st
         return HeartbeatWord(st.card(), st.shelf.promised if st.ready else None, self.lag,
-                             takes=st.disk.takes and st.ready and not st.leaving, departing=st.leaving,
+                             takes=st.disk.takes and st.ready and not st.leaving, roomy=st.shelf.has_room(0),
+                             departing=st.leaving,
                              oldest_write_s=st.disk.oldest_write_s(),
                              leads={run: reign.leading() for run, reign in st.reigns.items() if reign.state != "over"})
 
--- a/lines/store/node.py
+++ b/lines/store/node.py
@@ -7,7 +7,7 @@
 
 import random
 
-from ..batches import Quorum, Record, RecordStore, Replicator, pack
+from ..batches import Quorum, RecordStore, Replicator
 from ..cordboard import Leader, Worker
 from ..dialplan import Plan
 from ..directory import Newsreader
@@ -63,12 +63,13 @@
 
     async def start(self) -> None:
         """Load the log, open the port and begin all duties."""
-        self.book = WriteAheadLog(self.boot.data_dir or "/tmp/archhatch", "store", self.log)
+        self.book = WriteAheadLog(self.boot.data_dir or "/tmp/archhatch", "store", self.log, clock=self.clock,
+                                  counters=self.ctr, limit_bytes=self.boot.disk_mb * 1_000_000)
         self.shelf = RecordStore(self.book, self.clock, self.ctr)
         self.shelf.load(self.book.load())
         self.book.start()
         if not self.shelf.id:
-            await self._new_id()
+            await self.shelf.take_id(f"s-{random.getrandbits(64):016x}")
         self.caller = Caller()
         self.picker.idle = self.caller.idle
         self.news = Newsreader(self.boot, self.card(), self.lines, self.board, self.clock, self.ctr)
@@ -98,11 +99,6 @@
         """How late this node's timers are, lately."""
         return self.membership.lag
 
-    async def _new_id(self) -> None:
-        new_id = f"s-{random.getrandbits(64):016x}"
-        await self.book.append(pack(Record({"k": "I", "id": new_id})))
-        self.shelf.id = new_id
-
     def card(self) -> dict:
         """How this store introduces itself."""
         return {"id": self.id, "klass": "store", "name": self.boot.node, "ip": self.boot.ip, "zone": self.boot.zone,
--- a/lines/store/repair.py
+++ b/lines/store/repair.py
@@ -7,8 +7,6 @@
 from ..wal import LogError
 
 PACE = 3                    # heartbeats between rounds while the stores do not change and no copy is lacking
-REWRITE_BYTES = 8 << 20     # a log is rewritten when it is longer than this, and ...
-REWRITE_RATIO = 2           # ... so many times longer than what is kept
 PROBE_BYTES = 4096          # what a disk must take before it counts as taking records again
 
 
@@ -39,11 +37,7 @@
         keep_s, now = st.boot.secs("StatusS", 2), st.clock.now()
         old = [lid for lid, entry in st.shelf.lots.items() if entry["end"] is not None and now - entry["at"] > keep_s]
         st.shelf.forget(old, st.boot.secs("LeaseMs", 2))
-        if st.book.size > REWRITE_BYTES and st.book.size > st.shelf.size() * REWRITE_RATIO:
-            try:
-                await st.book.rewrite(st.shelf.snapshot())
-            except LogError:
-                st.ctr.add("disk.rewrite_failed")
+        await st.shelf.rewrite_if_due()
 
     async def probe_disk(self) -> None:
         """Try a disk that took nothing until it takes a small record again."""
--- a/lines/switchboard/lotdesk.py
+++ b/lines/switchboard/lotdesk.py
@@ -10,7 +10,7 @@
 from ..batches import BadLot, Quorum, check_lot
 from ..rpc import CallError
 
-NOT_TAKEN = {2008, 3001, 3005}   # refusals after which this very call has put nothing anywhere
+NOT_TAKEN = {2008, 3001, 3005, 3008}   # refusals after which this very call has put nothing anywhere
 UNCLEAR_KEPT = 4096              # hand-ins without a clear outcome that are remembered
 
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -336,5 +336,5 @@
 def test_the_word_of_an_earlier_version_is_read():
     word = HeartbeatWord.read({"card": {"id": "a"}, "promised": None, "lag": 0.1})
     assert word.takes and not word.departing and word.leads is None
-    full = HeartbeatWord({"id": "a"}, {"s": 1}, 0.2, False, True, 1.5, {"s": Leading(4, 0.25, ("b",))})
+    full = HeartbeatWord({"id": "a"}, {"s": 1}, 0.2, False, False, True, 1.5, {"s": Leading(4, 0.25, ("b",))})
     assert HeartbeatWord.read(orjson.loads(orjson.dumps(full.doc()))) == full
