--- a/lines/control/agreement.py
+++ b/lines/control/agreement.py
@@ -1,8 +1,6 @@
 """The registers of a control node: its votes, its proposers, and what it knows to be chosen."""
 from __future__ import annotations
 
-import contextlib
-
 import orjson
 
 from ..consensus import Acceptor, Proposer, Unclear
@@ -61,7 +59,7 @@
         return orjson.dumps({"id": self.node.id, "founders": self.founders})
 
     def snapshot(self) -> list[bytes]:
-        """All that must outlive the process; exact only while no vote is on its way to the disk."""
+        """All that must outlive the process; the log asks for it while no vote is on its way to the disk."""
         return [self.identity()] + [a.record() for a in self.acceptors.values()]
 
     async def rewrite_if_long(self) -> None:
@@ -69,10 +67,7 @@
         book = self.node.book
         if book.size <= REWRITE_BYTES or book.size <= self._rewritten * REWRITE_GROWTH:
             return
-        async with contextlib.AsyncExitStack() as stack:
-            for acceptor in self.acceptors.values():
-                await stack.enter_async_context(acceptor.lock)
-            await book.rewrite(self.snapshot())
+        await book.rewrite()
         self._rewritten = book.size
 
     # -- what is known
--- a/lines/control/node.py
+++ b/lines/control/node.py
@@ -35,7 +35,7 @@
     >>> # node = ControlNode(boot, log); await node.start(); await node.leave()
     """
 
-    def __init__(self, boot, log, clock=None, network=None, files=None):
+    def __init__(self, boot, log, clock=None, network=None, files=None, disk_worker=None):
         self.boot, self.log = boot, log
         self.clock = clock or Clock()
         self.ctr = Counters()
@@ -43,7 +43,7 @@
         self.board = Board()
         network = network or TcpNetwork()
         self.lines = network.pool(self.ctr)
-        self.files = files
+        self.files, self.disk_worker = files, disk_worker
         self.id = ""
         self.life = f"{random.getrandbits(48):012x}"
         self.addr = f"{boot.ip}:{boot.ports[0]}"
@@ -72,7 +72,10 @@
 
     async def start(self) -> None:
         """Read the log, found or join the group, and listen."""
-        self.book = WriteAheadLog(self.boot.data_dir or "/tmp/archhatch", "core", self.log, **self._log_files())
+        self.book = WriteAheadLog(self.boot.data_dir or "/tmp/archhatch", "core", self.log, self.files, clock=self.clock,
+                                  counters=self.ctr, worker=self.disk_worker,
+                                  limit_bytes=self.boot.disk_mb * 1_000_000)
+        self.book.snapshot = self.registers.snapshot
         self.registers.load(self.book, self.book.load())
         self.book.start()
         if not self.id:
@@ -88,9 +91,6 @@
         founder = bool(self.registers.founders)
         self.log.info("control node {} is up; founder={} records={}", self.id, founder, self.book.size)
 
-    def _log_files(self) -> dict:
-        return {} if self.files is None else {"files": self.files}
-
     async def _found(self) -> None:
         """A first start on an empty disk: the seeds found the group, others get an id by chance and join."""
         ips = [s.rsplit(":", 1)[0] for s in self.boot.seeds]
