Orders: nothing follows an unclear order before a report tells; the lease is proven at the write

Cause: an order without an answer was forgotten (count = None) and, once its waiting time ended without a report, sent again without ExpectedCount; an older report could lower the count; any status but four counted as not taken; the lease was checked before connecting, not at the write; an answer of another request on the connection counted as the order's. Change: Engine.unclear_at and count kept as a floor; a report clears it when it shows more orders or was asked late enough; SendGate at the write; answers that bear an id or a seal are foreign; unknown statuses are unclear.

--- a/lines/supervisor/engines.py
+++ b/lines/supervisor/engines.py
@@ -19,7 +19,8 @@
     revs: dict = field(default_factory=dict)
     held: set = field(default_factory=set)        # models to which nothing new is sent: an order is near or under way
     ordering: bool = False
-    count: int | None = None                      # orders taken, as last reported
+    count: int | None = None                      # orders taken, as far as is known
+    unclear_at: float | None = None               # an order got no clear answer then: none follows before a report tells
     running: dict = field(default_factory=dict)   # model -> items under way
     pause_until: float = 0.0
     pace: float = 0.0                             # seconds an event, lately
--- a/lines/supervisor/orders.py
+++ b/lines/supervisor/orders.py
@@ -2,15 +2,45 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import math
+from collections.abc import Callable
 
 import aiohttp
 import orjson
 
 from ..batches import Deposed
+from ..sends import ECHO, SEAL, NotSent, says_not_run
 from .room import LoadRoom
 
-TAKEN, MAYBE = "taken", "maybe"
+TURNED_AWAY = frozenset({400, 412, 421})   # answers which say that an order was not taken
+LAG_GAPS = 2                               # a report may be so old
+
+
+class Taken(enum.Enum):
+    """Whether an engine took an order."""
+    YES = "yes"
+    NO = "no"
+    MAYBE = "maybe"
+
+
+class ForeignAnswer(ValueError):
+    """An answer that belongs to another request: an order bears no id, so its answer neither."""
+
+
+class SendGate:
+    """Asked right before the write of an order; remembers whether it let it pass.
+
+    >>> gate = SendGate(lambda: True); gate.passed, gate(), gate.passed
+    (False, True, True)
+    """
+
+    def __init__(self, allowed: Callable[[], bool]):
+        self.allowed, self.passed = allowed, False
+
+    def __call__(self) -> bool:
+        self.passed = self.allowed()
+        return self.passed
 
 
 class Orders:
@@ -100,28 +130,23 @@
         st = self.st
         try:
             e.held.add(run)
+            if not await self._cleared(e):
+                return
             mode = "retain"
             if self._single(reign, run):
                 mode = "hold"
-                end = st.clock.now() + st.boot.secs("LeaseMs")
-                while e.running.get(run, 0) and st.clock.now() < end and reign.may_order():
-                    await st.board.news("work", st.board.turn("work"), st.beat_s)
+                await self._until_idle(reign, run, e)
             if not reign.may_order() or e.iid not in st.engines.all:
                 return
-            target = max(target, st.named().get(run, 1))
             try:
                 until = await reign.intend(e.iid)
             except Deposed:
                 reign.over()
                 return
             began = st.clock.now()
-            # checked last, right before the send: a node that stood still since must not order
-            if began >= until or not reign.may_order(e.iid):
-                st.ctr.add("order.too_late")
-                return
-            sent = await self._send(reign, run, e, target, mode)
-            if sent:
-                await self._await_done(run, e, target, began, sent == TAKEN)
+            taken = await self._send(reign, run, e, max(target, st.named().get(run, 1)), mode, until)
+            if taken is not Taken.NO:
+                await self._await_done(run, e, target, began, taken is Taken.YES)
         finally:
             e.ordering = False
             e.held.discard(run)
@@ -129,41 +154,89 @@
             st.board.touch("orders")
             st.board.touch("work")
 
-    async def _send(self, reign, run, e, target, mode) -> str:
-        """Send one order; TAKEN or MAYBE if it is, or may be, being carried out."""
+    async def _until_idle(self, reign, run: str, e) -> None:
+        """Wait for the items of a model that an engine runs, not longer than a lease."""
+        st = self.st
+        end = st.clock.now() + st.boot.secs("LeaseMs")
+        while e.running.get(run, 0) and st.clock.now() < end and reign.may_order():
+            await st.board.news("work", st.board.turn("work"), st.beat_s)
+
+    async def _cleared(self, e) -> bool:
+        """Whether nothing is unclear of earlier orders: what got no answer may have been taken, and a report tells."""
+        if e.unclear_at is not None:
+            await self._report(e)
+        if e.unclear_at is None:
+            return True
+        self.st.ctr.add("order.still_unclear")
+        e.pause_until = self.st.clock.now() + self.st.gap_s()
+        return False
+
+    async def _send(self, reign, run, e, target, mode, until: float) -> Taken:
+        """Send one order; whether it is being carried out.
+
+        The gate is asked when the connection is there: a node that stood still since, also while it connected, or whose
+        proof of its lease is too old by then, must not order.
+        """
         st = self.st
+        gate = SendGate(lambda: st.clock.now() < until and reign.may_order(e.iid))
+        if not gate():
+            st.ctr.add("order.too_late")
+            return Taken.NO
+        gate.passed = False
         doc = {"Opcode": "Revision", "Model": run, "Revision": target, "Mode": mode, "Owner": st.boot.node,
                "FenceToken": reign.term}
         if e.count is not None:
             doc["ExpectedCount"] = e.count
         st.ctr.add("order.send")
         try:
-            async with asyncio.timeout(st.gap_s() * 2):
-                async with st.caller.ask(e.addr, e.iid, "POST", "/api/order", [("Content-Type", "application/json")],
-                                         orjson.dumps(doc), 0.0) as resp:
-                    await resp.read()
-                    status = resp.status
-        except aiohttp.ClientConnectorError:
-            e.fitness.note("vanished", st.clock.now(), st.gap_s() * 2)
-            return ""
-        except (aiohttp.ClientError, OSError, asyncio.TimeoutError, TimeoutError):
-            st.ctr.add("order.unanswered")
-            e.count = None
-            return MAYBE
+            status, not_run = await self._post(e, doc, gate)
+        except NotSent:
+            st.ctr.add("order.too_late")
+            return Taken.NO
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError, ValueError):
+            if not gate.passed:   # there was no connection to write it on
+                e.fitness.note("vanished", st.clock.now(), st.gap_s() * LAG_GAPS)
+                return Taken.NO
+            return self._unclear(e, "order.unanswered")
+        return await self._heed(run, e, target, status, not_run)
+
+    async def _post(self, e, doc: dict, gate: SendGate) -> tuple[int, bool]:
+        """The status of a whole answer to an order, and whether it says that nothing was done."""
+        st = self.st
+        async with asyncio.timeout(st.gap_s() * 2):
+            async with st.caller.ask(e.addr, e.iid, "POST", "/api/order", [("Content-Type", "application/json")],
+                                     orjson.dumps(doc), 0.0, "", gate) as resp:
+                self._refuse_foreign(resp)
+                await resp.read()
+                return resp.status, says_not_run(resp)
+
+    def _refuse_foreign(self, resp) -> None:
+        if resp.headers.get(ECHO) or SEAL in resp.headers or resp.status < 200:
+            self.st.ctr.add("order.foreign_answer")
+            resp.close()
+            raise ForeignAnswer(resp.headers.get(ECHO))
+
+    async def _heed(self, run, e, target, status: int, not_run: bool) -> Taken:
+        """What the answer to an order says."""
+        st = self.st
         st.ctr.add(f"order.{status}")
         if status == 202:
             e.count = e.count + 1 if e.count is not None else None
-            return TAKEN
+            return Taken.YES
         if status == 200:
             e.proven(run, target)
-            return ""
-        if status == 409:
-            e.count = None
-            return MAYBE
+            return Taken.NO
+        if status not in TURNED_AWAY and not not_run:
+            return self._unclear(e, "order.unclear")   # 409 too: another is under way, or its count is not what it was
         e.pause_until = st.clock.now() + st.gap_s()
         if status == 421:
             await self._clear_up(e)
-        return ""
+        return Taken.NO
+
+    def _unclear(self, e, counter: str) -> Taken:
+        self.st.ctr.add(counter)
+        e.unclear_at = self.st.clock.now()
+        return Taken.MAYBE
 
     async def _await_done(self, run, e, target, began, sure: bool) -> None:
         st = self.st
@@ -186,23 +259,33 @@
                 self.room.note(st.clock.now() - began, alone)
 
     async def _report(self, e) -> dict | None:
-        """Read an engine's own report and fold the versions that it shows."""
-        st = self.st
+        """Read an engine's own report and fold what it shows; None if none comes, or one older than what is known."""
+        st, asked = self.st, self.st.clock.now()
         st.ctr.add("report")
         try:
             async with asyncio.timeout(st.gap_s() * 2):
                 async with st.caller.ask(e.addr, e.iid, "GET", "/api/report", [], b"", 0.0) as resp:
+                    self._refuse_foreign(resp)
                     data = await resp.read()
                     if resp.status != 200:
                         return None
-            doc = orjson.loads(data)
-            for m in doc.get("ModelList") or []:
-                e.proven(m["Name"], int(m["Revision"]))
-            if not doc.get("Utilization"):
-                e.count = int(doc["Sequence"]) if "Sequence" in doc else None
-            return doc
-        except (aiohttp.ClientError, OSError, asyncio.TimeoutError, TimeoutError, ValueError, KeyError, TypeError):
+            return self._fold_report(e, orjson.loads(data), asked)
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError, ValueError, KeyError, TypeError):
+            return None
+
+    def _fold_report(self, e, doc: dict, asked: float) -> dict | None:
+        known, taken = e.count, int(doc["Sequence"])
+        if known is not None and taken < known:
+            self.st.ctr.add("report.old")
             return None
+        for m in doc.get("ModelList") or []:
+            e.proven(m["Name"], int(m["Revision"]))
+        if not doc.get("Utilization"):
+            e.count = taken
+            more = known is not None and taken > known
+            if e.unclear_at is not None and (more or asked - e.unclear_at >= self.st.gap_s() * LAG_GAPS):
+                e.unclear_at = None
+        return doc
 
     async def _clear_up(self, e) -> None:
         """Learn what an engine really holds: what it reports counts, also where it is lower than was believed."""
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -9,6 +9,7 @@
 from lines.dialplan import Plan
 from lines.frame import Board, Counters, open_logs
 from lines.frame.boot import check_boot
+from lines.sends import NotSent
 from lines.supervisor import Engines, Orders
 from lines.supervisor.reign import MOVES
 
@@ -17,15 +18,20 @@
 
 
 class Resp:
-    def __init__(self, status, doc):
-        self.status, self.doc, self.headers = status, doc, {}
+    def __init__(self, status, doc, headers=None):
+        self.status, self.doc, self.headers = status, doc, headers or {}
 
     async def read(self):
         return orjson.dumps(self.doc)
 
+    def close(self):
+        pass
+
     async def __aenter__(self):
         if self.status == 0:
             raise OSError("reset")
+        if self.status == "late":
+            raise NotSent
         return self
 
     async def __aexit__(self, *a):
@@ -37,15 +43,23 @@
 
     def __init__(self, script=(), rev=1, count=0):
         self.script, self.rev, self.count, self.orders, self.reports = list(script), rev, count, [], 0
+        self.dark, self.connecting = False, lambda: None
 
-    def ask(self, addr, iid, method, target, heads, body, secs):
+    def ask(self, addr, iid, method, target, heads, body, secs, mode="", may_send=None):
         if target == "/api/report":
             self.reports += 1
+            if self.dark:
+                return Resp(0, {})
             return Resp(200, {"ModelList": [{"Name": "m", "Revision": self.rev}], "Utilization": False,
                               "Sequence": self.count})
         doc = orjson.loads(body)
+        self.connecting()
+        if not may_send():
+            return Resp("late", {})
         self.orders.append(doc)
         status, taken = self.script.pop(0) if self.script else (202, True)
+        if isinstance(status, dict):
+            return Resp(202, {}, status)
         if taken:
             self.rev, self.count = doc["Revision"], self.count + 1
         return Resp(status, {})
@@ -95,7 +109,10 @@
     ([(200, True)], 1, 2),
     ([(0, True)], 1, 2),               # no answer, but taken: the report shows it, nothing is ordered twice
     ([(409, False), (202, True)], 2, 2),
-    ([(0, False), (202, True)], 2, 2)])  # no answer and not taken: the report shows that too
+    ([(0, False), (202, True)], 2, 2),   # no answer and not taken: the report shows that too
+    ([(500, False), (202, True)], 2, 2), ([(503, True)], 1, 2),          # an answer that says nothing of it
+    ([({"X-Archhatch-Request-Id": "other"}, False), (202, True)], 2, 2),   # an answer of another request
+    ([({"X-Archhatch-Reply-Seal": "s"}, False), (202, True)], 2, 2)])
 def test_an_order_is_cleared_up_before_the_next(run, clock, script, sent, rev):
     async def go():
         rep = FakeReplica(script)
@@ -105,7 +122,62 @@
         await settle(orders)
         assert len(rep.orders) == sent and st.engines.all["e0"].revs["m"] == rev
         assert all(o["FenceToken"] == 7 and o["Owner"] == "n" for o in rep.orders)
-        assert len(reign.noted) == sent
+        assert len(reign.noted) == sent and [o.get("ExpectedCount") for o in rep.orders] == [None, 0][:sent]
+    run(go())
+
+
+@pytest.mark.parametrize("count, answer, age, seq, busy, clear, after", [
+    (3, 0, 1.0, 3, False, True, 3), (3, 0, 0.01, 3, False, False, 3),        # the report may be older than the order
+    (3, 0, 0.01, 4, False, True, 4), (3, 0, 1.0, 4, True, False, 3),         # it was taken; it is being carried out
+    (3, 0, 1.0, 2, False, False, 3), (None, 0, 1.0, 7, False, True, 7), (None, 0, 0.01, 7, False, False, 7),
+    (3, 409, 1.0, 5, False, True, 5), (3, 202, 1.0, 3, False, True, 4), (3, 412, 1.0, 3, False, True, 3)])
+def test_what_a_report_clears_up(run, clock, count, answer, age, seq, busy, clear, after):
+    async def go():
+        rep = FakeReplica([(answer, False)])
+        st, reign, orders = setup(clock, rep)
+        e = st.engines.all["e0"]
+        e.count = count
+        await orders._send(reign, "m", e, 2, "hold", clock.now() + 9)
+        assert rep.orders[0].get("ExpectedCount") == count
+        clock.at += age
+        orders._fold_report(e, {"Sequence": seq, "Utilization": busy, "ModelList": []}, clock.now())
+        assert (e.unclear_at is None, e.count) == (clear, after)
+    run(go())
+
+
+def test_nothing_is_ordered_while_no_report_clears_up_what_became_of_the_last(run, clock):
+    async def go():
+        rep = FakeReplica([(0, False)])
+        st, reign, orders = setup(clock, rep)
+        e = st.engines.all["e0"]
+        assert (await orders._send(reign, "m", e, 2, "hold", clock.now() + 9)).value == "maybe"
+        rep.dark = True
+        for _ in range(3):
+            clock.at += 1.0
+            assert orders._start_one()
+            await asyncio.gather(*st.tasks)
+            st.tasks.clear()
+            assert not orders._start_one()    # it is left alone for a while
+        assert len(rep.orders) == 1 and rep.reports == 3 and st.ctr.all["order.still_unclear"] == 3
+        rep.dark = False
+        assert await orders._cleared(e) and e.count == 0
+    run(go())
+
+
+@pytest.mark.parametrize("why", ["deposed", "stood still"])
+def test_no_order_after_a_thaw_while_it_connects(run, clock, why):
+    async def go():
+        rep = FakeReplica()
+        st, reign, orders = setup(clock, rep)
+
+        def thaw():
+            clock.at += 60.0 if why == "stood still" else 0.0
+            reign.allowed = why != "deposed"
+        rep.connecting = thaw
+        orders._start_one()
+        await asyncio.gather(*st.tasks)
+        assert rep.orders == [] and reign.noted == ["e0"] and st.ctr.all["order.too_late"] == 1
+        assert st.engines.all["e0"].unclear_at is None and orders.out == 0
     run(go())
 
 
