Newsreader: sources that are behind or lag are left; answers of ended lives and old answers are not folded

Cause: a reader stayed with any source that answered; it trusted the address; an answer that waited through its own standstill counted as new. Change: Sources judges each answer (newest, life, id); a source below the reader's versions, or that brings nothing while a newer version is told of, is left, in rounds that grow rarer while none does better; questions are short meanwhile; an answer older than it may be is asked for anew; calls name the node. A refusal by the rpc server tells which node was meant, as handlers use 2008 too.

--- a/lines/directory/newsreader.py
+++ b/lines/directory/newsreader.py
@@ -1,10 +1,14 @@
-"""The asking side of the news: a node asks a control node with its stamps, and is answered when there is more."""
+"""The asking side of the news: a node asks a control node with its versions, and is answered when there is more."""
 from __future__ import annotations
 
 import asyncio
 import random
 
-from ..rpc import CallError
+from ..rpc import CallError, is_misdirected
+from .sources import Sources, Verdict
+
+NO_MAJORITY, NO_CONFIGURATION, DONE = 3003, 3001, 1000
+HURRY = 0.125   # of its usual time a question waits while a newer version is known to be out
 
 
 class Newsreader:
@@ -25,6 +29,8 @@
         self.life, self.turn = "", 0
         self.fresh_at = float("-inf")
         self.hold_s = boot.secs("ContactMs", 1 / 3)
+        self.grace_s = boot.secs("ContactMs", 0.2)   # how much longer than the question waits an answer may take
+        self.sources = Sources(self.hold_s)
         self.at = 0
         self.mine: list = []
         self.plan = None
@@ -33,26 +39,66 @@
         self.proved = None   # gives the answers that came from replicas, by zone, while a placement policy is set
 
     def candidates(self) -> list:
+        """The addresses of control nodes, the present source first."""
         return self.addrs[self.at:] + self.addrs[:self.at]
 
     async def run(self) -> None:
+        """Ask, one question after the other."""
         while True:
-            addr = self.addrs[self.at % len(self.addrs)]
-            served = self.proved(self.clock.now()) if self.proved is not None else []
-            more = {"served": served} if served else {}
-            try:
-                code, doc, _ = await self.lines.to(addr).call(
-                    "news", {"live": self.live.tally() if self.live is not None else {},
-                             "busy": sorted(self.busy), "who": self.card, "stamps": self.stamps, "life": self.life, "turn": self.turn,
-                             "hold": self.hold_s, **more}, secs=self.hold_s + self.boot.secs("ContactMs", 0.2))
-            except CallError:
-                code, doc = 3003, None
-            if code != 1000:
+            if not await self.ask_once():
                 self.ctr.add("news.refused")
                 self.at = (self.at + 1) % len(self.addrs)
                 await asyncio.sleep(random.uniform(0.02, 0.06))
-                continue
+
+    async def ask_once(self) -> bool:
+        """Ask the present source and take up its answer; False if it gave none."""
+        addr, asked = self.addrs[self.at % len(self.addrs)], self.clock.now()
+        hold = self.hold_s * (HURRY if self.sources.hurried(self.stamps, asked) else 1.0)
+        told = dict(self.sources.told)
+        try:
+            code, doc, _ = await self.call(addr, "news", self._question(hold, asked), hold + self.grace_s)
+        except CallError:
+            return False
+        if code != DONE:
+            return False
+        if self.clock.now() - asked > hold + self.grace_s:
+            self.ctr.add("news.asked_anew")   # this node stood still: the answer waited for it, and is old
+            return True
+        self.take_up(addr, doc, told)
+        return True
+
+    def _question(self, hold: float, now: float) -> dict:
+        served = self.proved(now) if self.proved is not None else []
+        doc = {"live": self.live.tally() if self.live is not None else {}, "busy": sorted(self.busy), "who": self.card,
+               "stamps": self.stamps, "life": self.life, "turn": self.turn, "hold": hold}
+        if served:
+            doc["served"] = served
+        return doc
+
+    def take_up(self, addr: str, doc: dict, told: dict) -> None:
+        """Fold an answer of a source, unless it is one of an ended life; leave the source if it is behind.
+
+        told: the newest versions that had been told of when the question was asked.
+        """
+        verdict = Verdict.OLD_LIFE
+        if self.sources.heed(addr, doc):
+            newest = {**{part: got["stamp"] for part, got in doc["parts"].items()}, **(doc.get("newest") or {})}
             self.fold(doc)
+            verdict = self.sources.judge(self.stamps, told, newest)
+        if verdict is not Verdict.GOOD:
+            self.ctr.add(f"news.{verdict.value}")
+        after = self.sources.next_after(verdict, self.addrs, addr, self.clock.now())
+        if after in self.addrs:
+            self.at = self.addrs.index(after)
+
+    async def call(self, addr: str, verb: str, doc: dict, secs: float):
+        """Call a control node by its id, where it is known; one that is another by now is asked again without."""
+        node = self.sources.node(addr)
+        out = await self.lines.to(addr).call(verb, doc, secs=secs, to=node)
+        if node and is_misdirected(*out[:2]):
+            self.ctr.add("news.other_node")
+            self.sources.forget(addr)
+        return out
 
     def fold(self, doc: dict) -> None:
         """Take up one answer."""
@@ -98,10 +144,9 @@
         for _ in range(2):
             for addr in self.candidates():
                 try:
-                    code, doc, _ = await self.lines.to(addr).call(
-                        "do", {"part": part, "name": name, "args": args}, secs=secs)
+                    code, doc, _ = await self.call(addr, "do", {"part": part, "name": name, "args": args}, secs)
                 except CallError:
                     continue
-                if code not in (3001, 3003):
+                if code not in (NO_CONFIGURATION, NO_MAJORITY) and not is_misdirected(code, doc):
                     return code, doc
-        return 3003, None
+        return NO_MAJORITY, None
--- a/lines/rpc/__init__.py
+++ b/lines/rpc/__init__.py
@@ -3,7 +3,7 @@
 from .messages import Envelope
 from .network import Network, TcpNetwork
 from .pending import PendingCalls
-from .server import Handlers, Refusal, Server
+from .server import Handlers, Refusal, Server, is_misdirected
 
 __all__ = ["CallError", "Connection", "ConnectionPool", "Envelope", "Handlers", "Network", "PendingCalls", "Refusal",
-           "Server", "TcpNetwork"]
+           "Server", "TcpNetwork", "is_misdirected"]
--- a/lines/rpc/server.py
+++ b/lines/rpc/server.py
@@ -12,6 +12,17 @@
 
 OK, BAD_CALL, NOT_THIS_NODE, NO_SUCH_CALL, FAULT = 1000, 2001, 2008, 2009, 5001
 
+MEANT = "Meant"   # in the document of a refusal: the id that the call named
+
+
+def is_misdirected(code: int, doc: object) -> bool:
+    """Whether an answer says that its call met another node than it meant. A handler's own 2008 is none.
+
+    >>> is_misdirected(2008, {"Meant": "node-1"}), is_misdirected(2008, None)
+    (True, False)
+    """
+    return code == NOT_THIS_NODE and isinstance(doc, dict) and MEANT in doc
+
 
 class Refusal(Exception):
     """Raised by a handler to answer with a result code other than 'done'."""
@@ -138,7 +149,7 @@
         """The handler of a call; Refusal if the call means another node, or none such exists."""
         if call.to and not self._is_me(call.to):
             self.counters.add("rpc.other_node")
-            raise Refusal(NOT_THIS_NODE)
+            raise Refusal(NOT_THIS_NODE, {MEANT: call.to})
         function = self.handlers.table.get(call.verb)
         if function is None:
             raise Refusal(NO_SUCH_CALL)
--- a/lines/switchboard/edge.py
+++ b/lines/switchboard/edge.py
@@ -99,7 +99,7 @@
                 continue   # all know already
             for addr in self.news.candidates()[:2]:
                 try:
-                    await self.lines.to(addr).call("live", {"id": self.boot.node, "live": busy}, secs=0.3)
+                    await self.news.call(addr, "live", {"id": self.boot.node, "live": busy}, 0.3)
                     break
                 except CallError:
                     self.ctr.add("live.untold")
--- a/tests/test_newsreader.py
+++ b/tests/test_newsreader.py
@@ -5,7 +5,7 @@
 from lines.directory import Newsreader
 from lines.frame import Board, Counters
 from lines.frame.boot import check_boot
-from lines.rpc import ConnectionPool
+from lines.rpc import CallError, ConnectionPool
 
 BOOT = check_boot({"NodeName": "n", "IpAddress": "1.1.1.1", "InternalPorts": [7, 9], "SeedPeers": ["1.1.1.1:80", "1.1.1.2:80"]})
 
@@ -60,3 +60,118 @@
     r = reader()
     r.fold(news(roll=[ent("up", 1)]))
     assert [e["seq"] for e in r.take_roll()] == [1] and r.take_roll() == []
+
+
+class Nodes:
+    """Control nodes by address: each gives the versions that it holds, and tells of those it has heard of."""
+
+    def __init__(self, clock, held):
+        self.clock, self.held, self.heard = clock, dict(held), {}
+        self.lives, self.ids, self.asked, self.takes = dict.fromkeys(held, "l1"), {}, [], 0.0
+
+    def to(self, addr):
+        self.addr = addr
+        return self
+
+    async def call(self, verb, doc=None, body=b"", secs=1.0, to=""):
+        addr = self.addr
+        self.asked.append(addr)
+        self.clock.at += self.takes
+        if self.held[addr] is None:
+            raise CallError(addr, sent=True)
+        if to and to != self.ids.get(addr):
+            return 2008, {"Meant": to}, b""
+        if verb == "do":
+            return 2008, "dropped", b""
+        parts = {"plan": self.held[addr]} if self.held[addr] > doc["stamps"].get("plan", 0) else {}
+        out = news(parts, life=self.lives[addr], cores=[])
+        newest = max(self.held[addr], self.heard.get(addr, 0))
+        return 1000, {**out, "newest": {"plan": newest}, "id": self.ids.get(addr, "")}, b""
+
+
+def reading(held):
+    r, clock = reader(), HandClock()
+    r.clock, r.lines = clock, Nodes(clock, held)
+    r.addrs, r.at = list(held), 0
+    return r, r.lines, clock
+
+
+@pytest.mark.parametrize("held, heard, asked, stays, version", [
+    ({"a": 5, "b": 5, "c": 5}, {}, "aaaa", "a", 5),
+    ({"a": 4, "b": 5, "c": 5}, {"a": 5}, "aabb", "b", 5),              # it knows of more than it gives
+    ({"a": 4, "b": 4, "c": 5}, {"a": 5}, "aabccc", "c", 5),
+    ({"a": 4, "b": 4, "c": 4}, {"a": 5}, "aabccccc", "c", 4),          # nobody gives it: all are asked once, then a pause
+    ({"a": None, "b": 5, "c": 5}, {}, "abb", "b", 5)])
+def test_a_source_that_lags_is_left(run, held, heard, asked, stays, version):
+    async def go():
+        r, nodes, _ = reading(held)
+        nodes.heard = heard
+        for _ in asked:
+            if not await r.ask_once():
+                r.at += 1
+        assert "".join(nodes.asked) == asked and r.candidates()[0] == stays and r.stamps["plan"] == version
+    run(go())
+
+
+def test_a_source_that_is_behind_is_left_at_once_and_versions_stay(run):
+    async def go():
+        r, nodes, _ = reading({"a": 5, "b": 4, "c": 6})
+        await r.ask_once()
+        r.at = 1
+        for _ in range(3):
+            await r.ask_once()
+        assert nodes.asked == ["a", "b", "c", "c"] and r.stamps["plan"] == 6 and r.ctr.all["news.behind"] == 1
+    run(go())
+
+
+def test_fruitless_rounds_grow_rarer_and_news_of_a_newer_version_starts_them_again(run):
+    async def go():
+        r, nodes, clock = reading({"a": 4, "b": 4})
+        nodes.heard = {"a": 5}
+        moves = []
+        for _ in range(400):
+            before = r.at
+            await r.ask_once()
+            clock.at += r.hold_s / 8
+            moves.append(r.at != before)
+        assert 5 <= sum(moves) <= 14
+        nodes.heard = {"a": 7, "b": 7}
+        nodes.held["b" if r.candidates()[0] == "a" else "a"] = 7
+        for _ in range(3):
+            await r.ask_once()
+        assert r.stamps["plan"] == 7
+    run(go())
+
+
+@pytest.mark.parametrize("takes, folded", [(0.0, True), (1.0, True), (30.0, False)])
+def test_an_answer_that_waited_while_this_node_stood_still_is_asked_for_anew(run, takes, folded):
+    async def go():
+        r, nodes, _ = reading({"a": 5})
+        r.hold_s, nodes.takes = 1.0, takes
+        assert await r.ask_once() and ("plan" in r.stamps) is folded and r.ctr.all["news.asked_anew"] == (not folded)
+        nodes.takes = 0.0
+        assert await r.ask_once() and r.stamps["plan"] == 5 and nodes.asked == ["a", "a"]
+    run(go())
+
+
+def test_an_answer_of_a_life_that_ended_is_not_folded(run):
+    async def go():
+        r, nodes, _ = reading({"a": 5, "b": 9})
+        for life, version in (("l1", 5), ("l2", 6), ("l1", 7)):
+            nodes.lives["a"], nodes.held["a"] = life, version
+            r.at = 0
+            await r.ask_once()
+        assert r.stamps["plan"] == 6 and r.life == "l2" and r.ctr.all["news.old_life"] == 1 and r.candidates()[0] == "b"
+    run(go())
+
+
+def test_another_node_at_an_address_is_told_apart(run):
+    async def go():
+        r, nodes, _ = reading({"a": 5, "b": 5})
+        nodes.ids = {"a": "n1", "b": "n2"}
+        assert await r.ask_once()
+        nodes.ids["a"] = "n3"
+        assert not await r.ask_once() and r.ctr.all["news.other_node"] == 1   # it asks elsewhere
+        assert await r.ask_once() and r.sources.node("a") == "n3"
+        assert await r.do("plan", "x", {}) == (2008, "dropped") and nodes.asked[-1] == "a"   # the command's own word
+    run(go())
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -4,8 +4,17 @@
 import pytest
 
 from lines.frame import Counters, open_logs
-from lines.rpc import CallError, ConnectionPool, Envelope, Handlers, PendingCalls, Refusal, TcpNetwork
-from lines.rpc import framing
+from lines.rpc import (
+    CallError,
+    ConnectionPool,
+    Envelope,
+    Handlers,
+    PendingCalls,
+    Refusal,
+    TcpNetwork,
+    framing,
+    is_misdirected,
+)
 from lines.rpc.framing import FrameFault, pack, read_frame
 
 FRAME = pack(Envelope(call=7, verb="ping", head=b"{}"))
@@ -186,7 +195,7 @@
         await server.open("127.0.0.1:0")
         pool = TcpNetwork().pool(counters)
         answer = await pool.to(f"127.0.0.1:{server.port()}").call("mark", 1, to=to)
-        assert answer[0] == code and ran == [1] * (code == 1000)
+        assert answer[0] == code and ran == [1] * (code == 1000) and is_misdirected(*answer[:2]) is (code == 2008)
         assert counters.all["rpc.other_node"] == (code == 2008)
         pool.end()
         await server.close()
