--- a/lines/areacodes/facts.py
+++ b/lines/areacodes/facts.py
@@ -11,6 +11,7 @@
 KEEP_TAKEN = 64
 KEEP_LOG = 16
 MOST_FLAPS = 5
+OPERATOR = "operator"
 
 commands = Commands()
 
@@ -89,7 +90,7 @@
     fact["log"] = (fact["log"] + [[fact["epoch"], scope, state, by, reason]])[-KEEP_LOG:]
 
 
-def _fact(val, args):
+def _fact(val, args, state):
     """The region's fact, or the code of a refusal and its document."""
     if "policy" not in val:
         return None, (2103, None, False)
@@ -97,17 +98,27 @@
         return None, (2102, args["region"], False)
     fact = val.get("regions", {}).get(args["region"]) or {"epoch": 0, "out": {}, "flaps": {}, "log": []}
     if args.get("epoch") is not None and args["epoch"] != fact["epoch"]:
+        if _taken_before(fact, args, state):
+            return None, (1000, {"Epoch": fact["epoch"]}, False)
         return None, (2011, {"Epoch": fact["epoch"]}, False)
     return fact, None
 
 
+def _taken_before(fact: dict, args: dict, state: str) -> bool:
+    """Whether an operator's order that names its epoch was taken already: sent again, it is acknowledged again."""
+    if args["by"] != OPERATOR:
+        return False
+    row = [args["epoch"] + 1, args["rule"], state, args["by"], args["reason"]]
+    return any(row == list(done) for done in fact["log"])
+
+
 @commands.on("region.out")
 def region_out(val, args):
     """A region is out: {"region", "rule", "reason", "by", "epoch"?, "calm"?}; rule "*" is an operator's word.
 
     With calm, the region had long been in: its flaps count from the start again.
     """
-    fact, refusal = _fact(val, args)
+    fact, refusal = _fact(val, args, "out")
     if refusal:
         return refusal
     rule = args["rule"]
@@ -122,7 +133,7 @@
 @commands.on("region.back")
 def region_back(val, args):
     """A region is in again: {"region", "rule", "reason", "by", "epoch"?}; rule "*" ends every rule's finding too."""
-    fact, refusal = _fact(val, args)
+    fact, refusal = _fact(val, args, "in")
     if refusal:
         return refusal
     scopes = list(fact["out"]) if args["rule"] == ALL else [s for s in (args["rule"],) if s in fact["out"]]
--- a/lines/control/membership.py
+++ b/lines/control/membership.py
@@ -1,7 +1,7 @@
 """Which control nodes should vote: a change of the group, one step away from the one that is."""
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 SPARE_LOSSES = 1   # losses that the group bears beyond FaultTolerance, where machines for it exist
 
@@ -55,6 +55,7 @@
     wiped = _wiped(sight, alive_s)
     if wiped is not None:
         return _swap(sight, *wiped)
+    sight = replace(sight, spares=_free_spares(sight))
     gone = _first(sight, lambda v: v in sight.leaving) or _longest_silent(sight, patience.replace_s)
     if gone is not None and sight.spares:
         return _swap(sight, gone, _best_spare(sight, gone))
@@ -75,6 +76,12 @@
     return None
 
 
+def _free_spares(sight: Sight) -> dict:
+    """Spares that stand at no voter's address: an address is never two voters'."""
+    taken = set(sight.voters.values())
+    return {s: addr for s, addr in sight.spares.items() if addr not in taken}
+
+
 def _first(sight: Sight, chosen) -> str | None:
     return next((v for v in sorted(sight.voters) if chosen(v)), None)
 
--- a/lines/control/store_commands.py
+++ b/lines/control/store_commands.py
@@ -11,6 +11,8 @@
 from ..consensus import Commands
 
 KEEP_DROPPED = 64   # ids of dropped stores that are remembered
+KEEP_REFUSED = 64   # machines whose refused retirement is remembered by name
+NEVER = -1          # below every version of a register
 NOT_BEGUN = 0       # an opened run whose first term has not begun
 ACTIVE, LEAVING = "active", "leaving"
 
@@ -143,15 +145,36 @@
     return 1000, {"stores": val.get("stores", {}), "runs": runs}, did
 
 
+def _refuse_retirement(val: dict, args: dict, code: int):
+    """Refuse to empty a machine for good: copies of the order that set out before this refusal are not carried out.
+
+    A copy is known by `seen`, the version of the register that its receiver held when the operator's call came in.
+    """
+    refused = val.setdefault("retire_refused", {})
+    refused.pop(args["node"], None)
+    refused[args["node"]] = args.get("at_version", 0)
+    while len(refused) > KEEP_REFUSED:
+        val["retire_floor"] = refused.pop(next(iter(refused)))
+    return code, None, True
+
+
+def _refused_before(val: dict, args: dict) -> bool:
+    """Whether an order may be a copy of one that was refused since it set out."""
+    since = max(val.get("retire_refused", {}).get(args["node"], NEVER), val.get("retire_floor", NEVER))
+    return args.get("seen", since + 1) <= since
+
+
 @commands.on("retire.start")
 def retire_start(val, args):
-    """The operator wants a machine emptied: {"node", "quorum"}."""
+    """The operator wants a machine emptied: {"node", "quorum", "seen"}."""
     if args["node"] in val.get("retired", {}):
         return 1000, {"OperState": val["retired"][args["node"]]}, False
     for sid, store in val.get("stores", {}).items():
         if store["name"] == args["node"] and store["state"] == ACTIVE:
             if not _spares(val, sid, args):
-                return 2013, None, False
+                return _refuse_retirement(val, args, 2013)
+            if _refused_before(val, args):
+                return 3004, None, False
             store["state"], store["retire"] = LEAVING, True
             _drop_cleared(val, sid)
             return 1000, {"OperState": "active"}, True
@@ -160,7 +183,7 @@
             did = not store.get("retire")
             store["retire"] = True
             return 1000, {"OperState": "active"}, did
-    return 2008, None, False
+    return _refuse_retirement(val, args, 2008)
 
 
 @commands.on("retire.get")
--- /dev/null
+++ b/tests/test_control_safety.py
@@ -0,0 +1,123 @@
+"""A control node serves on proof of contact alone; its groups bear the losses that the settings allow."""
+import itertools
+
+import pytest
+from conftest import MemBook
+
+from lines.consensus import Acceptor
+from lines.control.contact import MajorityContact, ServingGate
+from lines.control.membership import GroupSize, Patience, Sight, wanted_group
+from lines.frame import Counters
+
+VOTERS = {"a": "a:1", "b": "b:1", "c": "c:1"}
+BOUND = 0.75
+
+
+@pytest.mark.parametrize("answers, now, reached", [
+    ({}, 10.0, False), ({"b": 10.0}, 10.0, True), ({"b": 9.25}, 10.0, True), ({"b": 9.24}, 10.0, False),
+    ({"b": 1.0, "c": 10.0}, 10.0, True), ({"x": 10.0, "y": 10.0}, 10.0, False),
+    ({"b": 10.0, "c": 10.0}, 15.0, False)])   # it stood still for five seconds
+def test_contact_is_proven_by_answers_alone(answers, now, reached):
+    contact = MajorityContact(BOUND)
+    for node, sent_at in answers.items():
+        contact.note(node, sent_at, {})
+    assert contact.reached("a", VOTERS, now) is reached
+
+
+def test_an_older_answer_does_not_undo_a_newer_one():
+    contact = MajorityContact(BOUND)
+    contact.note("b", 5.0, {"plan": 7})
+    contact.note("b", 4.0, {"plan": 6})
+    assert contact.newest("plan", VOTERS, 5.5) == 7 and contact.newest("plan", VOTERS, 6.0) == -1
+
+
+GATES = [  # why, what is seen in turn: (time, majority reached, registers behind), whether it serves after each
+    ("a start learns first", [(0, True, "p"), (1, True, "")], [False, True]),
+    ("a change on its way", [(0, True, ""), (1, True, "p"), (1.7, True, "p"), (1.8, True, "")], [True, True, True, True]),
+    ("it stays behind", [(0, True, ""), (1, True, "p"), (1.8, True, "p"), (2, True, "")], [True, True, False, True]),
+    ("a cut", [(0, True, ""), (1, False, ""), (2, True, "p"), (2.1, True, "")], [True, False, False, True]),
+    ("a cut, nothing new", [(0, True, ""), (1, False, ""), (2, True, "")], [True, False, True]),
+    ("one behind after the other", [(0, True, ""), (1, True, "p"), (1.5, True, "q"), (2, True, "q")], [True] * 4)]
+
+
+@pytest.mark.parametrize("why, seen, serves", GATES, ids=[g[0] for g in GATES])
+def test_what_opens_and_shuts_the_gate(why, seen, serves):
+    gate = ServingGate(BOUND)
+    assert [gate.look(reached, set(behind), at) for at, reached, behind in seen] == serves
+
+
+SIZE3, SIZE5, WAIT = GroupSize.for_losses(1), GroupSize.for_losses(2), Patience(1.5, 6.0)
+
+
+def sight(voters, spares="", leaving="", **silent):
+    return Sight({v: f"{v}:1" for v in voters}, {s: f"{s}:1" for s in spares},
+                 {v: silent.get(v, 0.0) for v in voters}, set(leaving))
+
+
+GROUPS = [  # why, what is seen, size, the group that should be (None: as it is)
+    ("whole", sight("abc"), SIZE3, None),
+    ("one spare alone bears nothing more", sight("abc", "d"), SIZE3, None),
+    ("two spares bear one loss more", sight("abc", "de"), SIZE3, "abcde"),
+    ("founders that are too few grow at once", sight("abc", "d"), SIZE5, "abcd"),
+    ("an even group is made odd", sight("abcd", "e"), SIZE3, "abcde"),
+    ("as many as wanted", sight("abcde", "f"), SIZE3, None),
+    ("silent for a moment", sight("abc", "d", c=1.0), SIZE3, None),
+    ("silent for long", sight("abc", "d", c=1.5), SIZE3, "abd"),
+    ("the longest silent first", sight("abcde", "f", b=2.0, c=3.0), SIZE5, "abdef"),
+    ("silent, nobody to take its place", sight("abc", c=60.0), SIZE3, None),
+    ("never below what bears the losses", sight("abcde", c=60.0, d=60.0), SIZE5, None),
+    ("a spare voter that is gone is left out", sight("abcde", c=6.0), SIZE3, "abde"),
+    ("... not too soon", sight("abcde", c=5.9), SIZE3, None),
+    ("it will end and another is there", sight("abc", "d", leaving="b"), SIZE3, "acd"),
+    ("it will end, nobody is there", sight("abc", leaving="b"), SIZE3, None),
+    ("it will end and is not needed", sight("abcde", leaving="b"), SIZE3, "acde"),
+    ("one ends while another is silent", sight("abc", "d", leaving="b", c=2.0), SIZE3, "acd"),
+    ("no growth while one is silent", sight("abc", "de", c=1.0), SIZE3, None)]
+
+
+@pytest.mark.parametrize("why, seen, size, group", GROUPS, ids=[g[0] for g in GROUPS])
+def test_the_group_that_should_be(why, seen, size, group):
+    want = wanted_group(seen, size, WAIT, BOUND)
+    assert want == (None if group is None else {v: f"{v}:1" for v in group})
+
+
+@pytest.mark.parametrize("silent, want", [(0.5, None), (0.75, {"a": "a:1", "b": "b:1", "new": "c:1"})])
+def test_a_wiped_voter_gives_its_place_to_the_node_at_its_address(silent, want):
+    seen = Sight(VOTERS, {"new": "c:1", "other": "d:1"}, {"a": 0.0, "b": 0.0, "c": silent})
+    assert wanted_group(seen, SIZE3, WAIT, BOUND) == want
+
+
+def test_a_spare_of_the_emptiest_zone_is_taken():
+    seen = Sight(VOTERS, {"d": "d:1", "e": "e:1"}, {"a": 0.0, "b": 0.0, "c": 2.0},
+                 zones={"a": "x", "b": "x", "c": "y", "d": "x", "e": "y"})
+    assert set(wanted_group(seen, SIZE3, WAIT, BOUND)) == {"a", "b", "e"}
+
+
+class FailingBook(MemBook):
+    """A log whose n-th append fails."""
+
+    def __init__(self, *failing):
+        super().__init__()
+        self.failing, self.count = set(failing), itertools.count(1)
+
+    async def append(self, *raws):
+        if next(self.count) in self.failing:
+            raise OSError("no space left on device")
+        await super().append(*raws)
+
+
+STATE = {"stamp": 1, "val": {"x": 1}, "voters": VOTERS, "prev": None}
+
+
+@pytest.mark.parametrize("verb, args", [("prepare", ((9, "x", "life"),)), ("accept", ((9, "x", "life"), STATE))])
+def test_what_failed_to_reach_the_disk_is_neither_counted_nor_told(run, verb, args):
+    async def go():
+        acceptor = Acceptor("plan", FailingBook(2, 3), Counters())
+        assert (await acceptor.prepare((1, "a", "old")))["ok"]
+        for _ in range(2):
+            with pytest.raises(OSError):
+                await getattr(acceptor, verb)(*args)
+            assert tuple(acceptor.promised) == (1, "a", "old") and acceptor.state is None
+            assert (await acceptor.confirm((1, "a", "old")))["ok"] and not (await acceptor.confirm((9, "x", "life")))["ok"]
+        assert (await getattr(acceptor, verb)(*args))["ok"] and len(acceptor.book.raws) == 2
+    run(go())
