Stores: one that ends gives its membership up where others suffice; a silent one leaves without a successor

A departing store asks to be let out and ends only when it is out, within half of GraceS; a silent store leaves after 0.9 SyncS if enough others are heard. A store that departs does not join again under a new id.

--- a/lines/control/store_duty.py
+++ b/lines/control/store_duty.py
@@ -1,14 +1,16 @@
 """The membership of stores, kept by the owner of the plan's register."""
 from __future__ import annotations
 
+from ..batches import active
 from .registers import PLAN
 
-HEARD = 0.5     # of ContactMs: a store heard this lately may join
+HEARD = 0.5     # of ContactMs: a store heard this lately may join, and counts as one that stays
 SILENT = 0.45   # of SyncS: a store silent for so long is to leave, if another has come since
+ALONE = 0.9     # of SyncS: ... and for so long, if enough others are there anyway
 
 
 class StoreDuty:
-    """Lets stores join, and has a silent one leave once another has come.
+    """Lets stores join, and has a silent one leave once others can do without it.
 
     >>> # duty = StoreDuty(node); await duty.tend()
     """
@@ -40,9 +42,19 @@
             replaced = any(other["no"] > member["no"] and self._joined.get(other_id, now) > heard
                            for other_id, other in members.items()
                            if other_id != store_id and other["state"] == "active")
-            silent = now - heard > node.boot.secs("SyncS", SILENT)
-            if member["state"] == "active" and silent and replaced:
-                node.log.info("store {} fell silent and another came: it is to leave", store_id)
+            silent = now - heard
+            spared = replaced and silent > node.boot.secs("SyncS", SILENT)
+            if not spared and silent > node.boot.secs("SyncS", ALONE):
+                spared = self._enough_stay(members, store_id, now)
+            if member["state"] == "active" and spared:
+                node.log.info("store {} fell silent and others are there: it is to leave", store_id)
                 await node.try_command(PLAN, "store.leave", {"id": store_id, "quorum": node.quorum.doc()})
         for store_id in members:
             self._joined.setdefault(store_id, now)
+
+    def _enough_stay(self, members: dict, gone: str, now: float) -> bool:
+        """Whether the stores that are heard bear the allowed losses without one."""
+        node = self.node
+        stay = {sid: member for sid, member in active(members).items()
+                if sid != gone and node.stores.silent(sid, now) < node.boot.secs("ContactMs", HEARD)}
+        return node.quorum.spares(stay)
--- a/lines/store/departure.py
+++ b/lines/store/departure.py
@@ -1,8 +1,16 @@
-"""A planned end: leadership goes to others first, then the copies that count on this store are made elsewhere."""
+"""A planned end: leadership goes to others first, then the copies that count on this store are made elsewhere.
+
+Where enough stores stay to bear the allowed losses, the store also gives its membership up, and ends only when it is out.
+A member that is gone would count as one of those that may hold the only copies: with one loss more, nobody could be sure to
+have read all that was acknowledged. A store that is only restarted joins again as a new one."""
 from __future__ import annotations
 
 import asyncio
 
+from ..batches import active
+
+MEMBERSHIP = "the membership"   # stands for all runs in what is logged
+ASK = 0.25    # of ContactMs: how long one control node may take to answer
 BOUND = 0.5   # of GraceS: how long the others may take to make up for this store's copies
 
 
@@ -14,6 +22,7 @@
 
     def __init__(self, store):
         self.st = store
+        self.asked = False   # whether this store was taken from those that new copies count on
 
     async def run(self) -> None:
         """Hand on every run and every item in hand, then wait until nobody needs this store, within a bound."""
@@ -24,6 +33,7 @@
         for reign in list(st.reigns.values()):
             reign.over()
         st.leader.sync()
+        await self._give_up_membership()
         while self.needed_for() and self._others_stay() and st.clock.now() < end:
             await asyncio.sleep(st.beat_s)
         left = self.needed_for()
@@ -32,6 +42,18 @@
             st.log.warning("store {} ends although its copies are needed by {}", st.id, sorted(left))
         await asyncio.sleep(st.beat_s)   # the last answers are on their way
 
+    async def _give_up_membership(self) -> None:
+        """Ask to be let out, if those that stay can still bear the allowed losses."""
+        st = self.st
+        stay = {sid: member for sid, member in active(st.members()).items()
+                if sid != st.id and st.membership.stays(sid)}
+        if st.id not in st.members() or not st.quorum.spares(stay):
+            return
+        wait = st.boot.secs("ContactMs", ASK)
+        code, _ = await st.news.do("plan", "store.leave", {"id": st.id, "quorum": st.quorum.doc()}, secs=wait)
+        self.asked = code == 1000
+        st.ctr.add(f"leave.asked.{code}")
+
     async def _hand_on_all(self) -> None:
         st = self.st
         runs = [reign for reign in st.reigns.values() if reign.state != "over"]
@@ -43,6 +65,8 @@
         member = st.members().get(st.id)
         if member is None:
             return set()   # every holder has said so already
+        if self.asked:
+            return {MEMBERSHIP}
         here = {entry["run"] for entry in st.shelf.lots.values()}
         return {run for run in here if not self._spared(run, st.leases().get(run), member["clear"])}
 
--- a/lines/store/join.py
+++ b/lines/store/join.py
@@ -73,8 +73,8 @@
         st.ready = False
         for reign in st.reigns.values():
             reign.over()
-        if retired:
-            return
+        if retired or st.leaving:
+            return   # it ends: a new id would make it a member again
         try:
             await st.disk.watch(st.shelf.start_over(f"s-{random.getrandbits(64):016x}"))
         except LogError:
--- a/tests/test_control_safety.py
+++ b/tests/test_control_safety.py
@@ -1,12 +1,16 @@
 """A control node serves on proof of contact alone; its groups bear the losses that the settings allow."""
 import itertools
+from types import SimpleNamespace
 
 import pytest
-from conftest import MemBook
+from conftest import HandClock, MemBook
 
+from lines.batches import Quorum
 from lines.consensus import Acceptor
 from lines.control.contact import MajorityContact, ServingGate
 from lines.control.membership import GroupSize, Patience, Sight, wanted_group
+from lines.control.store_duty import StoreDuty
+from lines.directory import Neighbours
 from lines.frame import Counters
 
 VOTERS = {"a": "a:1", "b": "b:1", "c": "c:1"}
@@ -121,3 +125,37 @@
             assert (await acceptor.confirm((1, "a", "old")))["ok"] and not (await acceptor.confirm((9, "x", "life")))["ok"]
         assert (await getattr(acceptor, verb)(*args))["ok"] and len(acceptor.book.raws) == 2
     run(go())
+
+
+class Duty:
+    """What StoreDuty needs of a control node: f = 1, SyncS 10, ContactMs 3000."""
+
+    def __init__(self, silent, joined_at):
+        names = list(silent)
+        self.started, self.said = 0.0, []
+        self.boot = SimpleNamespace(secs=lambda name, ratio=1.0: {"SyncS": 10.0, "ContactMs": 3.0}[name] * ratio)
+        self.clock, self.log, self.quorum = HandClock(100.0), SimpleNamespace(info=lambda *a: None), Quorum(1)
+        self.stores = Neighbours()
+        for name, seconds in silent.items():
+            self.stores.hear({"id": name, "name": name}, 100.0 - seconds)
+        members = {n: {"name": n, "zone": "z", "state": "active", "no": i} for i, n in enumerate(names)}
+        self.registers = SimpleNamespace(owns=lambda part: True, known={"plan": {"val": {"stores": members}}})
+        self.duty = StoreDuty(self)
+        self.duty._joined = {n: joined_at.get(n, 1.0) for n in names}
+
+    async def try_command(self, part, name, args):
+        self.said.append((name, args["id"]))
+
+
+@pytest.mark.parametrize("why, silent, joined_at, leaves", [
+    ("all are there", {"a": 0, "b": 0, "c": 0}, {}, []),
+    ("gone, and another came", {"a": 5, "b": 0, "c": 0, "d": 0}, {"d": 97.0}, ["a"]),
+    ("gone, and another came: not yet", {"a": 4, "b": 0, "c": 0, "d": 0}, {"d": 97.0}, []),
+    ("its successor came before it ended", {"a": 9.5, "b": 0, "c": 0, "d": 0}, {"d": 50.0}, ["a"]),
+    ("... not yet", {"a": 8, "b": 0, "c": 0, "d": 0}, {"d": 50.0}, []),
+    ("too few stay", {"a": 60, "b": 0, "c": 0}, {}, []),
+    ("too few of the others are heard", {"a": 60, "b": 60, "c": 0, "d": 0}, {}, [])])
+def test_a_silent_store_is_to_leave_once_others_can_do_without_it(run, why, silent, joined_at, leaves):
+    node = Duty(silent, joined_at)
+    run(node.duty.tend())
+    assert node.said == [("store.leave", name) for name in leaves]
