--- a/lines/control/agreement.py
+++ b/lines/control/agreement.py
@@ -6,6 +6,7 @@
 from ..consensus import Acceptor, Proposer, Unclear
 from ..directory import rank
 from ..rpc import CallError, Refusal
+from ..wal import LogError
 from .membership import GroupSize, Patience, Sight, wanted_group
 from .registers import PARTS, PLAN, commands
 
@@ -67,7 +68,11 @@
         book = self.node.book
         if book.size <= REWRITE_BYTES or book.size <= self._rewritten * REWRITE_GROWTH:
             return
-        await book.rewrite()
+        try:
+            await book.rewrite()
+        except LogError:
+            self.node.ctr.add("log.rewrite_failed")   # the log before it still holds everything
+            return
         self._rewritten = book.size
 
     # -- what is known
@@ -193,11 +198,15 @@
         spares = {i: c["addr"] for i, c in cards.items() if i not in voters and node.available(i)}
         if node.id not in voters and not node.leaving:
             spares[node.id] = node.addr
-        silent = {v: 0.0 if v == node.id else min(node.cores.silent(v, now), now - node.started) for v in voters}
+        silent = {v: max(self._silent(v, now), node.peers.disk_fails_for(v)) for v in voters}
         zones = {i: c["zone"] for i, c in cards.items()} | {node.id: node.boot.zone}
         sight = Sight(voters, spares, silent, node.peers.leaving & voters.keys(), zones)
         return wanted_group(sight, self.size, self.patience, node.quiet_s)
 
+    def _silent(self, voter: str, now: float) -> float:
+        node = self.node
+        return 0.0 if voter == node.id else min(node.cores.silent(voter, now), now - node.started)
+
     def needed_for_leaving(self) -> bool:
         """Whether this node, which is to end, still votes somewhere although another could take its place."""
         node = self.node
--- a/lines/control/node.py
+++ b/lines/control/node.py
@@ -43,7 +43,8 @@
         self.board = Board()
         network = network or TcpNetwork()
         self.lines = network.pool(self.ctr)
-        self.files, self.disk_worker = files, disk_worker
+        self.book = WriteAheadLog(boot.data_dir or "/tmp/archhatch", "core", log, files, clock=self.clock,
+                                  counters=self.ctr, worker=disk_worker, limit_bytes=boot.disk_mb * 1_000_000)
         self.id = ""
         self.life = f"{random.getrandbits(48):012x}"
         self.addr = f"{boot.ip}:{boot.ports[0]}"
@@ -72,9 +73,6 @@
 
     async def start(self) -> None:
         """Read the log, found or join the group, and listen."""
-        self.book = WriteAheadLog(self.boot.data_dir or "/tmp/archhatch", "core", self.log, self.files, clock=self.clock,
-                                  counters=self.ctr, worker=self.disk_worker,
-                                  limit_bytes=self.boot.disk_mb * 1_000_000)
         self.book.snapshot = self.registers.snapshot
         self.registers.load(self.book, self.book.load())
         self.book.start()
@@ -139,6 +137,10 @@
             return not self.leaving
         return self.alive(node_id) and node_id not in self.peers.leaving
 
+    def disk_takes(self) -> bool:
+        """Whether this node's log takes records: the last write went through, and none has waited for long."""
+        return self.book.healthy and self.book.oldest_write_age(self.clock.now()) < self.quiet_s
+
     def in_touch(self) -> bool:
         """Whether a majority of the configuration's group answered this node within the bound."""
         base = self.registers.base(PLAN)
@@ -213,6 +215,7 @@
             if self.clock.now() - before > self.quiet_s:
                 self.started = self.clock.now()   # this node stood still: what it heard long ago says nothing
                 self.ctr.add("woke")
+            self.peers.heed_disk(self.id, self.disk_takes())
             if not self.in_touch():
                 continue
             settled = self.clock.now() - self.started >= self.beat_s * SETTLED_PINGS
--- a/lines/control/peers.py
+++ b/lines/control/peers.py
@@ -18,6 +18,7 @@
         self.node = node
         self.acked: dict[str, tuple] = {}    # address -> (life, turn up to which it was told of replicas)
         self.leaving: set = set()            # nodes that said that they are about to end
+        self._disk_fails_since: dict[str, float] = {}
         seeds = {f"{seed.rsplit(':', 1)[0]}:{node.boot.ports[0]}" for seed in node.boot.seeds}
         self._seeds = seeds - {node.addr}
         self._watched = {node.addr} | seeds
@@ -42,7 +43,7 @@
         others = [c for i, c in node.cores.cards.items() if node.cores.silent(i, now) < node.quiet_s * FORGOTTEN]
         doc = {"card": node.card(), "life": node.life, "stores": stores, "live": node.live.since(now),
                "stamps": node.registers.versions(), "accepted": node.registers.accepted(), "others": others,
-               "leaving": node.leaving}
+               "leaving": node.leaving, "takes": node.disk_takes()}
         if node.regions.served:
             doc["served"] = node.regions.words()
         if addr is not None:
@@ -68,6 +69,7 @@
         node, now = self.node, self.node.clock.now()
         self._heed_card(doc["card"], now)
         self._heed_leaving(doc["card"]["id"], doc.get("leaving", False))
+        self.heed_disk(doc["card"]["id"], doc.get("takes", True))
         for other in doc["others"] + [doc["card"]]:
             if other["id"] != node.id and other["addr"] != node.addr:
                 if other["id"] not in node.cores.cards and not self._at(other["addr"]):
@@ -101,6 +103,18 @@
         elif not leaving:
             self.leaving.discard(node_id)
 
+    def heed_disk(self, node_id: str, takes: bool) -> None:
+        """Whether a node's disk takes records, by its own word."""
+        if takes:
+            self._disk_fails_since.pop(node_id, None)
+        else:
+            self._disk_fails_since.setdefault(node_id, self.node.clock.now())
+
+    def disk_fails_for(self, node_id: str) -> float:
+        """Seconds since a node first said that its disk takes no records; 0 if it does."""
+        now = self.node.clock.now()
+        return now - self._disk_fails_since.get(node_id, now)
+
     def _at(self, addr: str) -> list:
         return [i for i, card in self.node.cores.cards.items() if card["addr"] == addr]
 
