--- a/lines/control/store_commands.py
+++ b/lines/control/store_commands.py
@@ -98,8 +98,8 @@
 def store_clear(val, args):
     """A run's holder says that a leaving store is not needed for it: {"id", "run", "term", "counted"}.
 
-    `counted` names the stores on which the holder counted copies instead. 2018 if a newer term of the run has begun, or if
-    one of the counted stores is to leave by now: the holder judged by an older membership.
+    `counted` names the stores on which the holder counted copies instead. 2018 if a newer term of the run has begun, or
+    if one of the counted stores is to leave by now: the holder judged by an older membership.
     """
     stores = val.get("stores", {})
     store = stores.get(args["id"])
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -307,6 +307,48 @@
     run(go())
 
 
+DEPARTURES = [  # why, what the registers say of the store that ends, whether others stay; the runs that need it
+    ("a member with copies", {}, True, {"s"}), ("it was dropped", None, True, set()),
+    ("the current holder has cleared it", {"state": "leaving", "clear": {"s": 9}}, True, set()),
+    ("a dead term cleared it", {"state": "leaving", "clear": {"s": 0}}, True, {"s"}),
+    ("all end at once", {}, False, {"s"})]
+
+
+@pytest.mark.parametrize("why, entry, others, needed", DEPARTURES, ids=[d[0] for d in DEPARTURES])
+def test_who_needs_a_store_that_ends(run, clock, why, entry, others, needed):
+    async def go():
+        site = Leases(clock, 1, 4)
+        lead, _ = await site.until_held()
+        assert await site.serves(lead, "l")
+        leaver = next(site.at[p] for p in Site.holders(site, "l") if p != lead.place)
+        leaver.leaving = True
+        if entry is None:
+            del site.val["stores"][leaver.id]
+        else:
+            site.val["stores"][leaver.id].update(entry)
+        if not others:
+            site.dark = set(site.at) - {leaver.place}
+        departure = Departure(leaver)
+        assert departure.needed_for() == needed and departure._others_stay() is others
+    run(go())
+
+
+@pytest.mark.parametrize("f, n, roomless, admitted", [
+    (1, 3, 0, True), (1, 3, 1, True), (1, 3, 2, False), (2, 5, 2, True), (2, 5, 3, False)])
+def test_a_lot_is_refused_only_if_too_few_have_the_room(run, clock, f, n, roomless, admitted):
+    async def go():
+        site = Leases(clock, f, n)
+        lead, _ = await site.until_held()
+        # the holder itself is the first without room: the others make up for its copy
+        for node in [lead, *(x for x in site.at.values() if x is not lead)][:roomless]:
+            node.shelf.has_room = lambda more: False
+        await site.look()
+        assert lead.membership.admits("new", 100) is admitted
+        if admitted:
+            assert await site.serves(lead)
+    run(go())
+
+
 def test_a_leaving_store_with_the_only_copy_stays_until_the_current_holder_has_another(run, clock):
     async def go():
         site = Leases(clock, 0, 3)      # nothing may be lost: one copy
--- a/tests/test_lotdesk.py
+++ b/tests/test_lotdesk.py
@@ -48,7 +48,8 @@
 
 
 HAND_INS = [  # what the holder answers, in turn -> the status of the hand-in
-    ([(1000, MINE)], 202), ([(3005, None)], 503), ([UNSENT], 503), ([(2008, None)], 503), ([(3008, None)], 503), ([LOST], 504),
+    ([(1000, MINE)], 202), ([(3005, None)], 503), ([UNSENT], 503),
+    ([(2008, None)], 503), ([(3008, None)], 503), ([LOST], 504),
     ([(3004, None)], 504), ([(5001, None)], 504),
     ([LOST, (3005, None)], 504),                  # the copy that got no answer may still be taken
     ([(3004, None), (3005, None)], 504), ([(3005, None), (1000, MINE)], 202),
--- a/tests/test_quorum.py
+++ b/tests/test_quorum.py
@@ -459,10 +459,15 @@
     assert q.pick(order, held, MEMBERS) == picked
 
 
+async def no_room(recs):
+    return [None] * len(recs)
+
+
 @pytest.mark.parametrize("why, change, count, out", [
     ("a higher term was promised", lambda site: site.at["p1"].shelf.promised.update(s=9), "copy.stale_term", False),
     ("another life stands there", lambda site: setattr(site.at["p1"], "id", "other"), "copy.refused.2008", None),
     ("it is dark", lambda site: site.dark.add("p1"), "copy.unanswered", None),
+    ("its disk lacks the room", lambda site: setattr(site.at["p1"].shelf, "append", no_room), "copy.no_room", None),
     ("all is well", lambda site: None, None, True)])
 def test_what_a_copy_meets_is_counted(run, clock, why, change, count, out):
     async def go():
