Leases: a takeover has all of ContactMs between two steps of progress

Cause: one fetch from a slow store may take half of ContactMs, as long as a holder without progress was borne: big runs on slow machines could have changed hands without end. Change: the limit is ContactMs; each fetched part of a lot is progress.

--- a/lines/store/lease_watch.py
+++ b/lines/store/lease_watch.py
@@ -9,7 +9,7 @@
 from ..supervisor import Reign
 from .lease import OthersLease, OwnLease, Phase, Step, others_step, own_step
 
-IDLE = 1 / 2           # of ContactMs: a holder that made no progress for so long leads nothing
+IDLE = 1.0             # of ContactMs: a holder that made no progress for so long leads nothing
 UNLED = 1 / 3          # of ContactMs: so long may a holder in touch take to begin, or to give its lease back
 STAGGER = 3.0          # heartbeats between one candidate's turn to claim and the next one's
 SETTLED = 8.0          # quiet times: a slow holder is not replaced sooner after it began
--- a/lines/supervisor/takeover.py
+++ b/lines/supervisor/takeover.py
@@ -175,6 +175,7 @@
         recs = await self.st.fetch(sid, self._addrs[sid], lid, want, need_lot)
         if recs is None:
             return False
+        self.reign.progress()
         for rec in recs:
             if rec.head["k"] == "L":
                 copies.lot = copies.lot or rec
