--- a/lines/switchboard/relay.py
+++ b/lines/switchboard/relay.py
@@ -81,10 +81,10 @@
 
     async def run(self):
         """Ask one replica after the other, as far as that is allowed."""
-        tried: set = set()
-        for _ in range(self.lane.sends):
+        lane, tried = self.lane, set()
+        for _ in range(lane.sends):
             now = self.relay.clock.now()
-            line = self.relay.picker.pick(self.service, tried, now, self.lane, sure=not self.lane.resumable)
+            line = self.relay.picker.pick(self.service, tried, now, lane, sure=not lane.resumable)
             if line is None or now >= self.end:
                 break
             tried.add(line.iid)
