--- a/lines/switchboard/relay.py
+++ b/lines/switchboard/relay.py
@@ -81,8 +81,7 @@
 
     async def run(self):
         """Ask one replica after the other, as far as that is allowed."""
-        tried: set = set()
-        lane = self.lane
+        lane, tried = self.lane, set()
         for _ in range(lane.sends):
             now = self.relay.clock.now()
             line = self.relay.picker.pick(self.service, tried, now, lane, sure=not lane.resumable)
