--- a/lines/control/feed.py
+++ b/lines/control/feed.py
@@ -52,7 +52,7 @@
         cores = [node.addr] + [c["addr"] for i, c in node.cores.cards.items() if node.available(i)]
         return orjson.dumps({"parts": {p: self.part(p) for p in parts}, "roll": self.roll(after), "life": node.life,
                              "turn": node.roll.turn, "cores": cores, "busy": busy, "id": node.id,
-                             "newest": {**node.registers.chosen, **node.registers.versions()}})
+                             "newest": node.registers.chosen})
 
     def part(self, part: str) -> orjson.Fragment:
         """A register as it stands in the feed; made once for each version."""
--- a/lines/erlang/probes/control.py
+++ b/lines/erlang/probes/control.py
@@ -107,7 +107,7 @@
     here, there = core(0), core(n)
     there.id = here.id  # the card of the same node: no second ping loop is begun
     here.peers.heed(orjson.loads(orjson.dumps(there.peers.ping_doc(OTHER))))   # the whole entries
-    there.acked[OTHER] = ("x", there.roll.beat_turn)
+    there.peers.acked[OTHER] = ("x", there.roll.beat_turn)
     raws = []
     for k in range(5):
         for i in range(n):
--- a/lines/store/departure.py
+++ b/lines/store/departure.py
@@ -8,10 +8,11 @@
 import asyncio
 
 from ..batches import active
+from ..supervisor.reign import ORDER
 
 MEMBERSHIP = "the membership"   # stands for all runs in what is logged
 ASK = 0.25    # of ContactMs: how long one control node may take to answer
-BOUND = 0.5   # of GraceS: how long the others may take to make up for this store's copies
+BOUND = 0.75  # of GraceS: how long the others may take to make up for this store's copies
 
 
 class Departure:
@@ -33,6 +34,8 @@
         for reign in list(st.reigns.values()):
             reign.over()
         st.leader.sync()
+        while self._order_may_bind() and self._others_stay() and st.clock.now() < end:
+            await asyncio.sleep(st.beat_s)
         await self._give_up_membership()
         while self.needed_for() and self._others_stay() and st.clock.now() < end:
             await asyncio.sleep(st.beat_s)
@@ -42,6 +45,16 @@
             st.log.warning("store {} ends although its copies are needed by {}", st.id, sorted(left))
         await asyncio.sleep(st.beat_s)   # the last answers are on their way
 
+    def _order_may_bind(self) -> bool:
+        """Whether a note here of an order to a replica may still forbid another holder to order.
+
+        Notes are not copied on: they lose their meaning sooner than that. A store that left with one of them would leave
+        the others with too few copies of it.
+        """
+        st = self.st
+        last = max((at for notes in st.shelf.orders.values() for at in notes.values()), default=float("-inf"))
+        return st.clock.now() - last < st.boot.secs("LeaseMs", 1 + ORDER)
+
     async def _give_up_membership(self) -> None:
         """Ask to be let out, if those that stay can still bear the allowed losses."""
         st = self.st
--- a/lines/store/node.py
+++ b/lines/store/node.py
@@ -59,7 +59,7 @@
         self.repair = Repair(self)
         self.verbs = Handlers()
         StoreHandlers(self).register(self.verbs)
-        self.desk = Server(self.verbs, log, self.ctr)
+        self.desk = Server(self.verbs, log, self.ctr, lambda: self.id)
 
     async def start(self) -> None:
         """Load the log, open the port and begin all duties."""
