--- a/lines/frame/commands.py
+++ b/lines/frame/commands.py
@@ -32,10 +32,18 @@
 
 flags.DEFINE_string("out", None, "capacity measure, scale: the file to write; else standard output")
 flags.DEFINE_string("slopes", None, "capacity table, check, write: the file of measured slopes; else the recorded one")
-flags.DEFINE_integer("nodes", 20, "capacity scale: hollow nodes", lower_bound=1)
+flags.DEFINE_integer("nodes", 20, "capacity scale: hollow nodes; simulate: 3 (unless given) or 5", lower_bound=1)
 flags.DEFINE_list("replicas", ["100", "500", "2000"], "capacity scale: hollow replicas of each run")
 flags.DEFINE_string("size", None, "capacity: the file of the size to design for; else the one beside the sources")
 
+flags.DEFINE_string("seeds", "0:100", "simulate: seeds FROM:TO, or one")
+flags.DEFINE_enum("model", "register", ["register", "control"], "simulate: one register, or whole control nodes")
+flags.DEFINE_float("length_s", 12.0, "simulate: virtual seconds with faults", lower_bound=1)
+flags.DEFINE_integer("jobs", 1, "simulate: processes", lower_bound=1)
+flags.DEFINE_bool("steps", False, "simulate: tell of each seed")
+flags.DEFINE_integer("trace", None, "simulate: tell one seed whole", lower_bound=0)
+flags.DEFINE_string("plant", None, "simulate: a fault to plant (docs/simulation.md)")
+
 COMMANDS: dict = {}
 USE = {
     "switchboard": "take clients' requests (data plane; role of edge machines)",
@@ -44,6 +52,7 @@
     "policy": "check, put, get or explain the placement policy, and take regions out or in",
     "doctor": "look for common faults of a settings file and of the node that it describes",
     "capacity": "capacity measure | table | check | write | scale: what each role costs at the size to design for",
+    "simulate": "play seeds of the control side's code under faults, in virtual time, and judge what clients saw",
 }
 
 
@@ -194,6 +203,12 @@
                     replicas=FLAGS.replicas).run(args)
 
 
+@command("simulate")
+def _simulate(args) -> int:
+    from ..simulation.command import run
+    return run(FLAGS, args)
+
+
 def main(argv: list) -> None:
     """Parse the command line and run a command; ends the process with its status."""
     if "--help" in argv or "-h" in argv or len(argv) < 2:
--- /dev/null
+++ b/lines/simulation/faults.py
@@ -0,0 +1,157 @@
+"""Schedules of faults, drawn by a seed within what FaultTolerance allows."""
+from __future__ import annotations
+
+import enum
+import random
+from dataclasses import dataclass
+
+
+class FaultKind(enum.Enum):
+    """What can happen to a machine, its disk, its links, or all of them."""
+
+    CRASH = "the process is killed and started again"
+    POWER_LOSS = "the machine loses power"
+    WIPE = "the machine loses its disk"
+    REPLACE = "the machine is gone; an empty one comes at another address"
+    FREEZE = "the process stands still"
+    CUT = "the machine is cut off from the others"
+    CUT_IN = "nothing comes in at the machine"
+    CUT_OUT = "nothing goes out of the machine"
+    CUT_PAIR = "the link between two machines is cut"
+    STALL = "the disk stands still"
+    FULL = "the disk is full"
+    FAILING_WRITES = "writes fail or fall short"
+    FAILING_SYNCS = "syncs fail"
+    KILL_ALL = "all processes are killed"
+    POWER_LOSS_ALL = "all machines lose power"
+    ROUGH_NETWORK = "messages are late, lost, doubled and reset more often"
+
+
+_WEIGHTS = {FaultKind.CRASH: 4, FaultKind.POWER_LOSS: 4, FaultKind.WIPE: 4, FaultKind.REPLACE: 2, FaultKind.FREEZE: 4,
+            FaultKind.CUT: 4, FaultKind.CUT_IN: 3, FaultKind.CUT_OUT: 3, FaultKind.CUT_PAIR: 3, FaultKind.STALL: 3,
+            FaultKind.FULL: 2, FaultKind.FAILING_WRITES: 2, FaultKind.FAILING_SYNCS: 2, FaultKind.KILL_ALL: 3,
+            FaultKind.POWER_LOSS_ALL: 5, FaultKind.ROUGH_NETWORK: 3}
+_ALL = {FaultKind.KILL_ALL, FaultKind.POWER_LOSS_ALL}
+_DESTROY = {FaultKind.WIPE, FaultKind.REPLACE}
+_CUTS = {FaultKind.CUT, FaultKind.CUT_IN, FaultKind.CUT_OUT, FaultKind.CUT_PAIR}
+# A group with some machines in these troubles is settled once their beginning lies ContactMs back.
+STEADY = {FaultKind.CRASH, FaultKind.POWER_LOSS, FaultKind.WIPE, FaultKind.REPLACE, FaultKind.FREEZE, FaultKind.CUT}
+
+LONG_CUT_S = (15.0, 22.0)
+LONG_CUTS = 0.3          # of the cuts are long ones
+DURATION_S = (0.2, 4.0)
+PILES = 0.4              # of the troubles are several faults of one machine at once
+PILE_OF = (2, 5)
+PILE_S = 1.2
+KINDS_LEFT_OUT = 0.4     # of the kinds are left out of a schedule: fewer kinds in one day meet more often
+PACES = (0.25, 0.5, 1.0)   # some days leave little time between troubles
+AFTER_ACKNOWLEDGEMENT = 0.3   # of the faults wait for the next acknowledgement
+
+
+@dataclass(frozen=True)
+class Fault:
+    """A fault of a machine (by its slot) from a moment on; one that waits comes at the next acknowledgement after it."""
+
+    kind: FaultKind
+    at: float
+    duration: float
+    slot: int = 0
+    peer: int = 0
+    waits: bool = False
+
+    def __str__(self) -> str:
+        where = "" if self.kind in _ALL or self.kind is FaultKind.ROUGH_NETWORK else f" of {self.slot}"
+        peer = f" and {self.peer}" if self.kind is FaultKind.CUT_PAIR else ""
+        waits = ", at the next acknowledgement" if self.waits else ""
+        return f"{self.at:7.3f} +{self.duration:6.3f} {self.kind.name}{where}{peer}{waits}"
+
+
+@dataclass(frozen=True)
+class Shape:
+    """What a schedule is drawn for."""
+
+    machines: int = 4
+    founders: int = 3
+    tolerance: int = 1
+    length_s: float = 30.0
+    contact_s: float = 3.0
+    sync_s: float = 4.7
+    spares: int = 2
+
+
+class _Draw:
+    """The state of one drawing: who counts as lost until when."""
+
+    def __init__(self, rng: random.Random, shape: Shape):
+        self.rng, self.shape = rng, shape
+        self.lost_until = [0.0] * shape.machines
+        self.keep_disks_until = 0.0
+        self.spares = shape.spares
+        self.faults: list[Fault] = []
+        self.pace = rng.choice(PACES)
+        weights = {kind: weight for kind, weight in _WEIGHTS.items() if rng.random() >= KINDS_LEFT_OUT}
+        self.weights = weights or _WEIGHTS
+
+    def run(self) -> tuple[Fault, ...]:
+        now = self.rng.uniform(1.5, 4.0)
+        while now < self.shape.length_s:
+            if self.rng.random() < PILES:
+                self._pile(now)
+            else:
+                self._one(now)
+            pauses = (0.02, 0.2, 1.0, self.shape.sync_s, self.shape.sync_s + self.shape.contact_s)
+            now += self.rng.choice(pauses) * self.pace
+        return tuple(sorted(self.faults, key=lambda fault: fault.at))
+
+    def _kind(self) -> FaultKind:
+        return self.rng.choices(list(self.weights), list(self.weights.values()))[0]
+
+    def _pile(self, now: float) -> None:
+        """Several faults of one machine in a short time."""
+        slot = self.rng.randrange(self.shape.machines)
+        for _ in range(self.rng.randint(*PILE_OF)):
+            kind, at = self._kind(), now + self.rng.uniform(0.0, PILE_S)
+            if kind is FaultKind.ROUGH_NETWORK:
+                self.faults.append(Fault(kind, at, PILE_S))
+            elif kind not in _ALL and kind not in _DESTROY:
+                self._on_machine(kind, at, self.rng.uniform(0.05, PILE_S), self.rng.random() < AFTER_ACKNOWLEDGEMENT, slot)
+
+    def _one(self, now: float) -> None:
+        kind = self._kind()
+        long_cut = kind in _CUTS and self.rng.random() < LONG_CUTS
+        duration = self.rng.uniform(*(LONG_CUT_S if long_cut else DURATION_S))
+        waits = self.rng.random() < AFTER_ACKNOWLEDGEMENT
+        if kind is FaultKind.ROUGH_NETWORK:
+            self.faults.append(Fault(kind, now, duration))
+        elif kind in _ALL:
+            self.faults.append(Fault(kind, now, min(duration, 2.0), waits=waits))
+            self.keep_disks_until = now + duration + self.shape.sync_s
+        else:
+            self._on_machine(kind, now, duration, waits)
+
+    def _on_machine(self, kind: FaultKind, now: float, duration: float, waits: bool, slot: int | None = None) -> None:
+        slot = self.rng.randrange(self.shape.machines) if slot is None else slot
+        peer = (slot + self.rng.randrange(1, self.shape.machines)) % self.shape.machines
+        others = sum(1 for at, until in enumerate(self.lost_until) if until > now and at != slot)
+        if others >= self.shape.tolerance or (kind in _DESTROY and now < self.keep_disks_until):
+            return
+        if kind is FaultKind.REPLACE:
+            if not self.spares:
+                return
+            self.spares -= 1
+        self.faults.append(Fault(kind, now, duration, slot, peer, waits))
+        # one that waits for an acknowledgement comes up to WAIT_S later
+        end = now + duration + self.shape.sync_s + (WAIT_S if waits else 0.0)
+        self.lost_until[slot] = max(self.lost_until[slot], end)
+
+
+WAIT_S = 2.0
+
+
+def draw_faults(rng: random.Random, shape: Shape) -> tuple[Fault, ...]:
+    """A schedule in which no more machines are lost at once than may be; each counts for SyncS after its return.
+
+    >>> all(f.slot < 4 for f in draw_faults(random.Random(1), Shape()))
+    True
+    """
+    return _Draw(rng, shape).run()
