--- a/lines/simulation/checker.py
+++ b/lines/simulation/checker.py
@@ -168,11 +168,13 @@
 
 
 def _check_refusals(history: History, chain: Chain) -> list[Violation]:
+    """A copy that came before its version may be refused, and then every later copy must be: so the version must have
+    been the current one since the change was first sent."""
     floor, out = _Floor(_operations(history, chain)), []
     for sends in chain.sends.values():
         change = sends.change
         for attempt in sends.refusals() if change.valid else []:
-            span = attempt.sent_at, attempt.answered_at
+            span = sends.first_at, attempt.answered_at
             if _current_throughout(chain, floor, change.match, *span, but=change.number):
                 out.append(Violation(Rule.REFUSED, f"change {change.number} on {change.match}, which was current, got "
                                      f"{attempt.outcome.value} from {attempt.node} at {attempt.answered_at:.3f}"))
--- a/tests/test_simulation_checker.py
+++ b/tests/test_simulation_checker.py
@@ -39,12 +39,15 @@
     "an unclear one in force": [sent(A, 0, 1), sent(B, 2, None, UNCLEAR), read(3, 4, 5, 2)],
     "an unclear one not in force": [sent(A, 0, 1), sent(B, 2, None, UNCLEAR), read(3, 4, 2, 1)],
     "an unclear one that another stands on": [sent(A, 0, 1), sent(B, 2, None, UNCLEAR), sent(C, 4, 5), read(6, 7, 9, 2, 3)],
+    "one of two unclear ones": [sent(A, 0, 1), sent(change(7, 9, 2), 2, None, UNCLEAR), sent(B, 2, 3),
+                                sent(C, 4, None, UNCLEAR), sent(change(8, 10, 9), 5, 6), read(7, 8, 10, 8)],
     "acknowledged again": [*CHAIN, sent(A, 6, 7)],
     "a race": [sent(A, 0, 1), sent(B, 2, 3), sent(RIVAL, 2, 3, CONFLICT), read(4, 5, 5, 2)],
     "an invalid one refused": [sent(A, 0, 1), sent(BAD, 2, 3, INVALID), read(4, 5, 2, 1)],
     "an end that was read": [*CHAIN, read(6, None, None, last=True), read(7, 8, 9, 2, 3, last=True)],
     "readers": [Seen("e", 1, 1, 2), Seen("e", 1, 2, 5), Seen("e", 2, 3, 2), Seen("f", 1, 3, 2)],
     "leases": [Grant("s", 1, "x", 1), Grant("s", 1, "x", 2), Grant("s", 2, "y", 3), Grant("t", 1, "y", 3)],
+    "refused ahead of its version, and so for good": [sent(B, 0, None, UNCLEAR), sent(A, 0.5, 1), sent(B, 2, 3, CONFLICT)],
     "refused, and given up by its sender": [sent(A, 0, 1), sent(AHEAD, 2, 3, CONFLICT), read(4, 5, 2, 1)],
 }
 
