--- a/lines/simulation/chain.py
+++ b/lines/simulation/chain.py
@@ -95,7 +95,7 @@
         """What may have come right before a change, the likeliest last."""
         maybe = [s.change for s in self.sends.values() if s.change.revision == change.match and s.change.valid]
         known = [c for c in self.evident if c.revision == change.match]
-        return known or sorted(maybe, key=lambda c: c.mark in self._read_marks)
+        return known or sorted(maybe, key=lambda c: (not self.sends[c.number].refusals(), c.mark in self._read_marks))
 
     def _replay(self) -> dict[int, tuple]:
         contents, now = {0: ()}, ()
--- a/tests/test_simulation_checker.py
+++ b/tests/test_simulation_checker.py
@@ -41,6 +41,7 @@
     "an unclear one that another stands on": [sent(A, 0, 1), sent(B, 2, None, UNCLEAR), sent(C, 4, 5), read(6, 7, 9, 2, 3)],
     "one of two unclear ones": [sent(A, 0, 1), sent(change(7, 9, 2), 2, None, UNCLEAR), sent(B, 2, 3),
                                 sent(C, 4, None, UNCLEAR), sent(change(8, 10, 9), 5, 6), read(7, 8, 10, 8)],
+    "one of two, the other refused": [sent(A, 0, 1), sent(B, 2, 3, UNCLEAR), sent(RIVAL, 2, 3, CONFLICT), sent(C, 4, 5)],
     "acknowledged again": [*CHAIN, sent(A, 6, 7)],
     "a race": [sent(A, 0, 1), sent(B, 2, 3), sent(RIVAL, 2, 3, CONFLICT), read(4, 5, 5, 2)],
     "an invalid one refused": [sent(A, 0, 1), sent(BAD, 2, 3, INVALID), read(4, 5, 2, 1)],
