--- a/lines/simulation/checker.py
+++ b/lines/simulation/checker.py
@@ -21,6 +21,7 @@
     FINAL = "the configuration comes when it is read back at the end"
     BACK = "a reader's versions never go back in one life"
     LEASE = "a term of a lease has one holder"
+    FRESH = "a reader has what was acknowledged ConvergeMs ago while the group is settled"
     AVAILABLE = "a settled group answers within AckTimeoutMs"
 
 
@@ -45,7 +46,7 @@
     found += _check_one_each(chain) + _check_force(chain)
     found += _check_content(history, chain) or _check_order(history, chain)
     if not any(v.rule in (Rule.ORDER, Rule.CONTENT) for v in found):
-        found += _check_refusals(history, chain) + _check_available(history, chain)
+        found += _check_refusals(history, chain) + _check_available(history, chain) + _check_fresh(history, chain)
     return found
 
 
@@ -209,6 +210,20 @@
     return _current_throughout(chain, floor, change.match, start, start + within, but=change.number)
 
 
+def _check_fresh(history: History, chain: Chain) -> list[Violation]:
+    """Readers tell what they hold often enough to be judged by that alone; a new life has ConvergeMs to catch up."""
+    floor, out, begun = _Floor(_operations(history, chain)), [], {}
+    for seen in history.seen:
+        since = begun.setdefault((seen.reader, seen.life), seen.at)
+        then = seen.at - history.converge_s
+        calm = any(c.start <= then and seen.at <= c.end for c in history.calms)
+        position = chain.position.get(seen.revision)
+        if calm and since <= then and position is not None and position < floor.at(then):
+            out.append(Violation(Rule.FRESH, f"{seen.reader} holds revision {seen.revision} at {seen.at:.3f}, though "
+                                 f"position {floor.at(then)} was reached before {then:.3f}"))
+    return out
+
+
 def _told(attempts: list[Attempt]) -> str:
     return ", ".join(f"{a.node} {a.outcome.value}" for a in attempts if a.outcome is not None)[:400]
 
--- a/lines/simulation/deployment.py
+++ b/lines/simulation/deployment.py
@@ -7,7 +7,7 @@
 from .disk import SimulatedDisk
 from .faults import STEADY, WAIT_S, Fault, FaultKind, Shape
 from .history import Calm, History, Outcome
-from .loop import VirtualLoop
+from .loop import Life, VirtualLoop
 from .machine import Machine
 from .network import SimulatedNetwork, Weather
 
@@ -34,9 +34,11 @@
         self.loop = VirtualLoop(self.stream("scheduler"))
         self.network = SimulatedNetwork(self.loop, self.stream("network"))
         self.history = History()
+        self._choices = self.stream("choices")
         self.happenings: list[Happening] = []
         self.all_machines: list[Machine] = []
         self.machines = [self._make_machine() for _ in range(shape.machines)]
+        self.other_lives: list[Life] = []   # of processes that are no machine of the group
         self._waiting: list[Fault] = []
         self._standing: list[Fault] = []
         self._rough = 0
@@ -62,6 +64,10 @@
         """The hosts that found the group at the first start."""
         return [machine.host for machine in self.all_machines[:self.shape.founders]]
 
+    def some_hosts(self, count: int) -> list[str]:
+        """Some of the hosts, as an operator's list may have them."""
+        return self._choices.sample(self.hosts, min(count, len(self.hosts)))
+
     # -- faults
 
     def schedule(self, faults) -> None:
@@ -78,6 +84,10 @@
             self._waiting.remove(fault)
             self._begin(fault)
 
+    def troubled(self) -> bool:
+        """Whether a fault stands, or waits."""
+        return bool(self._standing or self._waiting)
+
     def noted(self, outcome: Outcome) -> None:
         """A client was answered: faults that wait for an acknowledgement come now."""
         if outcome is Outcome.ACKNOWLEDGED:
@@ -187,7 +197,7 @@
 
     def shut(self) -> None:
         """Forget what is under way."""
-        self.loop.shut([life for machine in self.all_machines for life in machine.lives])
+        self.loop.shut([life for machine in self.all_machines for life in machine.lives] + self.other_lives)
 
 
 _BEGIN = {
--- a/lines/simulation/faults.py
+++ b/lines/simulation/faults.py
@@ -77,6 +77,7 @@
     contact_s: float = 3.0
     sync_s: float = 4.7
     spares: int = 2
+    first_s: float = 1.5   # the earliest trouble
 
 
 class _Draw:
@@ -93,7 +94,7 @@
         self.weights = weights or _WEIGHTS
 
     def run(self) -> tuple[Fault, ...]:
-        now = self.rng.uniform(1.5, 4.0)
+        now = self.shape.first_s + self.rng.uniform(0.0, 2.5)
         while now < self.shape.length_s:
             if self.rng.random() < PILES:
                 self._pile(now)
--- a/lines/simulation/history.py
+++ b/lines/simulation/history.py
@@ -99,3 +99,4 @@
     grants: list[Grant] = field(default_factory=list)
     calms: list[Calm] = field(default_factory=list)
     acknowledge_s: float = 4.0
+    converge_s: float = 2.0
--- a/lines/simulation/runner.py
+++ b/lines/simulation/runner.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from .checker import Rule, Violation, acknowledged, check
+from .control_node import SEEDS, Reader, SimulatedControlNode
 from .deployment import Deployment, Happening
 from .faults import Fault, Shape, draw_faults
 from .history import Calm, History
@@ -18,6 +19,8 @@
 SETTLE_S = 8.0       # SyncS and ContactMs after the last fault
 LAST_S = 12.0        # for the last order and the readings at the end
 OPERATORS, CLAIMERS = 2, 3
+READERS = 2
+JOINED_S = 6.0
 STANDBYS = 1         # machines beyond those that found the group
 
 
@@ -39,6 +42,9 @@
     @property
     def shape(self) -> Shape:
         """What the faults are drawn for."""
+        if self.model is Model.CONTROL:
+            # the seeds found the group, the others join it before the first trouble
+            return Shape(self.nodes + STANDBYS, SEEDS, TOLERANCE[self.nodes], self.length_s, first_s=JOINED_S)
         return Shape(self.nodes + STANDBYS, self.nodes, TOLERANCE[self.nodes], self.length_s)
 
 
@@ -92,7 +98,6 @@
 def _deploy(seed: int, settings: Settings) -> Deployment:
     def build(machine, life):
         if settings.model is Model.CONTROL:
-            from .control_node import SimulatedControlNode
             return SimulatedControlNode(machine, life, deployment)
         return RegisterNode(machine, life, deployment)
     deployment = Deployment(seed, settings.shape, build)
@@ -105,14 +110,18 @@
     for machine in deployment.machines:
         deployment.loop.call_outside(starts.uniform(0.0, 0.3), machine.start)
     operators = make_operators(deployment, OPERATORS, starts)
-    claimers = [Claimer(deployment, f"store-{at}") for at in range(CLAIMERS)]
+    clients = [*operators, *(Claimer(deployment, f"store-{at}") for at in range(CLAIMERS))]
+    if settings.model is Model.CONTROL:
+        clients += [Reader(deployment, f"edge-{at}") for at in range(READERS)]
     end = settings.length_s
-    await asyncio.gather(*(client.run(end) for client in [*operators, *claimers]))
+    await asyncio.gather(*(client.run(end) for client in clients))
     faults_end = max((h.at for h in deployment.happenings if not h.begins), default=0.0)
-    while deployment._standing or deployment._waiting:
+    while deployment.troubled():
         await asyncio.sleep(1.0)
         faults_end = loop.time()
     await asyncio.sleep(max(0.0, faults_end + SETTLE_S - loop.time()))
+    if settings.model is Model.CONTROL:
+        deployment.history.calms += deployment.calms(loop.time())
     await _close(deployment, operators[0])
 
 
@@ -129,6 +138,7 @@
         read = await operator.read(last=True)
     for host in deployment.hosts:
         await operator.read(host)
+    await asyncio.sleep(deployment.history.converge_s)
 
 
 def shrink(report: Report, most_runs: int = 60) -> Report:
