--- a/tests/test_reign.py
+++ b/tests/test_reign.py
@@ -231,7 +231,7 @@
     run(go())
 
 
-NOTES = [  # what stores tell: (age here, note's (term, t) or none, newest (term, t) there); seconds till an order may go
+NOTES = [  # what stores tell: (age here, note's (term, t) or none, newest (term, t) there); until when none may go
     ([(0.0, None, None)], 3.5),
     ([(1.0, None, None)], 2.5),
     ([(9.0, None, None)], -5.5),
