--- a/lines/store/departure.py
+++ b/lines/store/departure.py
@@ -1,8 +1,8 @@
 """A planned end: leadership goes to others first, then the copies that count on this store are made elsewhere.
 
 Where enough stores stay to bear the allowed losses, the store also gives its membership up, and ends only when
-it is out. A member that is gone would count as one of those that may hold the only copies: with one loss more, nobody could
-be sure to have read all that was acknowledged. A store that is only restarted joins again as a new one."""
+it is out. A member that is gone would count as one of those that may hold the only copies: with one loss more, nobody
+could be sure to have read all that was acknowledged. A store that is only restarted joins again as a new one."""
 
 from __future__ import annotations
 
