--- /dev/null
+++ b/tests/test_simulation.py
@@ -0,0 +1,70 @@
+"""Seeds of the simulator hold on the code as it is, and planted faults are found; no verdict hangs on real time."""
+import hashlib
+from types import SimpleNamespace
+
+import pytest
+
+from lines.simulation import command
+from lines.simulation.plants import PLANTS, planted
+from lines.simulation.runner import Model, Settings, play, shrink
+from lines.simulation.trace import tell
+
+SHORT = Settings(length_s=10.0)
+CONTROL = Settings(Model.CONTROL, length_s=14.0)
+FIVE = Settings(nodes=5, length_s=10.0)
+
+
+@pytest.mark.parametrize("settings, seeds", [(SHORT, range(0, 25)), (FIVE, range(40, 46)), (CONTROL, range(0, 6))],
+                         ids=["register", "register of 5", "control nodes"])
+def test_seeds_hold(settings, seeds):
+    for seed in seeds:
+        report = play(seed, settings)
+        assert not report.broken, tell(report)
+        assert report.acknowledged, f"seed {seed}: nothing was acknowledged, so nothing was shown"
+
+
+@pytest.mark.parametrize("settings", [SHORT, CONTROL], ids=["register", "control nodes"])
+def test_a_seed_is_played_the_same_way_each_time(settings):
+    one, other = (hashlib.sha256(tell(play(3, settings)).encode()).hexdigest() for _ in range(2))
+    assert one == other
+
+
+def test_a_broken_schedule_is_shrunk():
+    with planted("two-on-one-version"):
+        first = play(0, SHORT)
+        report = shrink(first)
+    assert report.broken and len(report.faults) < len(first.faults)
+
+
+@pytest.mark.parametrize("text, seeds", [("0:500", range(500)), ("7", range(7, 8)), ("7:9", range(7, 9))])
+def test_seeds_of_the_command_line(text, seeds):
+    assert command.read_seeds(text) == seeds
+
+
+@pytest.mark.parametrize("wrong", [{"seeds": "x"}, {"seeds": "9:3"}, {"seeds": "1:2:3"}, {"plant": "no such"}, {"nodes": 4}])
+def test_wrong_use_is_told(wrong, capsys):
+    assert command.run(Flags(**wrong), []) == 2
+    assert "simulate" in capsys.readouterr().err
+
+
+class Flags(SimpleNamespace):
+    """Flags of the command line; those that were given are present."""
+
+    def __init__(self, **given):
+        usual = {"seeds": "0:2", "nodes": 20, "model": "register", "length_s": 6.0, "jobs": 1, "steps": False,
+                 "trace": None, "plant": None}
+        super().__init__(**{**usual, **given}, given=set(given))
+
+    def __getitem__(self, name):
+        return SimpleNamespace(present=name in self.given)
+
+
+@pytest.mark.parametrize("given, status, says", [
+    ({}, 0, "0 seeds broken"), ({"plant": "two-on-one-version"}, 1, "broken: "), ({"trace": 1}, 0, "changes acknowledged")])
+def test_the_command(given, status, says, capsys):
+    assert command.run(Flags(**given), []) == status
+    assert says in capsys.readouterr().out
+
+
+def test_every_plant_says_what_it_takes_out():
+    assert all(plant.what and list(plant.patches()) for plant in PLANTS.values())
