--- a/tests/thousand_changes.py
+++ b/tests/thousand_changes.py
@@ -2,7 +2,8 @@
 
     PYTHONPATH=target/deps python3 tests/thousand_changes.py [changes] [routes]
 
-Three acceptors with real logs on this machine's disk and one proposer; one voter is cut off for the whole time. No verdict: it prints what it saw.
+Three acceptors with real logs on this machine's disk and one proposer; one voter is cut off for the whole time. No
+verdict: it prints what it saw.
 """
 
 import asyncio
