--- a/lines/consensus/__init__.py
+++ b/lines/consensus/__init__.py
@@ -1,9 +1,9 @@
 """Agreement of one part: a versioned register over a small group, in the manner of CASPaxos."""
 
-from .group import covers, majority
+from .group import covers, majority, members
 from .acceptor import Acceptor
 from .ballot import Ballot
 from .proposer import Proposer, Unclear
 from .commands import Commands
 
-__all__ = ["covers", "majority", "Acceptor", "Ballot", "Proposer", "Unclear", "Commands"]
+__all__ = ["covers", "majority", "members", "Acceptor", "Ballot", "Proposer", "Unclear", "Commands"]
--- a/lines/control/administration.py
+++ b/lines/control/administration.py
@@ -87,7 +87,7 @@
     async def _spread(self, entry: dict) -> None:
         """Tell all control nodes at once; Refusal unless a majority of the group heard."""
         node = self.node
-        voters = node.registers.base(PLAN)["voters"]
+        voters = node.registers.group(PLAN)["voters"]
         doc = {"roll": [{**{k: v for k, v in entry.items() if k != "silent"}, "age": 0.0}]}
         tasks = [asyncio.ensure_future(node.call(c["addr"], "roll.push", doc)) for c in node.cores.cards.values()]
         heard = {node.id}
--- a/lines/control/agreement.py
+++ b/lines/control/agreement.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from ..consensus import Acceptor, Proposer, Unclear
+from ..consensus import Acceptor, Proposer, Unclear, members
 from ..directory import rank
 from ..rpc import CallError, Refusal
 from ..wal import LogError
@@ -12,6 +12,7 @@
 from .registers import PARTS, PLAN, commands
 
 UNREACHED = 3003
+OVERDUE = 2  # times the time after which a node counts as silent: so long an owner may take to settle a register
 NOTHING = -1  # below the version of a register that was never changed, which is 0
 REWRITE_BYTES = 1 << 20  # the log is rewritten from this length on,
 REWRITE_GROWTH = 4  # ... once it is so many times as long as after the last rewrite
@@ -34,6 +35,7 @@
         self.size = GroupSize.for_losses(boot.tolerate)
         self.patience = Patience(boot.secs("ContactMs", 0.5), boot.secs("ContactMs", 2))
         self._rewritten = 0
+        self._open_since: dict[str, float] = {}  # register -> since when a newer version than the one held is known of
 
     # -- life
 
@@ -95,6 +97,14 @@
             best = {"stamp": 0, "val": {}, "voters": self.founders, "prev": None}
         return best
 
+    def group(self, part: str) -> dict | None:
+        """The state whose voters count here: the newest that is known to be chosen, else the newest seen.
+
+        A state that some have accepted may never be chosen; whoever ranked the owners by it would disagree with those
+        that have not seen it, and each could take another one for the owner.
+        """
+        return self.known.get(part) or self.base(part)
+
     def version(self, part: str) -> int:
         """The version that this node knows to be chosen; NOTHING if it knows none."""
         return self.known[part]["stamp"] if part in self.known else NOTHING
@@ -117,8 +127,8 @@
         """Registers of which this node knows a newer version than it holds: chosen, or accepted by a voter."""
         node, now, out = self.node, self.node.clock.now(), set()
         for part in PARTS:
-            base = self.base(part)
-            voters = base["voters"] if base else {}
+            group = self.group(part)
+            voters = members(group) if group else {}
             newest = max(self.chosen.get(part, NOTHING), node.contact.newest(part, voters, now))
             if newest > self.version(part):
                 out.add(part)
@@ -154,10 +164,10 @@
 
     def owners(self, part: str) -> list:
         """The voters that are up, the one that should run the register's commands first."""
-        base = self.base(part)
-        if base is None:
+        group = self.group(part)
+        if group is None:
             return []
-        return rank(part, [v for v in base["voters"] if self.node.available(v)])
+        return rank(part, [v for v in group["voters"] if self.node.available(v)])
 
     def owns(self, part: str) -> bool:
         """Whether this node is the one to run a register's commands, as far as it knows."""
@@ -177,7 +187,7 @@
         for owner in self.owners(part)[:2] or [node.id]:
             if owner == node.id:
                 return await self.run_here(part, name, args, within)
-            addr = self.base(part)["voters"][owner]
+            addr = self.group(part)["voters"][owner]
             doc = {"part": part, "name": name, "args": args, "within": within}
             try:
                 code, out, _ = await node.lines.to(addr).call("part.do", doc, secs=within, to=owner)
@@ -191,10 +201,26 @@
 
     # -- groups
 
+    def overdue(self, part: str) -> bool:
+        """Whether nobody has settled a register for so long that this node is to, whoever owns it.
+
+        Nodes may disagree on the owner, or each may be waiting for one that stands still; the next in the row comes
+        after another while.
+        """
+        now = self.node.clock.now()
+        if part not in self.behind():
+            self._open_since.pop(part, None)
+            return False
+        since = self._open_since.setdefault(part, now)
+        row = self.owners(part)
+        place = row.index(self.node.id) if self.node.id in row else len(row)
+        return now - since > self.node.quiet_s * (OVERDUE + place)
+
     async def tend(self, part: str, settled: bool) -> None:
-        """As the owner: finish what others began, settle what is not known to be chosen, and keep the group right."""
+        """Finish what others began, settle what is not known to be chosen, and keep the group right."""
         proposer, base = self.proposers[part], self.base(part)
-        want = self._wanted(base) if settled else None
+        # a group is changed from the one that counts: what is open is settled first
+        want = self._wanted(self.group(part)) if settled and part not in self.behind() else None
         open_end = proposer.lead is not None and not proposer.settled
         if part not in self.known or part in self.behind() or base["prev"] or open_end or want:
             if want:
@@ -219,7 +245,7 @@
     def needed_for_leaving(self) -> bool:
         """Whether this node, which is to end, still votes somewhere although another could take its place."""
         node = self.node
-        states = [s for s in map(self.base, PARTS) if s is not None]
-        voting = [s for s in states if node.id in s["voters"] or node.id in (s["prev"] or {})]
+        states = [s for s in map(self.group, PARTS) if s is not None]
+        voting = [s for s in states if node.id in members(s)]
         spares = [i for i in node.cores.cards if node.available(i) and any(i not in s["voters"] for s in voting)]
         return any(spares or len(s["voters"]) > self.size.least for s in voting)
--- a/lines/control/contact.py
+++ b/lines/control/contact.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass, field
 
-from ..consensus import majority
+from ..consensus import covers, members
 
 
 @dataclass(slots=True)
@@ -22,8 +22,8 @@
 class MajorityContact:
     """Who answered this node's pings lately.
 
-    >>> c = MajorityContact(1.0); c.note("b", 5.0, {"plan": 7}); group = dict.fromkeys("abc")
-    >>> c.reached("a", group, 5.9), c.reached("a", group, 6.1), c.newest("plan", group, 5.9)
+    >>> c = MajorityContact(1.0); c.note("b", 5.0, {"plan": 7}); group = {"voters": dict.fromkeys("abc"), "prev": None}
+    >>> c.reached("a", group, 5.9), c.reached("a", group, 6.1), c.newest("plan", group["voters"], 5.9)
     (True, False, 7)
     """
 
@@ -46,9 +46,12 @@
         report = self._reports.get(node_id)
         return report is not None and now - report.sent_at <= self.bound_s
 
-    def reached(self, me: str, voters: dict, now: float) -> bool:
-        """Whether a majority of the voters, this node counted in if it is one, answered within the bound."""
-        return majority({v for v in voters if v == me or self.proven(v, now)}, voters)
+    def reached(self, me: str, group: dict, now: float) -> bool:
+        """Whether a majority of a group, this node counted in if it votes, answered within the bound.
+
+        While a group changes, that is a majority of both.
+        """
+        return covers({v for v in members(group) if v == me or self.proven(v, now)}, group)
 
     def newest(self, part: str, voters: dict, now: float) -> int:
         """The highest version that any of the voters in contact has accepted; -1 if none has."""
--- a/lines/control/node.py
+++ b/lines/control/node.py
@@ -152,8 +152,8 @@
 
     def in_touch(self) -> bool:
         """Whether a majority of the configuration's group answered this node within the bound."""
-        base = self.registers.base(PLAN)
-        return base is not None and self.contact.reached(self.id, base["voters"], self.clock.now())
+        group = self.registers.group(PLAN)
+        return group is not None and self.contact.reached(self.id, group, self.clock.now())
 
     def serving(self) -> bool:
         """Whether this node may answer callers: in touch, and as new as what that majority holds."""
@@ -161,7 +161,7 @@
 
     def condition(self) -> dict:
         """What the doctor asks for."""
-        now, base = self.clock.now(), self.registers.base(PLAN)
+        now, base = self.clock.now(), self.registers.group(PLAN)
         voters = base["voters"] if base else {}
         silent = {
             r: now - self.roll.heard[r] for r, e in self.roll.all.items() if e.get("silent") and e["state"] != "gone"
@@ -238,7 +238,7 @@
                 continue
             settled = self.clock.now() - self.started >= self.beat_s * SETTLED_PINGS
             for part in PARTS:
-                if self.owns(part):
+                if self.owns(part) or self.registers.overdue(part):
                     await self.registers.tend(part, settled)
             if settled and self.serving():
                 await self.store_duty.tend()
--- a/tests/test_control_safety.py
+++ b/tests/test_control_safety.py
@@ -8,6 +8,7 @@
 
 from lines.batches import Quorum
 from lines.consensus import Acceptor
+from lines.control.agreement import Registers
 from lines.control.contact import MajorityContact, ServingGate
 from lines.control.membership import GroupSize, Patience, Sight, wanted_group
 from lines.control.store_duty import StoreDuty
@@ -34,7 +35,7 @@
     contact = MajorityContact(BOUND)
     for node, sent_at in answers.items():
         contact.note(node, sent_at, {})
-    assert contact.reached("a", VOTERS, now) is reached
+    assert contact.reached("a", {"voters": VOTERS, "prev": None}, now) is reached
 
 
 def test_an_older_answer_does_not_undo_a_newer_one():
@@ -189,3 +190,37 @@
     node = Duty(silent, joined_at)
     run(node.duty.tend())
     assert node.said == [("store.leave", name) for name in leaves]
+
+
+@pytest.mark.parametrize("waits, place, overdue", [(1.4, 0, False), (1.6, 0, True), (1.6, 1, False), (2.3, 1, True)])
+def test_a_register_that_nobody_settles_is_settled_by_the_next(waits, place, overdue):
+    """Some have accepted a state that names another owner than the chosen one does; the one named knows nothing of it."""
+    clock = HandClock()
+    node = SimpleNamespace(
+        id="abc"[place],
+        clock=clock,
+        quiet_s=BOUND,
+        ctr=Counters(),
+        contact=MajorityContact(60.0),
+        boot=SimpleNamespace(tolerate=1, secs=lambda *a: 1.0),
+        available=lambda n: True,
+    )
+    registers = Registers(node)
+    registers.known["plan"] = {"stamp": 4, "val": {}, "voters": VOTERS, "prev": None}
+    registers.owners = lambda part: list("abc")
+    node.contact.note("c", clock.now(), {"plan": 5})
+    assert not registers.overdue("plan")
+    clock.at += waits
+    assert registers.overdue("plan") is overdue
+    registers.known["plan"]["stamp"] = 5
+    assert not registers.overdue("plan")
+
+
+def test_owners_follow_the_chosen_state_not_one_that_may_never_be():
+    node = SimpleNamespace(
+        ctr=Counters(), boot=SimpleNamespace(tolerate=1, secs=lambda *a: 1.0), available=lambda n: True
+    )
+    registers = Registers(node)
+    registers.known["plan"] = {"stamp": 4, "val": {}, "voters": VOTERS, "prev": None}
+    registers.acceptors["plan"].state = {"stamp": 5, "val": {}, "voters": {"x": "x:1"}, "prev": VOTERS}
+    assert sorted(registers.owners("plan")) == ["a", "b", "c"] and registers.base("plan")["stamp"] == 5
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -324,7 +324,7 @@
         c = core()
         for e in ents(3):
             c.roll.beat({**e, "seq": 1}, 0.0)
-        c.known["plan"] = {"stamp": 4, "voters": {}, "val": {"plan": {"Revision": 9}}}
+        c.known["plan"] = {"stamp": 4, "voters": {}, "prev": None, "val": {"plan": {"Revision": 9}}}
         ask = {"who": {"id": "e", "klass": "edge"}, "live": {}, "busy": [], "hold": 0.0, "stamps": {}, "life": c.life}
         one, two, three = [orjson.loads(await c.feed.answer({**ask, "turn": t})) for t in (0, 2, 0)]
         assert one == three and [e["id"] for e in one["roll"]] == ["i0", "i1", "i2"]
@@ -332,7 +332,7 @@
         made = c.feed.roll(0), c.feed.part("plan")
         assert made == (c.feed.roll(0), c.feed.part("plan")) and made[0] is c.feed.roll(0)
         c.roll.beat({**ents(3)[2], "state": "draining", "seq": 2}, 0.0)
-        c.known["plan"] = {"stamp": 5, "voters": {}, "val": {"plan": {"Revision": 10}}}
+        c.known["plan"] = {"stamp": 5, "voters": {}, "prev": None, "val": {"plan": {"Revision": 10}}}
         last = orjson.loads(await c.feed.answer({**ask, "turn": 3}))
         assert [e["state"] for e in last["roll"]] == ["draining"] and last["parts"]["plan"]["stamp"] == 5
         other = orjson.loads(await c.feed.answer({**ask, "turn": 3, "life": "another core"}))
