--- a/tests/test_control_safety.py
+++ b/tests/test_control_safety.py
@@ -194,7 +194,7 @@
 
 @pytest.mark.parametrize("waits, place, overdue", [(1.4, 0, False), (1.6, 0, True), (1.6, 1, False), (2.3, 1, True)])
 def test_a_register_that_nobody_settles_is_settled_by_the_next(waits, place, overdue):
-    """Some have accepted a state that names another owner than the chosen one does; the one named knows nothing of it."""
+    """Some have accepted a state that names another owner than the chosen one does; that one knows nothing of it."""
     clock = HandClock()
     node = SimpleNamespace(
         id="abc"[place],
