--- a/lines/simulation/chain.py
+++ b/lines/simulation/chain.py
@@ -1,8 +1,9 @@
 """The chain of changes that came into force, as far as a history shows it.
 
-A change applies only on top of the version that it names, and versions only rise: so the changes in force form one chain,
-from the first to the newest. A change is in it for sure if it was acknowledged or its mark was read under its revision.
+A change applies only on top of the version that it names, and versions only rise: so the changes in force form one
+chain, from the first to the newest. A change is in it for sure if it was acknowledged or its mark was read under its revision.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -10,7 +11,7 @@
 from .history import Attempt, Change, Form, History, Outcome, Read
 
 
-MOST_TRIED = 2000   # beginnings of chains: beyond it, none is taken to fit
+MOST_TRIED = 2000  # beginnings of chains: beyond it, none is taken to fit
 
 
 class BrokenChain(Exception):
@@ -88,8 +89,10 @@
                 best = best or line[::-1]
             open_ends += [[*line, before] for before in self._before(line[-1])]
         missing = [c.number for c in self.evident if c not in best]
-        raise BrokenChain(f"changes {missing} were in force, and no chain holds them; the nearest one has "
-                          f"{[f'{c.number}: {c.revision} on {c.match}' for c in best]}")
+        raise BrokenChain(
+            f"changes {missing} were in force, and no chain holds them; the nearest one has "
+            f"{[f'{c.number}: {c.revision} on {c.match}' for c in best]}"
+        )
 
     def _before(self, change: Change) -> list[Change]:
         """What may have come right before a change, the likeliest last."""
--- a/lines/simulation/checker.py
+++ b/lines/simulation/checker.py
@@ -1,4 +1,5 @@
 """The judge of a history. It knows the rules of the users' pages and nothing of the code."""
+
 from __future__ import annotations
 
 import enum
@@ -9,7 +10,7 @@
 from .history import Attempt, Calm, History, Outcome
 
 
-LONGEST_GAP_S = 2.5   # between two sendings of one who goes on trying
+LONGEST_GAP_S = 2.5  # between two sendings of one who goes on trying
 
 
 class Rule(enum.Enum):
@@ -68,8 +69,11 @@
     holders = defaultdict(set)
     for grant in history.grants:
         holders[grant.run, grant.term].add(grant.holder)
-    return [Violation(Rule.LEASE, f"term {term} of {run} is held by {sorted(names)}")
-            for (run, term), names in holders.items() if len(names) > 1]
+    return [
+        Violation(Rule.LEASE, f"term {term} of {run} is held by {sorted(names)}")
+        for (run, term), names in holders.items()
+        if len(names) > 1
+    ]
 
 
 def _check_last(history: History) -> list[Violation]:
@@ -85,8 +89,11 @@
         groups = defaultdict(list)
         for change in chain.evident:
             groups[key(change)].append(change.number)
-        out += [Violation(Rule.CHAIN, f"changes {numbers} were all in force with one {what}, {value}")
-                for value, numbers in groups.items() if len(numbers) > 1]
+        out += [
+            Violation(Rule.CHAIN, f"changes {numbers} were all in force with one {what}, {value}")
+            for value, numbers in groups.items()
+            if len(numbers) > 1
+        ]
     return out
 
 
@@ -96,9 +103,14 @@
         if not change.valid:
             out.append(Violation(Rule.IN_FORCE, f"change {change.number} is invalid and in force"))
         for refusal in chain.sends[change.number].refusals():
-            out.append(Violation(Rule.IN_FORCE, f"change {change.number} (revision {change.revision} on {change.match}) "
-                                 f"is in force, and {refusal.node} answered {refusal.outcome.value} at "
-                                 f"{refusal.answered_at:.3f} to what was sent at {refusal.sent_at:.3f}"))
+            out.append(
+                Violation(
+                    Rule.IN_FORCE,
+                    f"change {change.number} (revision {change.revision} on {change.match}) "
+                    f"is in force, and {refusal.node} answered {refusal.outcome.value} at "
+                    f"{refusal.answered_at:.3f} to what was sent at {refusal.sent_at:.3f}",
+                )
+            )
     return out
 
 
@@ -106,8 +118,13 @@
     out = []
     for read in history.reads:
         if read.answered_at is not None and chain.content(read.revision) != tuple(sorted(read.marks)):
-            out.append(Violation(Rule.CONTENT, f"{read.node} told revision {read.revision} with {read.marks} instead of "
-                                 f"{chain.content(read.revision)} at {read.answered_at:.3f}"))
+            out.append(
+                Violation(
+                    Rule.CONTENT,
+                    f"{read.node} told revision {read.revision} with {read.marks} instead of "
+                    f"{chain.content(read.revision)} at {read.answered_at:.3f}",
+                )
+            )
     return out
 
 
@@ -123,13 +140,23 @@
 
 
 def _operations(history: History, chain: Chain) -> list[_Operation]:
-    out = [_Operation(r.sent_at, r.answered_at, chain.position[r.revision], False, f"the reading at {r.node}")
-           for r in history.reads if r.answered_at is not None]
+    out = [
+        _Operation(r.sent_at, r.answered_at, chain.position[r.revision], False, f"the reading at {r.node}")
+        for r in history.reads
+        if r.answered_at is not None
+    ]
     for change in chain.changes:
         sends = chain.sends[change.number]
         if sends.acknowledged_at is not None:
-            out.append(_Operation(sends.first_at, sends.acknowledged_at, chain.position[change.revision], True,
-                                  f"change {change.number}"))
+            out.append(
+                _Operation(
+                    sends.first_at,
+                    sends.acknowledged_at,
+                    chain.position[change.revision],
+                    True,
+                    f"change {change.number}",
+                )
+            )
     return sorted(out, key=lambda o: o.end)
 
 
@@ -153,12 +180,19 @@
     for op in operations:
         least = floor.at(op.start) + op.writes
         if op.position < least:
-            out.append(Violation(Rule.ORDER, f"{op.name}, begun at {op.start:.3f}, took effect at position {op.position}, "
-                                 f"though {least - op.writes} was reached before"))
+            out.append(
+                Violation(
+                    Rule.ORDER,
+                    f"{op.name}, begun at {op.start:.3f}, took effect at position {op.position}, "
+                    f"though {least - op.writes} was reached before",
+                )
+            )
         if op.position and not op.writes:
             first_at = chain.sends[chain.changes[op.position - 1].number].first_at
             if first_at > op.end:
-                out.append(Violation(Rule.UNSENT, f"{op.name} at {op.end:.3f} shows what was first sent at {first_at:.3f}"))
+                out.append(
+                    Violation(Rule.UNSENT, f"{op.name} at {op.end:.3f} shows what was first sent at {first_at:.3f}")
+                )
     return out
 
 
@@ -180,8 +214,13 @@
         for attempt in sends.refusals() if change.valid else []:
             span = sends.first_at, attempt.answered_at
             if _current_throughout(chain, floor, change.match, *span, but=change.number):
-                out.append(Violation(Rule.REFUSED, f"change {change.number} on {change.match}, which was current, got "
-                                     f"{attempt.outcome.value} from {attempt.node} at {attempt.answered_at:.3f}"))
+                out.append(
+                    Violation(
+                        Rule.REFUSED,
+                        f"change {change.number} on {change.match}, which was current, got "
+                        f"{attempt.outcome.value} from {attempt.node} at {attempt.answered_at:.3f}",
+                    )
+                )
     return out
 
 
@@ -190,9 +229,14 @@
     for sends in chain.sends.values():
         calm = _calm_after(history, sends.first_at)
         if calm is not None and _owed(chain, floor, sends, history.acknowledge_s):
-            out.append(Violation(Rule.AVAILABLE, f"change {sends.change.number}, sent at {sends.first_at:.3f}, was not "
-                                 f"acknowledged in {history.acknowledge_s} s; {len(sends.attempts)} attempts: "
-                                 f"{_told(sends.attempts)}"))
+            out.append(
+                Violation(
+                    Rule.AVAILABLE,
+                    f"change {sends.change.number}, sent at {sends.first_at:.3f}, was not "
+                    f"acknowledged in {history.acknowledge_s} s; {len(sends.attempts)} attempts: "
+                    f"{_told(sends.attempts)}",
+                )
+            )
     return out
 
 
@@ -211,7 +255,7 @@
     if not change.valid or (done is not None and done <= start + within):
         return False
     if done is None and max(a.sent_at for a in sends.attempts) < start + within - LONGEST_GAP_S:
-        return False   # its sender gave up
+        return False  # its sender gave up
     return _current_throughout(chain, floor, change.match, start, start + within, but=change.number)
 
 
@@ -224,8 +268,13 @@
         calm = any(c.start <= then and seen.at <= c.end for c in history.calms)
         position = chain.position.get(seen.revision)
         if calm and since <= then and position is not None and position < floor.at(then):
-            out.append(Violation(Rule.FRESH, f"{seen.reader} holds revision {seen.revision} at {seen.at:.3f}, though "
-                                 f"position {floor.at(then)} was reached before {then:.3f}"))
+            out.append(
+                Violation(
+                    Rule.FRESH,
+                    f"{seen.reader} holds revision {seen.revision} at {seen.at:.3f}, though "
+                    f"position {floor.at(then)} was reached before {then:.3f}",
+                )
+            )
     return out
 
 
--- a/lines/simulation/command.py
+++ b/lines/simulation/command.py
@@ -1,4 +1,5 @@
 """`archhatch.py simulate`: many seeds on several processors, the first broken one shrunk and told."""
+
 from __future__ import annotations
 
 import sys
@@ -11,7 +12,7 @@
 from .trace import summary, tell
 
 HELD, BROKEN, WRONG_USE = 0, 1, 2
-CHUNK = 4   # seeds that a worker takes at once
+CHUNK = 4  # seeds that a worker takes at once
 
 
 class UsageError(Exception):
@@ -105,8 +106,10 @@
             broken.append(result.seed)
             if len(broken) == 1:
                 _show_broken(result.seed, wish)
-    print(f"{played} seeds, {wish.settings.nodes} nodes, {wish.settings.model.value}: {acknowledged} changes "
-          f"acknowledged, {len(broken)} seeds broken{': ' if broken else ''}{' '.join(map(str, broken[:20]))}")
+    print(
+        f"{played} seeds, {wish.settings.nodes} nodes, {wish.settings.model.value}: {acknowledged} changes "
+        f"acknowledged, {len(broken)} seeds broken{': ' if broken else ''}{' '.join(map(str, broken[:20]))}"
+    )
     return BROKEN if broken else HELD
 
 
--- a/lines/simulation/control_node.py
+++ b/lines/simulation/control_node.py
@@ -1,4 +1,5 @@
 """A whole control node on a simulated machine, and readers of the data plane that follow its feed."""
+
 from __future__ import annotations
 
 import asyncio
@@ -23,14 +24,28 @@
 def settings(deployment: Deployment, host: str, seeds: list, bootstrap: bool):
     """The settings of a machine, as its settings file would have them."""
     shape = deployment.shape
-    bounds = {"ContactMs": int(shape.contact_s * 1000), "SyncS": shape.sync_s,
-              "AckTimeoutMs": int(deployment.history.acknowledge_s * 1000),
-              "ConvergeMs": int(deployment.history.converge_s * 1000)}
-    return check_boot({
-        "NodeName": f"node-{host}", "IpAddress": host, "Zone": "z", "Zones": {"z": "r"}, "Bootstrap": bootstrap,
-        "Bindings": {"ControlPlane": f"{host}:{HTTP_PORT}"}, "InternalPorts": [CALL_PORT, CALL_PORT + 15],
-        "SeedPeers": [f"{seed}:{HTTP_PORT}" for seed in seeds], "DataDir": "/data", "QuorumMember": True,
-        "FaultTolerance": {"Machines": shape.tolerance}, "Bounds": bounds})
+    bounds = {
+        "ContactMs": int(shape.contact_s * 1000),
+        "SyncS": shape.sync_s,
+        "AckTimeoutMs": int(deployment.history.acknowledge_s * 1000),
+        "ConvergeMs": int(deployment.history.converge_s * 1000),
+    }
+    return check_boot(
+        {
+            "NodeName": f"node-{host}",
+            "IpAddress": host,
+            "Zone": "z",
+            "Zones": {"z": "r"},
+            "Bootstrap": bootstrap,
+            "Bindings": {"ControlPlane": f"{host}:{HTTP_PORT}"},
+            "InternalPorts": [CALL_PORT, CALL_PORT + 15],
+            "SeedPeers": [f"{seed}:{HTTP_PORT}" for seed in seeds],
+            "DataDir": "/data",
+            "QuorumMember": True,
+            "FaultTolerance": {"Machines": shape.tolerance},
+            "Bounds": bounds,
+        }
+    )
 
 
 class QuietLog:
--- a/lines/simulation/deployment.py
+++ b/lines/simulation/deployment.py
@@ -1,4 +1,5 @@
 """A simulated deployment: machines, network, and the faults that befall them."""
+
 from __future__ import annotations
 
 import random
@@ -38,7 +39,7 @@
         self.happenings: list[Happening] = []
         self.all_machines: list[Machine] = []
         self.machines = [self._make_machine() for _ in range(shape.machines)]
-        self.other_lives: list[Life] = []   # of processes that are no machine of the group
+        self.other_lives: list[Life] = []  # of processes that are no machine of the group
         self._waiting: list[Fault] = []
         self._standing: list[Fault] = []
         self._rough = 0
@@ -62,7 +63,7 @@
     @property
     def first_hosts(self) -> list[str]:
         """The hosts that found the group at the first start."""
-        return [machine.host for machine in self.all_machines[:self.shape.founders]]
+        return [machine.host for machine in self.all_machines[: self.shape.founders]]
 
     def some_hosts(self, count: int) -> list[str]:
         """Some of the hosts, as an operator's list may have them."""
@@ -120,6 +121,7 @@
         def bring_up() -> None:
             for each in machines:
                 each.bring_up()
+
         return bring_up
 
     def _replace(self, fault: Fault, machine: Machine):
@@ -131,6 +133,7 @@
             fresh.bootstrap = False
             self.machines[fault.slot] = fresh
             fresh.start()
+
         return come
 
     def _freeze(self, fault: Fault, machine: Machine):
@@ -152,6 +155,7 @@
         def heal() -> None:
             for link in links:
                 self.network.heal(*link)
+
         return heal
 
     def _harm_disk(self, fault: Fault, machine: Machine):
@@ -167,6 +171,7 @@
         def mend() -> None:
             disk.full = False
             disk.failing_writes = disk.short_writes = disk.failing_syncs = 0.0
+
         return mend
 
     def _roughen(self, fault: Fault, machine: Machine):
@@ -176,6 +181,7 @@
         def calm_down() -> None:
             self._rough -= 1
             self.network.weather = ROUGH if self._rough else Weather()
+
         return calm_down
 
     # -- spans in which the group was settled
@@ -201,11 +207,20 @@
 
 
 _BEGIN = {
-    FaultKind.CRASH: Deployment._down, FaultKind.POWER_LOSS: Deployment._down, FaultKind.WIPE: Deployment._down,
-    FaultKind.REPLACE: Deployment._replace, FaultKind.FREEZE: Deployment._freeze,
-    FaultKind.CUT: Deployment._cut, FaultKind.CUT_IN: Deployment._cut, FaultKind.CUT_OUT: Deployment._cut,
-    FaultKind.CUT_PAIR: Deployment._cut, FaultKind.STALL: Deployment._harm_disk, FaultKind.FULL: Deployment._harm_disk,
-    FaultKind.FAILING_WRITES: Deployment._harm_disk, FaultKind.FAILING_SYNCS: Deployment._harm_disk,
-    FaultKind.KILL_ALL: Deployment._down_all, FaultKind.POWER_LOSS_ALL: Deployment._down_all,
+    FaultKind.CRASH: Deployment._down,
+    FaultKind.POWER_LOSS: Deployment._down,
+    FaultKind.WIPE: Deployment._down,
+    FaultKind.REPLACE: Deployment._replace,
+    FaultKind.FREEZE: Deployment._freeze,
+    FaultKind.CUT: Deployment._cut,
+    FaultKind.CUT_IN: Deployment._cut,
+    FaultKind.CUT_OUT: Deployment._cut,
+    FaultKind.CUT_PAIR: Deployment._cut,
+    FaultKind.STALL: Deployment._harm_disk,
+    FaultKind.FULL: Deployment._harm_disk,
+    FaultKind.FAILING_WRITES: Deployment._harm_disk,
+    FaultKind.FAILING_SYNCS: Deployment._harm_disk,
+    FaultKind.KILL_ALL: Deployment._down_all,
+    FaultKind.POWER_LOSS_ALL: Deployment._down_all,
     FaultKind.ROUGH_NETWORK: Deployment._roughen,
 }
--- a/lines/simulation/disk.py
+++ b/lines/simulation/disk.py
@@ -5,6 +5,7 @@
 tears each piece by itself, names that were made or removed without a sync of their folder included. A sync that failed
 makes nothing last, and neither does a later one of the same bytes, although that one reports success.
 """
+
 from __future__ import annotations
 
 import errno
@@ -14,9 +15,9 @@
 
 WRITE_S = (0.00005, 0.0004)
 LEAST_SYNC_S = 0.0004
-MOST_SYNC_S = (0.004, 0.01, 0.04, 0.15)   # disks differ
+MOST_SYNC_S = (0.004, 0.01, 0.04, 0.15)  # disks differ
 TORN_PIECES = 3
-ALL_LOST = 0.2            # of the losses of power lose all that was not synced
+ALL_LOST = 0.2  # of the losses of power lose all that was not synced
 
 
 @dataclass(eq=False)
@@ -26,7 +27,7 @@
     data: bytearray = field(default_factory=bytearray)
     durable: bytearray = field(default_factory=bytearray)
     unsynced: list = field(default_factory=list)
-    doomed: list = field(default_factory=list)   # a sync of these failed: no later one makes them last
+    doomed: list = field(default_factory=list)  # a sync of these failed: no later one makes them last
 
 
 @dataclass(frozen=True)
@@ -38,7 +39,7 @@
     def apply(self, content: bytearray) -> None:
         if len(content) < self.at:
             content.extend(bytes(self.at - len(content)))
-        content[self.at:self.at + len(self.data)] = self.data
+        content[self.at : self.at + len(self.data)] = self.data
 
     def torn(self, rng: random.Random) -> list:
         """Some pieces of it."""
@@ -54,7 +55,7 @@
     size: int
 
     def apply(self, content: bytearray) -> None:
-        del content[self.size:]
+        del content[self.size :]
         content.extend(bytes(self.size - len(content)))
 
     def torn(self, rng: random.Random) -> list:
@@ -94,9 +95,9 @@
         self.stalled_until = 0.0
         self.full = False
         self.failing_writes = self.short_writes = self.failing_syncs = 0.0
-        self._cursor: float | None = None   # the moment of the next call, while one in an executor is under way
+        self._cursor: float | None = None  # the moment of the next call, while one in an executor is under way
         self._busy_until = 0.0
-        self._effects: list = []            # (moment, change), not yet taken into what a crash would leave
+        self._effects: list = []  # (moment, change), not yet taken into what a crash would leave
         self._names: dict[str, _File] = {}
         self._durable_names: dict[str, _File] = {}
         self._unsynced_names: list[_Name] = []
@@ -226,7 +227,7 @@
 
     def pread(self, handle: int, count: int, at: int) -> bytes:
         """At most count bytes from a position."""
-        return bytes(self._handles[handle].data[at:at + count])
+        return bytes(self._handles[handle].data[at : at + count])
 
     def pwrite(self, handle: int, data, at: int) -> int:
         """Write at a position; how many bytes were taken."""
@@ -235,7 +236,7 @@
             raise OSError(errno.EIO, "write failed")
         raw = bytes(data)
         if self._rng.random() < self.short_writes:
-            raw = raw[:self._rng.randrange(1, len(raw) + 1)]
+            raw = raw[: self._rng.randrange(1, len(raw) + 1)]
         self._change(_Write(self._handles[handle], at, raw))
         return len(raw)
 
--- a/lines/simulation/faults.py
+++ b/lines/simulation/faults.py
@@ -1,4 +1,5 @@
 """Schedules of faults, drawn by a seed within what FaultTolerance allows."""
+
 from __future__ import annotations
 
 import enum
@@ -27,10 +28,24 @@
     ROUGH_NETWORK = "messages are late, lost, doubled and reset more often"
 
 
-_WEIGHTS = {FaultKind.CRASH: 4, FaultKind.POWER_LOSS: 4, FaultKind.WIPE: 4, FaultKind.REPLACE: 2, FaultKind.FREEZE: 4,
-            FaultKind.CUT: 4, FaultKind.CUT_IN: 3, FaultKind.CUT_OUT: 3, FaultKind.CUT_PAIR: 3, FaultKind.STALL: 3,
-            FaultKind.FULL: 2, FaultKind.FAILING_WRITES: 2, FaultKind.FAILING_SYNCS: 2, FaultKind.KILL_ALL: 3,
-            FaultKind.POWER_LOSS_ALL: 5, FaultKind.ROUGH_NETWORK: 5}
+_WEIGHTS = {
+    FaultKind.CRASH: 4,
+    FaultKind.POWER_LOSS: 4,
+    FaultKind.WIPE: 4,
+    FaultKind.REPLACE: 2,
+    FaultKind.FREEZE: 4,
+    FaultKind.CUT: 4,
+    FaultKind.CUT_IN: 3,
+    FaultKind.CUT_OUT: 3,
+    FaultKind.CUT_PAIR: 3,
+    FaultKind.STALL: 3,
+    FaultKind.FULL: 2,
+    FaultKind.FAILING_WRITES: 2,
+    FaultKind.FAILING_SYNCS: 2,
+    FaultKind.KILL_ALL: 3,
+    FaultKind.POWER_LOSS_ALL: 5,
+    FaultKind.ROUGH_NETWORK: 5,
+}
 _ALL = {FaultKind.KILL_ALL, FaultKind.POWER_LOSS_ALL}
 _DESTROY = {FaultKind.WIPE, FaultKind.REPLACE}
 _CUTS = {FaultKind.CUT, FaultKind.CUT_IN, FaultKind.CUT_OUT, FaultKind.CUT_PAIR}
@@ -38,20 +53,20 @@
 STEADY = {FaultKind.CRASH, FaultKind.POWER_LOSS, FaultKind.WIPE, FaultKind.REPLACE, FaultKind.FREEZE, FaultKind.CUT}
 
 LONG_CUT_S = (15.0, 22.0)
-LONG_CUTS = 0.3          # of the cuts are long ones
+LONG_CUTS = 0.3  # of the cuts are long ones
 DURATION_S = (0.2, 4.0)
-FAILING_MACHINES = (0.05, 0.15, 0.7)  # of the troubles: a machine's disk and links go bad, and its process dies meanwhile
-PILES = 0.3              # of the troubles are several faults of one machine at once
+FAILING_MACHINES = (0.05, 0.15, 0.7)  # of the troubles: disk and links go bad, and the process dies
+PILES = 0.3  # of the troubles are several faults of one machine at once
 PILE_OF = (2, 5)
 PILE_S = 1.2
-KINDS_LEFT_OUT = 0.4     # of the kinds are left out of a schedule: fewer kinds in one day meet more often
-PACES = (0.25, 0.5, 1.0)   # some days leave little time between troubles
-AFTER_ACKNOWLEDGEMENT = 0.3   # of the faults wait for the next acknowledgement
+KINDS_LEFT_OUT = 0.4  # of the kinds are left out of a schedule: fewer kinds in one day meet more often
+PACES = (0.25, 0.5, 1.0)  # some days leave little time between troubles
+AFTER_ACKNOWLEDGEMENT = 0.3  # of the faults wait for the next acknowledgement
 
 
 @dataclass(frozen=True)
 class Fault:
-    """A fault of a machine (by its slot) from a moment on; one that waits comes at the next acknowledgement after it."""
+    """A fault of a machine (by its slot) from a moment on, or from the next acknowledgement after it if it waits."""
 
     kind: FaultKind
     at: float
@@ -78,7 +93,7 @@
     contact_s: float = 3.0
     sync_s: float = 4.7
     spares: int = 2
-    first_s: float = 1.5   # the earliest trouble
+    first_s: float = 1.5  # the earliest trouble
 
 
 class _Draw:
@@ -120,7 +135,8 @@
             if kind is FaultKind.ROUGH_NETWORK:
                 self.faults.append(Fault(kind, at, PILE_S))
             elif kind not in _ALL and kind not in _DESTROY:
-                self._on_machine(kind, at, self.rng.uniform(0.05, PILE_S), self.rng.random() < AFTER_ACKNOWLEDGEMENT, slot)
+                waits = self.rng.random() < AFTER_ACKNOWLEDGEMENT
+                self._on_machine(kind, at, self.rng.uniform(0.05, PILE_S), waits, slot)
 
     def _failing_machine(self, now: float) -> None:
         """The disk goes bad, links fail one after the other, and the process dies in the middle of it."""
@@ -149,8 +165,15 @@
         else:
             self._on_machine(kind, now, duration, waits)
 
-    def _on_machine(self, kind: FaultKind, now: float, duration: float, waits: bool, slot: int | None = None,
-                    peer: int | None = None) -> None:
+    def _on_machine(
+        self,
+        kind: FaultKind,
+        now: float,
+        duration: float,
+        waits: bool,
+        slot: int | None = None,
+        peer: int | None = None,
+    ) -> None:
         slot = self.rng.randrange(self.shape.machines) if slot is None else slot
         peer = (slot + self.rng.randrange(1, self.shape.machines)) % self.shape.machines if peer is None else peer
         others = sum(1 for at, until in enumerate(self.lost_until) if until > now and at != slot)
--- a/lines/simulation/history.py
+++ b/lines/simulation/history.py
@@ -1,4 +1,5 @@
 """What the clients of a simulated deployment did and saw. The checker judges by this alone."""
+
 from __future__ import annotations
 
 import enum
@@ -8,10 +9,10 @@
 class Outcome(enum.Enum):
     """What an answer to an operator says."""
 
-    ACKNOWLEDGED = "acknowledged"   # 200
-    CONFLICT = "conflict"           # 412: another version is current
-    INVALID = "invalid"             # 400
-    UNCLEAR = "unclear"             # anything else, or nothing
+    ACKNOWLEDGED = "acknowledged"  # 200
+    CONFLICT = "conflict"  # 412: another version is current
+    INVALID = "invalid"  # 400
+    UNCLEAR = "unclear"  # anything else, or nothing
 
 
 class Form(enum.Enum):
@@ -58,7 +59,7 @@
     answered_at: float | None = None
     revision: int | None = None
     marks: tuple = ()
-    last: bool = False   # the reading after the end of the day: it must come
+    last: bool = False  # the reading after the end of the day: it must come
 
 
 @dataclass(frozen=True)
--- a/lines/simulation/loop.py
+++ b/lines/simulation/loop.py
@@ -5,6 +5,7 @@
 those of a life that ended are dropped for good. Handles of different lives that are ready together run in an order
 drawn by the seed; those of one life keep theirs.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -15,7 +16,7 @@
 import random
 from collections import deque
 
-MOST_STEPS = 5_000_000   # handles in one run; beyond it something spins
+MOST_STEPS = 5_000_000  # handles in one run; beyond it something spins
 
 
 class SimulationStuck(Exception):
@@ -29,9 +30,9 @@
         self.name = name
         self.alive = True
         self.frozen = False
-        self.held: list = []    # handles that wait for the thaw
-        self.tasks: list = []   # kept, so that no task of a dead life is collected, and unwound, during the run
-        self.disk = None        # where the calls that it hands to an executor take their time
+        self.held: list = []  # handles that wait for the thaw
+        self.tasks: list = []  # kept, so that no task of a dead life is collected, and unwound, during the run
+        self.disk = None  # where the calls that it hands to an executor take their time
         self.context = contextvars.Context()
         self.context.run(CURRENT_LIFE.set, self)
 
@@ -76,7 +77,7 @@
         self._ended = False
         self._pending: list = []
         self.steps = 0
-        self.faults: list = []   # exceptions that no task took, by life
+        self.faults: list = []  # exceptions that no task took, by life
         self.set_task_factory(self._make_task)
         self.set_exception_handler(self._note_exception)
 
@@ -212,7 +213,7 @@
 
     def call_soon(self, callback, *args, context=None):
         if self._ended:
-            return asyncio.Handle(callback, args, self, context)   # a task is being unwound: nothing comes of it
+            return asyncio.Handle(callback, args, self, context)  # a task is being unwound: nothing comes of it
         return super().call_soon(callback, *args, context=context)
 
 
--- a/lines/simulation/machine.py
+++ b/lines/simulation/machine.py
@@ -1,4 +1,5 @@
 """A machine of a simulated deployment: its disk, and the life of the process on it."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -8,7 +9,7 @@
 from .loop import Life, VirtualLoop
 from .network import SimulatedNetwork
 
-RESTART_S = 0.4   # after a process has ended by itself
+RESTART_S = 0.4  # after a process has ended by itself
 
 
 class Machine:
@@ -17,9 +18,9 @@
     def __init__(self, host: str, loop: VirtualLoop, network: SimulatedNetwork, disk: SimulatedDisk, build: Callable):
         self.host, self.loop, self.network, self.disk = host, loop, network, disk
         self._build = build
-        self._down = 0             # reasons for which it must not run
+        self._down = 0  # reasons for which it must not run
         self._freezes = 0
-        self.bootstrap = True      # only for its first start
+        self.bootstrap = True  # only for its first start
         self.gone = False
         self.life: Life | None = None
         self.lives: list[Life] = []
--- a/lines/simulation/network.py
+++ b/lines/simulation/network.py
@@ -3,6 +3,7 @@
 Documents pass through orjson both ways, as on the wire. A call may be delayed, lost, run twice, overtaken, or lose its
 answer to a reset after its handler ran; a cut holds what is sent in its direction, and loses it or delivers it late.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -16,15 +17,15 @@
 from .loop import Life, VirtualLoop
 
 DONE, MALFORMED, NO_MACHINE, NO_CALL, FAULT = 1000, 2001, 2008, 2009, 5001
-SLOWNESS = (1, 1, 3, 12)   # links differ
-HELD_BY_CUT = 0.5   # of the messages that meet a cut are delivered after it, the others are lost
+SLOWNESS = (1, 1, 3, 12)  # links differ
+HELD_BY_CUT = 0.5  # of the messages that meet a cut are delivered after it, the others are lost
 
 
 @dataclass(slots=True)
 class Weather:
     """How the network behaves towards each message. A link without trouble delivers, at times late: it is TCP."""
 
-    delay_s: tuple = (0.0002, 0.004)   # the longest by link is a multiple of the upper bound
+    delay_s: tuple = (0.0002, 0.004)  # the longest by link is a multiple of the upper bound
     late_s: tuple = (0.05, 0.6)
     late: float = 0.01
     loss: float = 0.0
@@ -42,14 +43,14 @@
 class SimulatedNetwork:
     """All links of a simulated deployment, between hosts by name.
 
-    >>> # network = SimulatedNetwork(loop, rng); network.cut("10.0.0.1", "10.0.0.2"); network.heal("10.0.0.1", "10.0.0.2")
+    >>> # network = SimulatedNetwork(loop, rng); network.cut("10.0.0.1", "10.0.0.2")
     """
 
     def __init__(self, loop: VirtualLoop, rng: random.Random):
         self.loop, self._rng = loop, rng
         self.weather = Weather()
         self.servers: dict[str, SimulatedServer] = {}
-        self.dark: set[str] = set()               # hosts without power: nothing answers there, not even a refusal
+        self.dark: set[str] = set()  # hosts without power: nothing answers there, not even a refusal
         self._cuts: Counter = Counter()
         self._slowness: dict[tuple, int] = {}
         self._held: dict = defaultdict(list)
@@ -151,7 +152,8 @@
 
         def deliver() -> None:
             self._arrive(future, verb, head, body, to or "")
-        twice = self._place.life is not None and network.chance(network.weather.duplicates)   # callers outside have TCP
+
+        twice = self._place.life is not None and network.chance(network.weather.duplicates)  # callers outside have TCP
         for _ in range(2 if twice else 1):
             network.transmit(self._place.host, host_of(self.addr), deliver)
         try:
@@ -173,6 +175,7 @@
 
         def reply(answer: _Answer) -> None:
             network.transmit(there, here, lambda: _fulfil(future, answer))
+
         network.loop.spawn(server.life, server.run(verb, head, body, to, reply))
 
 
--- a/lines/simulation/operators.py
+++ b/lines/simulation/operators.py
@@ -1,4 +1,5 @@
 """The clients of a simulated deployment: operators that change and read the configuration, and claimers of leases."""
+
 from __future__ import annotations
 
 import asyncio
@@ -23,8 +24,11 @@
 def body_of(change: Change) -> bytes:
     """A change as it is sent."""
     services = [{"Name": mark} for mark in change.marks]
-    routes = [] if change.valid else [{"Name": "r", "HostName": "h", "PathPrefix": "/", "RouteClass": "idempotent",
-                                       "Service": "unknown"}]
+    routes = (
+        []
+        if change.valid
+        else [{"Name": "r", "HostName": "h", "PathPrefix": "/", "RouteClass": "idempotent", "Service": "unknown"}]
+    )
     if change.form is Form.ITEMS:
         return orjson.dumps({"Revision": change.revision, "Upsert": {"ServiceTable": services, "RouteTable": routes}})
     return orjson.dumps({"Revision": change.revision, "RouteTable": routes, "ServiceTable": services})
@@ -36,13 +40,14 @@
 
     operators: int
     claimers: int
-    pause: float    # factor on the pauses between orders
-    faithful: float   # the chance to call the same node again
+    pause: float  # factor on the pauses between orders
+    faithful: float  # the chance to call the same node again
 
     @classmethod
     def draw(cls, rng: random.Random) -> Habits:
         """Drawn by the seed."""
-        return cls(rng.choice((1, 2, 2)), rng.choice((0, 1, 3)), rng.choice((1.0, 1.0, 4.0, 10.0)), rng.choice((0.0, 0.5, 0.95)))
+        pause, faithful = rng.choice((1.0, 1.0, 4.0, 10.0)), rng.choice((0.0, 0.5, 0.95))
+        return cls(rng.choice((1, 2, 2)), rng.choice((0, 1, 3)), pause, faithful)
 
 
 class Caller:
@@ -89,7 +94,7 @@
     def __init__(self, deployment: Deployment, name: str, habits: Habits, numbers: itertools.count, sent: list):
         super().__init__(deployment, name, habits)
         self._numbers, self._sent = numbers, sent
-        self.newest = 0   # the highest revision that this operator knows of
+        self.newest = 0  # the highest revision that this operator knows of
 
     def make(self, match: int, revision: int | None = None, valid: bool = True) -> Change:
         """A change on top of a version."""
@@ -103,8 +108,9 @@
         """Send a change once."""
         attempt = Attempt(change, host, self.now())
         self.deployment.history.attempts.append(attempt)
-        status, _ = await self.http(host, change.form.value, "/api/config", {"If-Match": str(change.match)},
-                                    body_of(change))
+        status, _ = await self.http(
+            host, change.form.value, "/api/config", {"If-Match": str(change.match)}, body_of(change)
+        )
         attempt.outcome = _OUTCOMES.get(status, Outcome.UNCLEAR)
         attempt.answered_at = self.now() if status else None
         if attempt.outcome is Outcome.ACKNOWLEDGED:
@@ -147,8 +153,17 @@
 
     async def run(self, end: float) -> None:
         """Order and read until a moment."""
-        actions = [(self.order, 6), (self.race, 3), (self.burst, 2), (self.run_ahead, 2), (self.resend, 3),
-                   (self.look_back, 1), (self.spoil, 1), (self.read, 3), (self.send_twice, 2)]
+        actions = [
+            (self.order, 6),
+            (self.race, 3),
+            (self.burst, 2),
+            (self.run_ahead, 2),
+            (self.resend, 3),
+            (self.look_back, 1),
+            (self.spoil, 1),
+            (self.read, 3),
+            (self.send_twice, 2),
+        ]
         await self.send(self.make(0), patience_s=end)
         while self.now() < end:
             action = self.rng.choices([a for a, _ in actions], [w for _, w in actions])[0]
--- a/lines/simulation/plants.py
+++ b/lines/simulation/plants.py
@@ -2,6 +2,7 @@
 
 A simulator that does not find them proves nothing by finding nothing else.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -14,6 +15,7 @@
 
 from ..consensus import acceptor, ballot, group, proposer
 from ..control import registers
+from ..control.node import ControlNode
 from ..wal import WriteAheadLog
 from .disk import SimulatedDisk
 from .register_node import RegisterNode
@@ -32,9 +34,11 @@
 
 def plant(name: str, what: str):
     """Register a planted fault: the function gives patchers."""
+
     def put(function):
         PLANTS[name] = Plant(name, what, function)
         return function
+
     return put
 
 
@@ -72,6 +76,7 @@
         self.promised, self.ballot, self.state = wanted, wanted, state
         await self.book.append(self.record())
         return {"ok": True}
+
     yield mock.patch.object(acceptor.Acceptor, "prepare", prepare)
     yield mock.patch.object(acceptor.Acceptor, "accept", accept)
 
@@ -82,6 +87,7 @@
 
     async def append(self, *raws):
         asyncio.ensure_future(real(self, *raws)).add_done_callback(lambda task: task.exception())
+
     yield mock.patch.object(WriteAheadLog, "append", append)
 
 
@@ -104,6 +110,7 @@
         out = await real(self, wanted, state)
         self.promised = max(before, self.promised)
         return out
+
     yield mock.patch.object(acceptor.Acceptor, "accept", accept)
 
 
@@ -112,6 +119,7 @@
     async def accept(self, state, must=()):
         def chosen(ids):
             return group.majority(ids, state["voters"])
+
         targets = group.members(state) | group.members(self.state)
         doc = {"ballot": self.lead.wire(), "state": state}
         got = await self._poll(targets, "part.accept", doc, lambda g: chosen(set(g)))
@@ -121,14 +129,17 @@
             return True
         self.lead, self.settled = None, False
         return False
+
     yield mock.patch.object(proposer.Proposer, "_accept", accept)
 
 
 def _without_least():
     """Patches away that a proposer does not lead with a state older than one known to be chosen: that hides others."""
+
     def take_lead(self, wanted, state):
         self.lead, self.state, self.settled = wanted, state, False
         return True
+
     return mock.patch.object(proposer.Proposer, "_take_lead", take_lead)
 
 
@@ -139,6 +150,7 @@
     async def found(self):
         self.machine.bootstrap = True
         await real(self)
+
     yield mock.patch.object(RegisterNode, "_found", found)
     yield _without_least()
 
@@ -147,6 +159,7 @@
 def _read_without_contact():
     async def confirm(self):
         return True
+
     yield mock.patch.object(proposer.Proposer, "_confirm", confirm)
 
 
@@ -158,6 +171,7 @@
         out = real(self, wanted, state)
         self.settled = out
         return out
+
     yield mock.patch.object(proposer.Proposer, "_take_lead", take_lead)
 
 
@@ -174,6 +188,7 @@
         now = real(self)
         old, self.older_snapshot = getattr(self, "older_snapshot", now), now
         return old
+
     yield mock.patch.object(RegisterNode, "snapshot", snapshot)
 
 
@@ -189,6 +204,7 @@
         def forgetful(val, args, real=real):
             val["taken"] = {}
             return real(val, args)
+
         yield _patch_command(name, forgetful)
 
 
@@ -201,6 +217,7 @@
             match = val.get("plan", {}).get("Revision", 0)
             code, doc, changed = real(val, {**args, "match": match} if args["match"] < match else args)
             return (2011, None, changed) if args["match"] < match else (code, doc, changed)
+
         yield _patch_command(name, lenient)
 
 
@@ -211,6 +228,7 @@
 
         def careless(val, args, real=real):
             return real(val, {**args, "match": val.get("plan", {}).get("Revision", 0)})
+
         yield _patch_command(name, careless)
 
 
@@ -221,4 +239,10 @@
         lease = {"holder": args["holder"], "life": args["life"], "term": args["seen"] + 1}
         leases[args["run"]] = lease
         return 1000, lease, True
+
     yield _patch_command("tenure.claim", claim)
+
+
+@plant("feed-without-contact", "a control node serves only on a proof of contact with a majority (model control)")
+def _feed_without_contact():
+    yield mock.patch.object(ControlNode, "serving", lambda self: True)
--- a/lines/simulation/register_node.py
+++ b/lines/simulation/register_node.py
@@ -2,6 +2,7 @@
 
 Every node proposes for itself, so that proposers meet far more often than under the control node's rule of one owner.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -23,8 +24,8 @@
 CALL_S = 0.75
 TEND_S = (0.3, 0.8)
 FRESH_S, SILENT_S = 1.2, 2.0
-REWRITE_BYTES = 6000     # small, so that rewrites happen often,
-REWRITES = 0.15          # ... and at times for no reason
+REWRITE_BYTES = 6000  # small, so that rewrites happen often,
+REWRITES = 0.15  # ... and at times for no reason
 UNREACHED = 3003
 _METHODS = {"PUT": "plan.put", "PATCH": "plan.patch", "GET": "plan.get"}
 
@@ -43,8 +44,8 @@
         self.addr = f"{self.host}:{CALL_PORT}"
         self.id, self.founders = "", None
         self.known: dict | None = None
-        self._cards: dict[str, str] = {}   # address -> id of the node that was last heard there
-        self._heard: dict[str, float] = {}   # address -> when
+        self._cards: dict[str, str] = {}  # address -> id of the node that was last heard there
+        self._heard: dict[str, float] = {}  # address -> when
         self._started = machine.loop.time()
         place = machine.network.at(self.host, life)
         self._pool = place.pool(self.counters)
@@ -68,8 +69,17 @@
         self.log.start()
         if not self.id:
             await self._found()
-        self.proposer = Proposer(PART, self.id, commands, self._ask, self._base, self._publish, self.counters,
-                                 secs=ROUND_S, least=self._version)
+        self.proposer = Proposer(
+            PART,
+            self.id,
+            commands,
+            self._ask,
+            self._base,
+            self._publish,
+            self.counters,
+            secs=ROUND_S,
+            least=self._version,
+        )
         await self._calls.open(self.addr)
         await self._entry.open(f"{self.host}:{HTTP_PORT}")
         self._tasks.append(asyncio.get_running_loop().create_task(self._tend_loop()))
@@ -147,6 +157,7 @@
             if code != 1000:
                 raise Refusal(code, out)
             return out
+
         return handlers
 
     def _make_entry(self) -> Handlers:
@@ -162,6 +173,7 @@
             except Refusal as refusal:
                 code, out = refusal.code, None
             return {"status": CODES[code][0], "headers": {}}, orjson.dumps(out)
+
         return handlers
 
     async def _command(self, name: str, args: dict) -> tuple:
--- a/lines/simulation/runner.py
+++ b/lines/simulation/runner.py
@@ -1,4 +1,5 @@
 """Plays one seed: draws its faults, runs clients and machines, and has the history judged."""
+
 from __future__ import annotations
 
 import asyncio
@@ -16,18 +17,18 @@
 from .register_node import RegisterNode
 
 TOLERANCE = {3: 1, 5: 2}
-SETTLE_S = 8.0       # SyncS and ContactMs after the last fault
-LAST_S = 12.0        # for the last order and the readings at the end
+SETTLE_S = 8.0  # SyncS and ContactMs after the last fault
+LAST_S = 12.0  # for the last order and the readings at the end
 READERS = 2
 JOINED_S = 6.0
-STANDBYS = 1         # machines beyond those that found the group
+STANDBYS = 1  # machines beyond those that found the group
 
 
 class Model(enum.Enum):
     """What is simulated."""
 
-    REGISTER = "register"   # one register: consensus and log alone
-    CONTROL = "control"     # whole control nodes
+    REGISTER = "register"  # one register: consensus and log alone
+    CONTROL = "control"  # whole control nodes
 
 
 @dataclass(frozen=True)
@@ -75,9 +76,9 @@
     """Run a seed, with its own faults or with those given."""
     faults = faults_of(seed, settings) if faults is None else faults
     before = random.getstate()
-    random.seed(f"{seed}/code")   # what the code itself draws
+    random.seed(f"{seed}/code")  # what the code itself draws
     gc_was_on = gc.isenabled()
-    gc.disable()                  # a task of a dead life must not be unwound in the middle of a run
+    gc.disable()  # a task of a dead life must not be unwound in the middle of a run
     deployment = _deploy(seed, settings)
     report = Report(seed, settings, faults, history=deployment.history, happenings=deployment.happenings)
     try:
@@ -99,6 +100,7 @@
         if settings.model is Model.CONTROL:
             return SimulatedControlNode(machine, life, deployment)
         return RegisterNode(machine, life, deployment)
+
     deployment = Deployment(seed, settings.shape, build)
     return deployment
 
@@ -145,7 +147,7 @@
     rules = {v.rule for v in report.violations}
     best, runs, at = report, 0, 0
     while at < len(best.faults) and runs < most_runs:
-        fewer = best.faults[:at] + best.faults[at + 1:]
+        fewer = best.faults[:at] + best.faults[at + 1 :]
         trial = play(report.seed, report.settings, fewer)
         runs += 1
         if rules & {v.rule for v in trial.violations}:
--- a/lines/simulation/trace.py
+++ b/lines/simulation/trace.py
@@ -1,4 +1,5 @@
 """A run told in the order of its moments, for people."""
+
 from __future__ import annotations
 
 from .history import Attempt, Read
@@ -17,8 +18,10 @@
 
 def summary(report: Report) -> list[str]:
     """The schedule and the broken rules."""
-    out = [f"seed {report.seed}, {report.settings.nodes} nodes, {report.settings.model.value}: "
-           f"{report.acknowledged} changes acknowledged, {report.steps} steps, {len(report.faults)} faults"]
+    out = [
+        f"seed {report.seed}, {report.settings.nodes} nodes, {report.settings.model.value}: "
+        f"{report.acknowledged} changes acknowledged, {report.steps} steps, {len(report.faults)} faults"
+    ]
     out += [f"  {fault}" for fault in report.faults]
     return out + [f"  broken: {violation}" for violation in report.violations]
 
@@ -29,9 +32,11 @@
 
 def _tell_attempt(attempt: Attempt) -> str:
     change = attempt.change
-    return (f"{attempt.sent_at:8.3f} {change.form.value} change {change.number}: {change.revision} on {change.match}"
-            f"{'' if change.valid else ' (invalid)'} to {attempt.node}: {attempt.outcome.value}, "
-            f"{_answered(attempt.answered_at)}")
+    return (
+        f"{attempt.sent_at:8.3f} {change.form.value} change {change.number}: {change.revision} on {change.match}"
+        f"{'' if change.valid else ' (invalid)'} to {attempt.node}: {attempt.outcome.value}, "
+        f"{_answered(attempt.answered_at)}"
+    )
 
 
 def _tell_read(read: Read) -> str:
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -1,4 +1,5 @@
 """Seeds of the simulator hold on the code as it is, and planted faults are found; no verdict hangs on real time."""
+
 import hashlib
 from types import SimpleNamespace
 
@@ -14,8 +15,11 @@
 FIVE = Settings(nodes=5, length_s=10.0)
 
 
-@pytest.mark.parametrize("settings, seeds", [(SHORT, range(0, 25)), (FIVE, range(40, 46)), (CONTROL, range(0, 6))],
-                         ids=["register", "register of 5", "control nodes"])
+@pytest.mark.parametrize(
+    "settings, seeds",
+    [(SHORT, range(0, 25)), (FIVE, range(40, 46)), (CONTROL, range(0, 6))],
+    ids=["register", "register of 5", "control nodes"],
+)
 def test_seeds_hold(settings, seeds):
     for seed in seeds:
         report = play(seed, settings)
@@ -42,7 +46,9 @@
     assert command.read_seeds(text) == seeds
 
 
-@pytest.mark.parametrize("wrong", [{"seeds": "x"}, {"seeds": "9:3"}, {"seeds": "1:2:3"}, {"plant": "no such"}, {"nodes": 4}])
+@pytest.mark.parametrize(
+    "wrong", [{"seeds": "x"}, {"seeds": "9:3"}, {"seeds": "1:2:3"}, {"plant": "no such"}, {"nodes": 4}]
+)
 def test_wrong_use_is_told(wrong, capsys):
     assert command.run(Flags(**wrong), []) == 2
     assert "simulate" in capsys.readouterr().err
@@ -52,16 +58,30 @@
     """Flags of the command line; those that were given are present."""
 
     def __init__(self, **given):
-        usual = {"seeds": "0:2", "nodes": 20, "model": "register", "length_s": 6.0, "jobs": 1, "steps": False,
-                 "trace": None, "plant": None}
+        usual = {
+            "seeds": "0:2",
+            "nodes": 20,
+            "model": "register",
+            "length_s": 6.0,
+            "jobs": 1,
+            "steps": False,
+            "trace": None,
+            "plant": None,
+        }
         super().__init__(**{**usual, **given}, given=set(given))
 
     def __getitem__(self, name):
         return SimpleNamespace(present=name in self.given)
 
 
-@pytest.mark.parametrize("given, status, says", [
-    ({}, 0, "0 seeds broken"), ({"plant": "two-on-one-version"}, 1, "broken: "), ({"trace": 1}, 0, "changes acknowledged")])
+@pytest.mark.parametrize(
+    "given, status, says",
+    [
+        ({}, 0, "0 seeds broken"),
+        ({"plant": "two-on-one-version"}, 1, "broken: "),
+        ({"trace": 1}, 0, "changes acknowledged"),
+    ],
+)
 def test_the_command(given, status, says, capsys):
     assert command.run(Flags(**given), []) == status
     assert says in capsys.readouterr().out
--- a/tests/test_simulation_checker.py
+++ b/tests/test_simulation_checker.py
@@ -1,4 +1,5 @@
 """The judge of simulated histories finds what is planted in small ones, and nothing in sound ones."""
+
 import pytest
 
 from lines.simulation.checker import Rule, check
@@ -38,17 +39,37 @@
     "a reading beside a change": [*CHAIN, read(4, 5, 5, 2), read(4, 5, 9, 2, 3)],
     "an unclear one in force": [sent(A, 0, 1), sent(B, 2, None, UNCLEAR), read(3, 4, 5, 2)],
     "an unclear one not in force": [sent(A, 0, 1), sent(B, 2, None, UNCLEAR), read(3, 4, 2, 1)],
-    "an unclear one that another stands on": [sent(A, 0, 1), sent(B, 2, None, UNCLEAR), sent(C, 4, 5), read(6, 7, 9, 2, 3)],
-    "one of two unclear ones": [sent(A, 0, 1), sent(change(7, 9, 2), 2, None, UNCLEAR), sent(B, 2, 3),
-                                sent(C, 4, None, UNCLEAR), sent(change(8, 10, 9), 5, 6), read(7, 8, 10, 8)],
-    "one of two, the other refused": [sent(A, 0, 1), sent(B, 2, 3, UNCLEAR), sent(RIVAL, 2, 3, CONFLICT), sent(C, 4, 5)],
+    "an unclear one that another stands on": [
+        sent(A, 0, 1),
+        sent(B, 2, None, UNCLEAR),
+        sent(C, 4, 5),
+        read(6, 7, 9, 2, 3),
+    ],
+    "one of two unclear ones": [
+        sent(A, 0, 1),
+        sent(change(7, 9, 2), 2, None, UNCLEAR),
+        sent(B, 2, 3),
+        sent(C, 4, None, UNCLEAR),
+        sent(change(8, 10, 9), 5, 6),
+        read(7, 8, 10, 8),
+    ],
+    "one of two, the other refused": [
+        sent(A, 0, 1),
+        sent(B, 2, 3, UNCLEAR),
+        sent(RIVAL, 2, 3, CONFLICT),
+        sent(C, 4, 5),
+    ],
     "acknowledged again": [*CHAIN, sent(A, 6, 7)],
     "a race": [sent(A, 0, 1), sent(B, 2, 3), sent(RIVAL, 2, 3, CONFLICT), read(4, 5, 5, 2)],
     "an invalid one refused": [sent(A, 0, 1), sent(BAD, 2, 3, INVALID), read(4, 5, 2, 1)],
     "an end that was read": [*CHAIN, read(6, None, None, last=True), read(7, 8, 9, 2, 3, last=True)],
     "readers": [Seen("e", 1, 1, 2), Seen("e", 1, 2, 5), Seen("e", 2, 3, 2), Seen("f", 1, 3, 2)],
     "leases": [Grant("s", 1, "x", 1), Grant("s", 1, "x", 2), Grant("s", 2, "y", 3), Grant("t", 1, "y", 3)],
-    "refused ahead of its version, and so for good": [sent(B, 0, None, UNCLEAR), sent(A, 0.5, 1), sent(B, 2, 3, CONFLICT)],
+    "refused ahead of its version, and so for good": [
+        sent(B, 0, None, UNCLEAR),
+        sent(A, 0.5, 1),
+        sent(B, 2, 3, CONFLICT),
+    ],
     "refused, and given up by its sender": [sent(A, 0, 1), sent(AHEAD, 2, 3, CONFLICT), read(4, 5, 2, 1)],
 }
 
@@ -61,8 +82,10 @@
     "a reading of another content": ([*CHAIN, read(6, 7, 9, 3)], Rule.CONTENT),
     "a reading of what nobody sent": ([*CHAIN, read(6, 7, 11, 8)], Rule.CHAIN),
     "a reading that goes back": ([*CHAIN, read(2, 6, 9, 2, 3), read(7, 8, 5, 2)], Rule.ORDER),
-    "two readings the wrong way round": ([sent(A, 0, 1), sent(B, 2, None, UNCLEAR), read(3, 4, 5, 2), read(5, 6, 2, 1)],
-                                         Rule.ORDER),
+    "two readings the wrong way round": (
+        [sent(A, 0, 1), sent(B, 2, None, UNCLEAR), read(3, 4, 5, 2), read(5, 6, 2, 1)],
+        Rule.ORDER,
+    ),
     "a reading before its sending": ([sent(A, 0, 1), read(0.5, 0.7, 5, 2), sent(B, 2, 3)], Rule.UNSENT),
     "an old change taken anew": ([*CHAIN, sent(change(8, 12, 9), 6, 7), sent(change(9, 14, 12), 0.1, 0.2)], Rule.ORDER),
     "refused and in force": ([*CHAIN, sent(B, 2, 2.5, CONFLICT)], Rule.IN_FORCE),
@@ -90,17 +113,21 @@
     assert rule in {violation.rule for violation in check(history(*events))}
 
 
-@pytest.mark.parametrize("calm, answered, broken", [
-    ((1, 9), None, True), ((1, 9), 3.0, False), ((1, 9), 6.5, True), ((1, 5), None, False), ((3, 9), None, False)])
+@pytest.mark.parametrize(
+    "calm, answered, broken",
+    [((1, 9), None, True), ((1, 9), 3.0, False), ((1, 9), 6.5, True), ((1, 5), None, False), ((3, 9), None, False)],
+)
 def test_a_settled_group_owes_an_answer_in_time(calm, answered, broken):
     attempts = [sent(B, 2, None, UNCLEAR), sent(B, 2.5, answered, ACK) if answered else sent(B, 5, None, UNCLEAR)]
     found = check(history(sent(A, 0, 1), *attempts, calms=[Calm(*calm)]))
     assert [v.rule for v in found] == [Rule.AVAILABLE] * broken
 
 
-@pytest.mark.parametrize("events", [
-    [sent(B, 2, 3), sent(RIVAL, 2, None, UNCLEAR), sent(RIVAL, 5, None, UNCLEAR)], [sent(B, 2, None, UNCLEAR)]],
-    ids=["one that lost a race", "one whose sender gave up"])
+@pytest.mark.parametrize(
+    "events",
+    [[sent(B, 2, 3), sent(RIVAL, 2, None, UNCLEAR), sent(RIVAL, 5, None, UNCLEAR)], [sent(B, 2, None, UNCLEAR)]],
+    ids=["one that lost a race", "one whose sender gave up"],
+)
 def test_nothing_is_owed_to(events):
     assert check(history(sent(A, 0, 1), *events, calms=[Calm(1, 9)])) == []
 
--- a/tests/test_simulation_world.py
+++ b/tests/test_simulation_world.py
@@ -1,4 +1,5 @@
-"""The simulated world: virtual time, lives that freeze and die, disks that lose what was not synced, links that are cut."""
+"""The simulated world: virtual time, lives that freeze and die, disks that lose what was not synced, cut links."""
+
 import asyncio
 import random
 
@@ -26,6 +27,7 @@
 
 # -- the loop
 
+
 def test_time_jumps_to_the_next_timer(loop):
     loop.run_until_complete(asyncio.sleep(3600))
     assert loop.time() == 3600
@@ -65,6 +67,7 @@
         loop.run_until_complete(asyncio.sleep(1))
         loop.shut([])
         return out
+
     one, other = order(1), order(2)
     assert one == order(1) != other
     assert [x for x in one if x[0] == "a"] == [f"a{at}" for at in range(8)]
@@ -72,6 +75,7 @@
 
 # -- the disk
 
+
 class Bench:
     """A disk and the moments of its calls."""
 
@@ -154,9 +158,14 @@
     assert b"" in left
 
 
-@pytest.mark.parametrize("fault, call", [
-    ({"full": True}, lambda b: b.write("/d/a", b"x")), ({"failing_writes": 1.0}, lambda b: b.write("/d/a", b"x")),
-    ({"failing_syncs": 1.0}, lambda b: b.write("/d/a", b"x"))])
+@pytest.mark.parametrize(
+    "fault, call",
+    [
+        ({"full": True}, lambda b: b.write("/d/a", b"x")),
+        ({"failing_writes": 1.0}, lambda b: b.write("/d/a", b"x")),
+        ({"failing_syncs": 1.0}, lambda b: b.write("/d/a", b"x")),
+    ],
+)
 def test_a_disk_in_trouble_refuses(fault, call):
     bench = Bench()
     for name, value in fault.items():
@@ -173,6 +182,7 @@
 
     async def write():
         await loop.run_in_executor(None, lambda: disk.pwrite(disk.open("/d/a", create=True), b"abc", 0))
+
     loop.spawn(life, write())
     loop.run_until_complete(asyncio.sleep(1))
     disk.kill()
@@ -181,6 +191,7 @@
 
 # -- the network
 
+
 @pytest.fixture
 def net(loop):
     return SimulatedNetwork(loop, random.Random(1))
@@ -197,6 +208,7 @@
     @handlers.on("no")
     async def _no(doc, body):
         raise Refusal(3003, "why")
+
     server = net.at(host, life).server(handlers, None, None, lambda: identity)
     net.loop.run_until_complete(server.open(f"{host}:1"))
     return heard
@@ -208,7 +220,7 @@
 
 def test_a_call_and_its_refusals(net):
     serve(net, "b", Life("b"))
-    assert call(net) == (1000, {"got": {"x": [1, 2]}}, b"raw")   # documents pass through the wire's form
+    assert call(net) == (1000, {"got": {"x": [1, 2]}}, b"raw")  # documents pass through the wire's form
     assert call(net, "no")[:2] == (3003, "why")
     assert call(net, "what")[0] == 2009
     assert call(net, to="other")[0] == 2008 and call(net, to="me")[0] == 1000
@@ -225,7 +237,9 @@
     assert call(net)[0] == 1000
 
 
-@pytest.mark.parametrize("spoil, sent", [(lambda net, life: net.loop.end(life), False), (lambda net, life: net.dark.add("b"), True)])
+@pytest.mark.parametrize(
+    "spoil, sent", [(lambda net, life: net.loop.end(life), False), (lambda net, life: net.dark.add("b"), True)]
+)
 def test_a_dead_process_refuses_and_a_dark_machine_is_silent(net, spoil, sent):
     life = Life("b")
     serve(net, "b", life)
