--- a/lines/simulation/chain.py
+++ b/lines/simulation/chain.py
@@ -1,7 +1,8 @@
 """The chain of changes that came into force, as far as a history shows it.
 
 A change applies only on top of the version that it names, and versions only rise: so the changes in force form one
-chain, from the first to the newest. A change is in it for sure if it was acknowledged or its mark was read under its revision.
+chain, from the first to the newest. A change is in it for sure if it was acknowledged, or its mark was read under its
+revision.
 """
 
 from __future__ import annotations
--- a/lines/simulation/disk.py
+++ b/lines/simulation/disk.py
@@ -273,10 +273,6 @@
             raise OSError(errno.EIO, "sync of a folder failed")
         self._put(self._spend(self._sync_s), _SyncFolder(folder))
 
-    def open_handles(self) -> int:
-        """How many handles were not given back."""
-        return len(self._handles)
-
     def _change(self, change) -> None:
         change.apply(change.file.data)
         self._put(self._spend(WRITE_S), change)
