--- a/lines/frame/commands.py
+++ b/lines/frame/commands.py
@@ -43,6 +43,7 @@
 flags.DEFINE_integer("jobs", 1, "simulate: processes", lower_bound=1)
 flags.DEFINE_bool("steps", False, "simulate: tell of each seed")
 flags.DEFINE_integer("trace", None, "simulate: tell one seed whole", lower_bound=0)
+flags.DEFINE_bool("repair", False, "simulate: instead, measure how long a group takes to bear the allowed losses again")
 flags.DEFINE_string("plant", None, "simulate: a fault to plant (docs/simulation.md)")
 
 COMMANDS: dict = {}
--- a/lines/simulation/command.py
+++ b/lines/simulation/command.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, replace
 
 from .plants import PLANTS, planted
+from .repair import table
 from .runner import TOLERANCE, Model, Report, Settings, play, shrink
 from .trace import summary, tell
 
@@ -28,6 +29,7 @@
     jobs: int = 1
     plant: str | None = None
     steps: bool = False
+    repair: bool = False
 
 
 def read_seeds(text: str) -> range:
@@ -54,7 +56,7 @@
     if flags.plant is not None and flags.plant not in PLANTS:
         raise UsageError(f"--plant: one of {', '.join(PLANTS)}")
     settings = Settings(Model(flags.model), nodes, flags.length_s)
-    return Wish(read_seeds(flags.seeds), settings, flags.jobs, flags.plant, flags.steps)
+    return Wish(read_seeds(flags.seeds), settings, flags.jobs, flags.plant, flags.steps, flags.repair)
 
 
 @dataclass(frozen=True)
@@ -123,6 +125,9 @@
             report = _play(flags.trace, replace(wish, seeds=range(flags.trace, flags.trace + 1)))
             print(tell(report))
             return BROKEN if report.broken else HELD
+        if wish.repair:
+            print(table(wish.seeds, wish.settings.nodes))
+            return HELD
     except UsageError as fault:
         print(f"archhatch: simulate: {fault}", file=sys.stderr)
         return WRONG_USE
