--- a/lines/directory/newsreader.py
+++ b/lines/directory/newsreader.py
@@ -10,7 +10,6 @@
 
 NO_MAJORITY, NO_CONFIGURATION, DONE = 3003, 3001, 1000
 HURRY = 0.125  # of its usual time a question waits while a newer version is known to be out
-PAUSE_S = (0.02, 0.06)  # before the next question, after one that brought nothing
 
 
 class Newsreader:
@@ -50,13 +49,13 @@
             if not await self.ask_once():
                 self.ctr.add("news.refused")
                 self.at = (self.at + 1) % len(self.addrs)
-                await asyncio.sleep(random.uniform(*PAUSE_S))
+                await asyncio.sleep(random.uniform(0.02, 0.06))
 
     async def ask_once(self) -> bool:
         """Ask the present source and take up its answer; False if it gave none."""
         addr, asked = self.addrs[self.at % len(self.addrs)], self.clock.now()
         hold = self.hold_s * (HURRY if self.sources.hurried(self.stamps, asked) else 1.0)
-        told, had = dict(self.sources.told), self._position()
+        told = dict(self.sources.told)
         try:
             code, doc, _ = await self.call(addr, "news", self._question(hold, asked), hold + self.grace_s)
         except CallError:
@@ -67,15 +66,8 @@
             self.ctr.add("news.asked_anew")  # this node stood still: the answer waited for it, and is old
             return True
         self.take_up(addr, doc, told)
-        if self._position() == had and self.clock.now() - asked < hold / 2:
-            self.ctr.add("news.nothing_new")  # asked again at once, it would be answered at once again
-            await asyncio.sleep(random.uniform(*PAUSE_S))
         return True
 
-    def _position(self) -> tuple:
-        """How far this reader has come: what a question tells of it."""
-        return self.life, self.turn, dict(self.stamps), sorted(self.busy)
-
     def _question(self, hold: float, now: float) -> dict:
         served = self.proved(now) if self.proved is not None else []
         doc = {
