Tests: a stand-in replica that stops waits for nobody

aiohttp takes a shutdown time of 0 for none at all, so that the test of an edge that stood still waited 30 s for idle connections, near its limit on a busy machine (it failed twice in four runs there).

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -38,7 +38,7 @@
 
     async def stop(self):
         self.site.close()
-        await self.srv.shutdown(0)
+        await self.srv.shutdown(0.01)  # with 0 aiohttp waits for as long as idle connections are kept
 
     def beat(self, state="up"):
         self.seq += 1
