--- /dev/null
+++ b/tests/test_ballots.py
@@ -0,0 +1,128 @@
+"""A proposer that restarts while its disk lagged never uses a ballot of its earlier life again."""
+
+import asyncio
+
+import orjson
+import pytest
+from conftest import MemBook
+
+from lines.consensus import Acceptor, Ballot, Commands, Proposer, Unclear
+from lines.frame import Counters
+
+VOTERS = dict(zip("abc", "abc"))
+commands = Commands()
+
+
+@commands.on("set")
+def set_value(val, args):
+    """Set x, if the count of changes is still the one seen."""
+    if val.get("n", 0) != args["match"]:
+        return 2011, val.get("x"), False
+    val["x"], val["n"] = args["x"], args["match"] + 1
+    return 1000, args["x"], True
+
+
+@commands.on("get")
+def get_value(val, args):
+    """The value, confirmed by a majority."""
+    return 1000, val.get("x"), False
+
+
+class Disk(MemBook):
+    """A log that may stand still: what is appended then is never synced."""
+
+    stalled = False
+
+    async def append(self, *raws):
+        if self.stalled:
+            await asyncio.Event().wait()
+        await super().append(*raws)
+
+
+class Group:
+    """Three voters; calls over cut paths (caller, voter, verb or none) are lost."""
+
+    def __init__(self):
+        self.disks = {name: Disk() for name in VOTERS}
+        self.acceptors, self.cut = {}, set()
+        for name in VOTERS:
+            self.start(name)
+
+    def start(self, name):
+        """A life of a voter begins with what its disk holds."""
+        acceptor = self.acceptors[name] = Acceptor("plan", self.disks[name], Counters())
+        for raw in self.disks[name].raws:
+            acceptor.adopt(orjson.loads(raw))
+
+    def proposer(self, name, life):
+        """The proposer of one life of a node."""
+
+        async def ask(addr, verb, doc):
+            if {(name, addr, verb), (name, addr, None)} & self.cut:
+                return None
+            doc = orjson.loads(orjson.dumps(doc))
+            rest = [doc["state"]] if verb == "part.accept" else []
+            call = getattr(self.acceptors[addr], verb.removeprefix("part."))
+            return {"me": addr, **await call(doc["ballot"], *rest)}
+
+        base = {"stamp": 0, "val": {}, "voters": VOTERS, "prev": None}
+        return Proposer(
+            "plan",
+            name,
+            commands,
+            ask,
+            lambda: self.acceptors[name].state or base,
+            lambda *a: None,
+            Counters(),
+            0.05,
+            life=life,
+        )
+
+
+@pytest.mark.parametrize("first, second", [("1", "2"), ("2", "1")])
+def test_a_change_that_was_acknowledged_outlives_a_restart_on_a_lagging_disk(run, first, second):
+    async def go():
+        group = Group()
+        group.disks["a"].stalled = True
+        group.cut = {("a", "c", "part.accept")}
+        with pytest.raises(Unclear):
+            await group.proposer("a", first).do("set", {"x": "X", "match": 0})  # accepted by b alone
+        group.disks["a"] = Disk()  # what was not synced is gone
+        group.start("a")
+        group.cut = {("a", "b", None)}
+        again = group.proposer("a", second)
+        code, value = await again.do("set", {"x": "Y", "match": 0})
+        assert (code, value) == (1000, "Y") and again.lead.life == second
+        group.cut = {("b", "c", None)}  # one node is lost
+        assert await group.proposer("b", "3").do("get", {}) == (1000, "Y")
+
+    run(go())
+
+
+@pytest.mark.parametrize(
+    "promised, asked, ok",
+    [
+        ((5, "a", "1"), (5, "a", "1"), True),  # a repeated message
+        ((5, "a", "2"), (5, "a", "1"), False),
+        ((5, "a", "1"), (5, "a", "2"), True),  # another life, another ballot
+        ((5, "a"), (5, "a", "1"), True),
+        ((5, "b"), (5, "a", "1"), False),
+    ],
+)  # promises of earlier releases
+def test_ballots_of_lives_are_ordered_without_ties(run, promised, asked, ok):
+    async def go():
+        acceptor = Acceptor("plan", MemBook(), Counters())
+        assert (await acceptor.prepare(promised))["ok"]
+        assert (await acceptor.prepare(asked))["ok"] is ok
+        assert acceptor.promised == max(Ballot.read(promised), Ballot.read(asked))
+
+    run(go())
+
+
+def test_one_ballot_gives_a_version_to_one_state():
+    """An accept that comes twice is answered without a second write."""
+    acceptor = Acceptor("plan", MemBook(), Counters())
+    state = {"stamp": 1, "val": {"x": 1}, "voters": VOTERS, "prev": None}
+    for _ in range(2):
+        assert asyncio.run(acceptor.accept((1, "a", "1"), state))["ok"]
+    assert len(acceptor.book.raws) == 1
