--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -7,6 +7,7 @@
 
 from lines.simulation import command
 from lines.simulation.plants import PLANTS, planted
+from lines.simulation.repair import KINDS, measure
 from lines.simulation.runner import Model, Settings, faults_of, play, shrink
 from lines.simulation.trace import tell
 
@@ -67,6 +68,7 @@
             "steps": False,
             "trace": None,
             "plant": None,
+            "repair": False,
         }
         super().__init__(**{**usual, **given}, given=set(given))
 
@@ -80,6 +82,7 @@
         ({}, 0, "0 seeds broken"),
         ({"plant": "two-on-one-version"}, 1, "broken: "),
         ({"trace": 1}, 0, "changes acknowledged"),
+        ({"repair": True, "seeds": "3"}, 0, "WIPE: middle "),
     ],
 )
 def test_the_command(given, status, says, capsys):
@@ -87,5 +90,11 @@
     assert says in capsys.readouterr().out
 
 
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_group_bears_losses_again_within_the_time_that_the_rules_give(kind):
+    """In virtual time: SyncS counts from the start of the machine that came back, or came instead."""
+    assert measure(5, kind).after_start_s < Settings().shape.sync_s
+
+
 def test_every_plant_says_what_it_takes_out():
     assert all(plant.what and list(plant.patches()) for plant in PLANTS.values())
