--- a/lines/counter/window.py
+++ b/lines/counter/window.py
@@ -45,11 +45,14 @@
 class Window:
     """Serves handler(request, body) on an address; it gives a Result, or a stream that it wrote itself.
 
+    cancel_on_disconnect: a handler whose client has closed the connection is cancelled.
+
     >>> # win = Window(handler, log, ctr); await win.open("10.0.0.1:8144"); await win.close(grace_s=6)
     """
 
-    def __init__(self, handler, log, ctr, limits=None):
+    def __init__(self, handler, log, ctr, limits=None, cancel_on_disconnect=False):
         self.handler, self.log, self.ctr = handler, log, ctr
+        self.cancel_on_disconnect = cancel_on_disconnect
         self.limits = {} if limits is None else limits
         self.leaving = False
         self.under_way = 0
@@ -66,6 +69,7 @@
         self._srv = _Server(
             self._serve,
             request_factory=self._factory,
+            handler_cancellation=self.cancel_on_disconnect,
             auto_decompress=False,
             access_log=None,
             logger=_Quiet(self),
--- a/lines/switchboard/edge.py
+++ b/lines/switchboard/edge.py
@@ -48,7 +48,7 @@
         self.life = Machine(
             self, states=["starting", "ready", "leaving"], initial="starting", transitions=MOVES, auto_transitions=False
         )
-        self.window = Window(self._front, log, self.ctr, self.limits)
+        self.window = Window(self._front, log, self.ctr, self.limits, cancel_on_disconnect=True)
         self.door = Window(self._readiness, log, self.ctr)
 
     async def start(self) -> None:
--- a/lines/switchboard/lotdesk.py
+++ b/lines/switchboard/lotdesk.py
@@ -77,6 +77,9 @@
             if e.sent:
                 self._note_unclear(lid)
             return None
+        except asyncio.CancelledError:  # the client left; the store may take the lot all the same
+            self._note_unclear(lid)
+            raise
         if code == 1000 and doc["me"] == lease["holder"]:
             self.run_of[lid] = head["run"]
             self.unclear.pop(lid, None)
