Feed and pings of control nodes carry changes, not all that is known

Each change of the plan register, such as each store that joins, went whole to 195 readers; each ping carried every store's card, every edge's words on live requests and every control node's card, so pings grew with nodes times nodes. Change: a reader whose version's later changes are known gets these (members and named rows, checked by applying them); pings carry stores heard since the last answered ping, live requests summed by service, cards of control nodes only when they change.

--- a/lines/control/feed.py
+++ b/lines/control/feed.py
@@ -1,11 +1,13 @@
 """The configuration feed: data-plane nodes and stores ask with the versions that they have, and are answered when there
-is more."""
+is more. A reader that has a version of which the later changes are known here gets these; any other gets the whole."""
 
 from __future__ import annotations
 
 import orjson
 
+from ..frame import encode_kept
 from ..rpc import Refusal
+from .history import RegisterHistory
 from .registers import news_view
 
 UNREACHED = 3003
@@ -19,7 +21,8 @@
 
     def __init__(self, node):
         self.node = node
-        self._part_bytes: dict[str, tuple] = {}
+        self._histories: dict[str, RegisterHistory] = {}
+        self._part_bytes: dict[tuple, orjson.Fragment] = {}  # (register, the reader's version) -> what it is sent
         self._roll_bytes: dict = {}
 
     async def answer(self, doc: dict) -> bytes:
@@ -28,7 +31,7 @@
         node, now = self.node, self.node.clock.now()
         if doc["who"]["klass"] == "store":
             node.stores.hear(doc["who"], now)
-        node.peers.heed_live([[doc["who"]["id"], s, n, 0.0] for s, n in doc["live"].items()])
+        node.peers.heed_live(doc["who"]["id"], doc["live"])
         node.regions.heed(doc.get("served", ()))
         end = now + doc["hold"]
         while True:
@@ -46,14 +49,14 @@
         node = self.node
         known, same = node.registers.known, doc["life"] == node.life
         after = doc["turn"] if same else 0
-        parts = [p for p, s in known.items() if s["stamp"] > doc["stamps"].get(p, 0)]
+        parts = {p: doc["stamps"].get(p) for p, s in known.items() if s["stamp"] > doc["stamps"].get(p, 0)}
         busy = node.live.busy(node.clock.now())
         if not (due or parts or node.roll.turn > after or not same or sorted(busy) != doc["busy"]):
             return None
         cores = [node.addr] + [c["addr"] for i, c in node.cores.cards.items() if node.available(i)]
         return orjson.dumps(
             {
-                "parts": {p: self.part(p) for p in parts},
+                "parts": {part: self.part(part, base) for part, base in parts.items()},
                 "roll": self.roll(after),
                 "life": node.life,
                 "turn": node.roll.turn,
@@ -64,14 +67,26 @@
             }
         )
 
-    def part(self, part: str) -> orjson.Fragment:
-        """A register as it stands in the feed; made once for each version."""
+    def part(self, part: str, base: int | None) -> orjson.Fragment:
+        """What brings a reader from its version of a register, if it has one, to the newest; made once for all that
+        have the same."""
         state = self.node.registers.known[part]
-        have = self._part_bytes.get(part)
-        if have is None or have[0] != state["stamp"]:
-            raw = orjson.dumps({"stamp": state["stamp"], "val": news_view(part, state["val"])})
-            have = self._part_bytes[part] = (state["stamp"], orjson.Fragment(raw))
-        return have[1]
+        history = self._histories.setdefault(part, RegisterHistory())
+        if history.version != state["stamp"]:
+            history.note(state["stamp"], news_view(part, state["val"]))
+            self._part_bytes = {key: raw for key, raw in self._part_bytes.items() if key[0] != part}
+        have = self._part_bytes.get((part, base))
+        if have is None:
+            have = self._part_bytes[part, base] = self._encode(history, base)
+        return have
+
+    def _encode(self, history: RegisterHistory, base: int | None) -> orjson.Fragment:
+        changes = None if base is None else history.since(base)
+        doc = {"stamp": history.version, "val": history.whole}
+        if changes is not None:
+            self.node.ctr.add("feed.changes")
+            doc = {"stamp": history.version, "base": base, "changes": [orjson.Fragment(raw) for raw in changes]}
+        return orjson.Fragment(encode_kept(doc))
 
     def roll(self, after: int) -> orjson.Fragment:
         """The registry's changes after a turn; made once for all who ask with the same turn."""
@@ -80,5 +95,5 @@
             self._roll_bytes = {"turn": turn}
         have = self._roll_bytes.get(after)
         if have is None:
-            have = self._roll_bytes[after] = orjson.Fragment(orjson.dumps(self.node.roll.since(after)))
+            have = self._roll_bytes[after] = orjson.Fragment(encode_kept(self.node.roll.since(after)))
         return have
--- a/lines/control/handlers.py
+++ b/lines/control/handlers.py
@@ -80,10 +80,13 @@
 
     @handlers.on("live")
     async def _live(doc, body):
-        node.peers.heed_live([[doc["id"], s, n, 0.0] for s, n in doc["live"].items()])
-        if doc.get("spread", True):
-            for card in list(node.cores.cards.values()):
-                node.crew.once("live", node.call, card["addr"], "live", {**doc, "spread": False})
+        if not doc.get("spread", True):
+            node.peers.heed_sum(doc["id"], doc["live"])
+            return
+        node.peers.heed_live(doc["id"], doc["live"])
+        word = {"id": node.id, "live": node.live.own(node.clock.now()), "spread": False}
+        for card in list(node.cores.cards.values()):
+            node.crew.once("live", node.call, card["addr"], "live", word)
 
     @handlers.on("news")
     async def _news(doc, body):
--- a/lines/control/node.py
+++ b/lines/control/node.py
@@ -28,6 +28,7 @@
 SWEEP_PINGS = 2  # pauses between pings from one look at silent replicas to the next
 SILENT_BEATS = 2.5  # heartbeats that a replica may miss
 LEAVE = 0.25  # of GraceS: how long a node that ends waits for its place in the groups to be taken
+STORE_STEP = 0.5  # pauses between pings: a store's signs of life that come closer are not each told to other nodes
 
 
 class ControlNode:
@@ -63,7 +64,7 @@
         self.leaving = False
         self.roll = Roll()
         self.cores = Neighbours()
-        self.stores = Neighbours()
+        self.stores = Neighbours(step_s=self.beat_s * STORE_STEP)
         self.live = LiveBook(boot.secs("ContactMs", 2 / 3))
         self.quorum = Quorum.of(boot)
         self.contact = MajorityContact(self.quiet_s)
--- a/lines/control/peers.py
+++ b/lines/control/peers.py
@@ -4,11 +4,26 @@
 
 import asyncio
 import random
+from dataclasses import dataclass
 
 FORGOTTEN = 4.0  # times the time after which a node counts as silent: it is not told of to others any more
 SLOWEST_PING = 3.0  # times the usual pause between pings, to a node that has long been silent
 
 
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What one life of another control node has been told: the turns up to which it knows replicas and stores, and the
+    control nodes that were named to it."""
+
+    life: str
+    heartbeats: int = 0
+    stores: int = 0
+    others: tuple = ()
+
+
+NOTHING_TOLD = Told("")
+
+
 class Peers:
     """Keeps pinging the other control nodes, and folds what they tell.
 
@@ -17,7 +32,7 @@
 
     def __init__(self, node):
         self.node = node
-        self.acked: dict[str, tuple] = {}  # address -> (life, turn up to which it was told of replicas)
+        self.told: dict[str, Told] = {}  # address -> what the node there has surely taken up
         self.leaving: set = set()  # nodes that said that they are about to end
         self._disk_fails_since: dict[str, float] = {}
         seeds = {f"{seed.rsplit(':', 1)[0]}:{node.boot.ports[0]}" for seed in node.boot.seeds}
@@ -40,26 +55,35 @@
     def ping_doc(self, addr: str | None) -> dict:
         """What a ping, or its answer (no address), tells."""
         node, now = self.node, self.node.clock.now()
-        stores = [[c, node.stores.silent(i, now)] for i, c in node.stores.cards.items()]
-        others = [c for i, c in node.cores.cards.items() if node.cores.silent(i, now) < node.quiet_s * FORGOTTEN]
         doc = {
             "card": node.card(),
             "life": node.life,
-            "stores": stores,
-            "live": node.live.since(now),
             "stamps": node.registers.versions(),
             "accepted": node.registers.accepted(),
-            "others": others,
             "leaving": node.leaving,
             "takes": node.disk_takes(),
         }
+        if addr is None:
+            return {**doc, "others": self._others()}
+        told = self.told.get(addr, NOTHING_TOLD)
+        if self._names(others := self._others()) != told.others:
+            doc["others"] = others
         if node.regions.served:
             doc["served"] = node.regions.words()
-        if addr is not None:
-            turn = self.acked.get(addr, ("", 0))[1]
-            doc["roll"], doc["turn"] = node.roll.beats_since(turn, now), node.roll.beat_turn
+        doc["live"] = node.live.own(now)
+        doc["stores"] = node.stores.since(told.stores, now)
+        doc["roll"], doc["turn"] = node.roll.beats_since(told.heartbeats, now), node.roll.beat_turn
         return doc
 
+    def _others(self) -> list:
+        """Cards of the control nodes that were heard not too long ago."""
+        node, now = self.node, self.node.clock.now()
+        heard = node.quiet_s * FORGOTTEN
+        return [card for i, card in node.cores.cards.items() if node.cores.silent(i, now) < heard]
+
+    def _names(self, cards: list) -> tuple:
+        return tuple(sorted(card["id"] for card in cards))
+
     def announce(self) -> None:
         """Ping all at once: this node has something to say that cannot wait, as that it will end."""
         for card in list(self.node.cores.cards.values()):
@@ -79,16 +103,16 @@
         self._heed_card(doc["card"], now)
         self._heed_leaving(doc["card"]["id"], doc.get("leaving", False))
         self.heed_disk(doc["card"]["id"], doc.get("takes", True))
-        for other in doc["others"] + [doc["card"]]:
+        for other in doc.get("others", []) + [doc["card"]]:
             if other["id"] != node.id and other["addr"] != node.addr:
                 if other["id"] not in node.cores.cards and not self._at(other["addr"]):
                     node.cores.learn(other)
                 self.watch(other["addr"])
         lack = self.take_roll(doc.get("roll") or [])
-        self.heed_live(doc["live"])
+        lack = self._take_stores(doc.get("stores") or [], now) or lack
+        if "live" in doc:
+            self.heed_sum(doc["card"]["id"], doc["live"])
         node.regions.heed(doc.get("served", ()))
-        for store, age in doc["stores"]:
-            node.stores.hear(store, now - age)
         for part in node.registers.told_chosen(doc["stamps"]):
             node.crew.once("hear", self.fetch_state, doc["card"]["addr"], part, doc["card"]["id"])
         return lack
@@ -127,15 +151,31 @@
     def _at(self, addr: str) -> list:
         return [i for i, card in self.node.cores.cards.items() if card["addr"] == addr]
 
-    def heed_live(self, words: list) -> None:
-        """Live requests that edges told of: [edge, service, count, seconds ago]."""
+    def heed_live(self, edge: str, live: dict) -> None:
+        """Live requests that an edge told of here, by service."""
+        self._fold_live(self.node.live.put, edge, live)
+
+    def heed_sum(self, node_id: str, live: dict) -> None:
+        """Live requests that another control node was told of, by service."""
+        self._fold_live(self.node.live.put_sum, node_id, live)
+
+    def _fold_live(self, put, teller: str, live: dict) -> None:
         node, now = self.node, self.node.clock.now()
         before = set(node.live.busy(now))
-        for edge, service, count, age in words:
-            node.live.put(edge, {service: count}, now - age)
+        put(teller, live, now)
         if set(node.live.busy(now)) != before:
             node.board.touch("news")
 
+    def _take_stores(self, sightings: list, now: float) -> bool:
+        """Fold when others heard of stores; True if one is named by its id alone and not known here."""
+        stores, lack = self.node.stores, False
+        for word, age in sightings:
+            if isinstance(word, dict):
+                stores.hear(word, now - age)
+            else:
+                lack = not stores.sight(word, now - age) or lack
+        return lack
+
     def take_roll(self, entries: list) -> bool:
         """Fold what another control node told of replicas; True if something in short form is not known here."""
         node, now = self.node, self.node.clock.now()
@@ -173,16 +213,17 @@
 
     async def _ping(self, addr: str) -> bool:
         node = self.node
-        turn, sent_at = node.roll.beat_turn, node.clock.now()
+        turn, stores, sent_at = node.roll.beat_turn, node.stores.turn, node.clock.now()
+        others = self._names(self._others())
         out = await node.call(addr, "core.ping", self.ping_doc(addr))
         node.serving()  # a loss of contact is seen before the answer hides it, as after a freeze
         if out is None:
-            self.acked.pop(addr, None)
+            self.told.pop(addr, None)
             return False
         node.contact.note(out["card"]["id"], sent_at, out.get("accepted", {}))
         self.heed(out)
         node.serving()
         # one that started anew since was told the rest in another life: it is told all again
-        anew = out["lack"] or self.acked.get(addr, (out["life"], 0))[0] != out["life"]
-        self.acked[addr] = (out["life"], 0 if anew else turn)
+        anew = out["lack"] or self.told.get(addr, Told(out["life"])).life != out["life"]
+        self.told[addr] = Told(out["life"]) if anew else Told(out["life"], turn, stores, others)
         return True
--- a/lines/directory/livebook.py
+++ b/lines/directory/livebook.py
@@ -1,10 +1,11 @@
-"""The live requests that edges told of, summed by service, for as long as the word is fresh."""
+"""The live requests under way, summed by service, for as long as the words of those who tell of them are fresh."""
 
 from __future__ import annotations
 
 
 class LiveBook:
-    """Words of edges by name; busy() sums those of the last window.
+    """Words of edges, and of other control nodes for the edges that speak to them; busy() sums those of the last
+    window.
 
     >>> b = LiveBook(2.0); b.put("e1", {"s": 2}, 10.0); b.put("e2", {"s": 1}, 11.0); b.busy(11.5), b.busy(12.5)
     ({'s': 3}, {'s': 1})
@@ -12,24 +13,42 @@
 
     def __init__(self, window_s: float):
         self.window_s = window_s
-        self.words: dict[tuple, tuple] = {}
+        self._words: dict[tuple, tuple] = {}  # (edge, service) -> (when, how many)
+        self._sums: dict[str, tuple] = {}  # control node -> (when, service -> how many)
 
     def put(self, edge: str, live: dict, at: float) -> None:
-        """An edge's word, heard at a time; an older one of the same service does not undo a newer one."""
+        """An edge's word, heard here at a time; an older one of the same service does not undo a newer one."""
         for svc, n in live.items():
-            if n and at >= self.words.get((edge, svc), (float("-inf"), 0))[0]:
-                self.words[edge, svc] = (at, n)
+            if n and at >= self._words.get((edge, svc), (float("-inf"), 0))[0]:
+                self._words[edge, svc] = (at, n)
 
-    def busy(self, now: float) -> dict:
-        """Services with live requests, and how many."""
+    def put_sum(self, node: str, live: dict, at: float) -> None:
+        """What the edges that speak to another control node have under way, all together; it replaces that node's last
+        word.
+
+        >>> b = LiveBook(2.0); b.put_sum("c", {"s": 2}, 1.0); b.put_sum("c", {"t": 1}, 1.5); b.busy(2.0), b.own(2.0)
+        ({'t': 1}, {})
+        """
+        if at >= self._sums.get(node, (float("-inf"), {}))[0]:
+            self._sums[node] = (at, live)
+
+    def own(self, now: float) -> dict:
+        """The sum of what edges said here, for other control nodes: its size is that of the services, not the edges."""
         out: dict = {}
-        for key, (at, n) in list(self.words.items()):
+        for key, (at, n) in list(self._words.items()):
             if now - at > self.window_s:
-                del self.words[key]
+                del self._words[key]
             else:
                 out[key[1]] = out.get(key[1], 0) + n
         return out
 
-    def since(self, now: float) -> list:
-        """All words with their ages, for other control nodes."""
-        return [[e, s, n, now - at] for (e, s), (at, n) in self.words.items()]
+    def busy(self, now: float) -> dict:
+        """Services with live requests, and how many."""
+        out = self.own(now)
+        for node, (at, live) in list(self._sums.items()):
+            if now - at > self.window_s:
+                del self._sums[node]
+                continue
+            for svc, n in live.items():
+                out[svc] = out.get(svc, 0) + n
+        return out
--- a/lines/directory/newsreader.py
+++ b/lines/directory/newsreader.py
@@ -6,6 +6,7 @@
 import random
 
 from ..rpc import CallError, is_misdirected
+from .delta import apply_all
 from .sources import Sources, Verdict
 
 NO_MAJORITY, NO_CONFIGURATION, DONE = 3003, 3001, 1000
@@ -119,11 +120,7 @@
             self.at = self.addrs.index(here)
         changed = False
         for part, got in doc["parts"].items():
-            if got["stamp"] > self.stamps.get(part, 0):
-                self.stamps[part], self.parts[part] = got["stamp"], got["val"]
-                changed = True
-            else:
-                self.ctr.add("news.late_part")
+            changed = self._fold_part(part, got) or changed
         if doc["busy"] != self.busy:
             self.busy = doc["busy"]
             self.board.touch("work")
@@ -145,6 +142,22 @@
         if changed:
             self.board.touch("parts")
 
+    def _fold_part(self, part: str, got: dict) -> bool:
+        """Take up a register, whole or as the changes since the version that this node has; whether it is newer."""
+        held = self.stamps.get(part, 0)
+        if got["stamp"] <= held:
+            self.ctr.add("news.late_part")
+            return False
+        if "changes" not in got:
+            value = got["val"]
+        elif got["base"] == held:
+            value = apply_all(self.parts[part], got["changes"])
+        else:
+            self.ctr.add("news.other_base")  # the next question names the version that is held
+            return False
+        self.stamps[part], self.parts[part] = got["stamp"], value
+        return True
+
     def take_roll(self) -> list:
         """Entries that came since the last call."""
         out, self.mine = self.mine, []
--- a/lines/directory/roll.py
+++ b/lines/directory/roll.py
@@ -71,7 +71,7 @@
         >>> r = Roll(); r.since(0)
         []
         """
-        return [self.all[r] for r in _later(self.turns, turn)]
+        return [self.all[r] for r in later(self.turns, turn)]
 
     def beats_since(self, turn: int, now: float) -> list[dict]:
         """What was heard after a beat turn, each with its age, for a control node that was told all up to it.
@@ -82,7 +82,7 @@
         []
         """
         out = []
-        for rid in _later(self.beat_turns, turn):
+        for rid in later(self.beat_turns, turn):
             ent, age = self.all[rid], now - self.heard[rid]
             if self.told_turns.get(rid, 0) > turn:
                 out.append({**ent, "age": age})
@@ -102,10 +102,10 @@
         return None if old is None else {**old, **ent}
 
 
-def _later(turns: dict, turn: int) -> list:
+def later(turns: dict, turn: int) -> list:
     """Keys of a dictionary in the order of its values, that have a value over turn.
 
-    >>> _later({"a": 1, "b": 2, "c": 3}, 1)
+    >>> later({"a": 1, "b": 2, "c": 3}, 1)
     ['b', 'c']
     """
     out = []
--- a/lines/erlang/probes/control.py
+++ b/lines/erlang/probes/control.py
@@ -101,7 +101,7 @@
 def told(n: int):
     """A control node that told another one all replicas, and since then heard a beat of each that says nothing new."""
     one = core(n)
-    one.peers.acked[OTHER] = ("x", one.roll.beat_turn)
+    one.peers.told[OTHER] = need("control.peers", "Told")("x", one.roll.beat_turn)
     for i in range(n):
         one.roll.beat(entry(i, 2), one.clock.now())
     return one
@@ -123,7 +123,7 @@
     here, there = core(0), core(n)
     there.id = here.id  # the card of the same node: no second ping loop is begun
     here.peers.heed(orjson.loads(orjson.dumps(there.peers.ping_doc(OTHER))))  # the whole entries
-    there.peers.acked[OTHER] = ("x", there.roll.beat_turn)
+    there.peers.told[OTHER] = need("control.peers", "Told")("x", there.roll.beat_turn)
     raws = []
     for k in range(5):
         for i in range(n):
--- a/lines/erlang/roles/core.py
+++ b/lines/erlang/roles/core.py
@@ -71,7 +71,7 @@
 )
 def _live(q):
     return (
-        2 * q.others * q.pings * words(q) * q.per("ping.live_bytes"),
+        2 * q.others * q.pings * q.s.services * q.per("ping.live_bytes"),
         NEAR * q.s.regions * q.s.services * q.per("ping.live_bytes"),
     )
 
@@ -85,7 +85,7 @@
 )
 def _news_bytes(q):
     return (
-        q.readers * (q.turns * q.entry + q.changes * q.plan_bytes),
+        q.readers * (q.turns * q.entry + q.changes * q.s.patch_bytes),
         q.readers * (q.moves * q.share * q.entry + q.changes * q.s.patch_bytes + q.asks * q.s.digest_bytes),
     )
 
--- a/lines/frame/__init__.py
+++ b/lines/frame/__init__.py
@@ -6,6 +6,7 @@
 from .clock import Clock
 from .counters import Counters
 from .events import Journal, View
+from .kept import encode_kept
 from .logs import open_logs
 from .outlive import Crew
 
@@ -21,6 +22,7 @@
     "Clock",
     "Counters",
     "Journal",
+    "encode_kept",
     "View",
     "open_logs",
     "Crew",
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -203,3 +203,23 @@
     f.note("served", 1.1, 1.0)
     assert f.trials == 3 and f.look(1.2) == "doubtful"
     assert f.look(60.0) == "fit"  # nothing was asked of it: time forgives
+
+
+def test_sightings_are_told_once_and_two_that_tell_each_other_come_to_rest():
+    one, two = Neighbours(step_s=0.2), Neighbours(step_s=0.2)
+    one.hear({"id": "s", "ip": "1"}, 10.0)
+    turns = [0, 0]
+    for step in range(20):  # each tells the other what it was not told yet; on the way it grows a little younger
+        for k, (a, b) in enumerate([(one, two), (two, one)]):
+            for word, age in a.since(turns[k], 11.0 + step):
+                heard_at = 11.0 + step - age + 0.003
+                assert b.hear(word, heard_at) is None if isinstance(word, dict) else b.sight(word, heard_at)
+            turns[k] = a.turn
+    assert one.turn == two.turn == 2 and two.heard["s"] < 10.1
+    one.hear({"id": "s", "ip": "1"}, 40.0)
+    assert one.since(turns[0], 40.0) == [["s", 0.0]]
+    one.hear({"id": "s", "ip": "2"}, 40.1)  # another card is told whole, however soon
+    assert one.since(turns[0], 40.1)[0][0] == {"id": "s", "ip": "2"}
+    assert two.sight("unknown", 40.0) is False
+    one.forget("s")
+    assert one.since(0, 40.0) == [] and one.silent("s", 40.0) == float("inf")
--- a/tests/test_lull.py
+++ b/tests/test_lull.py
@@ -121,3 +121,21 @@
             ):
                 return s
         await w.edge.board.news("nothing", 0, 0.02)
+
+
+SUMS = [  # the last words of other control nodes as (node, live, at), asked at 2.5, busy beside the own word {"s": 1}
+    ([("c", {"s": 2}, 2.0)], {"s": 3}),
+    ([("c", {"s": 2}, 2.0), ("d", {"s": 4, "t": 1}, 2.0)], {"s": 7, "t": 1}),
+    ([("c", {"s": 2}, 1.0), ("c", {}, 2.0)], {"s": 1}),  # its edges are at rest: its old word is gone at once
+    ([("c", {"s": 2}, 2.0), ("c", {"s": 9}, 1.0)], {"s": 3}),  # an older word that comes late
+    ([("c", {"s": 2}, 0.4)], {"s": 1}),  # it has not been heard for a window
+]
+
+
+@pytest.mark.parametrize("words, busy", SUMS)
+def test_what_other_control_nodes_sum_up(words, busy):
+    book = LiveBook(2.0)
+    book.put("edge", {"s": 1}, 1.0)
+    for word in words:
+        book.put_sum(*word)
+    assert book.busy(2.5) == busy and book.own(2.5) == {"s": 1}
