--- a/lines/frame/commands.py
+++ b/lines/frame/commands.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import json
+import resource
 import signal
 import socket
 import sys
@@ -83,6 +84,15 @@
 
 async def _live(node, boot, log) -> None:
     loop = asyncio.get_running_loop()
+def memory_mb() -> float:
+    """What this process has in memory now; 0 where the system does not tell."""
+    try:
+        with open("/proc/self/statm", "rb") as f:
+            return int(f.read().split()[1]) * resource.getpagesize() / 1e6
+    except (OSError, ValueError, IndexError):
+        return 0.0
+
+
     stop, hup = asyncio.Event(), asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
@@ -93,7 +103,7 @@
     wait = asyncio.ensure_future(stop.wait())
     while not stop.is_set():
         await asyncio.wait([wait], timeout=FLAGS.counters_s or None)
-        log.info("counters {}", node.ctr.line())
+        log.info("counters {} memory_mb={:.0f}", node.ctr.line(), memory_mb())
         if hup.is_set():
             hup.clear()
             try:
--- a/lines/sends/caller.py
+++ b/lines/sends/caller.py
@@ -66,10 +66,11 @@
     >>> # ans = await caller.send("10.0.0.9:8080", "i-1", "POST", "/a/b", heads, body, rid="r", secs=1.0)
     """
 
-    def __init__(self, per_host: int = 0, now=time.monotonic):
+    def __init__(self, per_host: int = 0, now=time.monotonic, counters=None):
         self.now = now
         self.kept = KeptConnector(
             now,
+            counters,
             limit=0,
             limit_per_host=per_host,
             keepalive_timeout=30,
--- a/lines/sends/kept.py
+++ b/lines/sends/kept.py
@@ -84,8 +84,9 @@
     >>> # conn = KeptConnector(limit=0); conn.idle("10.0.0.9:8080")
     """
 
-    def __init__(self, now=time.monotonic, **kw):
+    def __init__(self, now=time.monotonic, counters=None, **kw):
         super().__init__(**kw)
+        self._counters = counters
         self._factory = functools.partial(KeptProtocol, loop=self._loop)
         self._now = now
         self._keys: dict[str, tuple] = {}
@@ -147,6 +148,11 @@
             raise NotSent("its time was over when the connection was there")
         return conn
 
+    async def _create_connection(self, req, traces, timeout):
+        if self._counters is not None:
+            self._counters.add("connect.new")  # dear to replicas
+        return await super()._create_connection(req, traces, timeout)
+
     async def _get(self, key, traces):
         # aiohttp would take the one that idled longest, which keeps more of them open than are needed
         kept, use = self._conns.get(key), USE.get()
--- a/lines/store/handlers.py
+++ b/lines/store/handlers.py
@@ -32,6 +32,7 @@
             "lot.read": self._read,
             "lot.item": self._item,
             "lot.end": self._end,
+            "request.send": self.st.proxy.send,
         }
         for verb, handler in verbs.items():
             handlers.on(verb)(self._addressed(handler))
--- a/lines/store/node.py
+++ b/lines/store/node.py
@@ -25,6 +25,7 @@
 from .lease_watch import LeaseWatch
 from .membership import Membership
 from .repair import Repair
+from .proxy import RequestProxy
 
 
 class StoreNode:
@@ -59,6 +60,8 @@
         self.joining = Joining(self)
         self.repair = Repair(self)
         self.verbs = Handlers()
+        self.evacuation = EvacuationSupport(self)
+        self.proxy = RequestProxy(self)
         StoreHandlers(self).register(self.verbs)
         self.desk = Server(self.verbs, log, self.ctr, lambda: self.id)
 
@@ -77,7 +80,7 @@
         self.book.start()
         if not self.shelf.id:
             await self.shelf.take_id(f"s-{random.getrandbits(64):016x}")
-        self.caller = Caller()
+        self.caller = Caller(counters=self.ctr)
         self.picker.idle = self.caller.idle
         self.news = Newsreader(self.boot, self.card(), self.lines, self.board, self.clock, self.ctr)
         self.news.proved = self.picker.proved
--- a/lines/switchboard/edge.py
+++ b/lines/switchboard/edge.py
@@ -15,6 +15,7 @@
 from .forward import Forward
 from .live import Live
 from .lotdesk import LotDesk
+from .proxies import StoreProxies
 from .relay import Relay
 
 MOVES = [
@@ -52,9 +53,11 @@
         self.door = Window(self._readiness, log, self.ctr)
 
     async def start(self) -> None:
-        self.caller = Caller()
+        self.caller = Caller(counters=self.ctr)
         self.picker.idle = self.caller.idle
-        self.forward = Forward(self.caller, self.picker, self.clock, self.ctr, self.live)
+        store_port, rest_s = self.boot.ports[0] + 1, self.boot.secs("ContactMs", 0.3)
+        proxies = StoreProxies(self.news, self.lines, store_port, self.boot.zone, rest_s, self.ctr)
+        self.forward = Forward(self.caller, self.picker, self.clock, self.ctr, self.live, proxies)
         self.relay = Relay(self.caller, self.picker, self.clock, self.ctr, self.live)
         self.lots = LotDesk(self.boot, self.news, self.lines, self.ctr, self.clock)
         await self.door.open(self.boot.listen["Readiness"])
--- a/lines/switchboard/forward.py
+++ b/lines/switchboard/forward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 
 from ..frame import Result, fault_result
 from ..sends import AGAIN, DEADLINE, ECHO, ONCE, PROMISES, Ran, pass_on
@@ -11,14 +12,29 @@
 SHORT = 0.9  # of the deadline: what a send may use, so that an answer gets back in time
 
 
+@dataclass(frozen=True, slots=True)
+class _Send:
+    """A send that is out: to a replica, or by a store, which judges its replica itself."""
+
+    at: float
+    line: object = None
+    proxy: object = None
+
+    def end(self) -> None:
+        """It is out no more."""
+        if self.line is not None:
+            self.line.under_way -= 1
+
+
 class Forward:
     """Runs one request of an idempotent or a non-idempotent lane.
 
     >>> # result = await forward.run(request, lane, body)
     """
 
-    def __init__(self, caller, picker, clock, ctr, live):
+    def __init__(self, caller, picker, clock, ctr, live, proxies=None):
         self.caller, self.picker, self.clock, self.ctr, self.live = caller, picker, clock, ctr, live
+        self.proxies = proxies
         self.outlived: set = set()  # holds the sends whose request was answered by another
 
     async def run(self, req, lane, body: bytes) -> Result:
@@ -35,6 +51,9 @@
         self.live.enter(job.service)
         try:
             return await job.run()
+        except asyncio.CancelledError:
+            job.client_left()
+            raise
         finally:
             self.live.leave(job.service)
 
@@ -44,10 +63,11 @@
         self.fwd, self.method, self.target = fwd, method, target
         self.heads, self.body, self.rid, self.lane, self.end = heads, body, rid, lane, end
         self.tried: set = set()
-        self.out: dict = {}
+        self.out: dict[asyncio.Task, _Send] = {}
         self.again = lane.kind == "idempotent"
         self.may_have_run = False
         self.last = None
+        self.client_is_there = True
         self.service = lane.pick()
 
     async def run(self) -> Result:
@@ -91,32 +111,69 @@
         return fault_result(self.fwd.picker.refusal(self.service, lane), after_s=min(0.25, lane.aim_s * 0.5))
 
     def _send(self, line, now) -> None:
+        """Send to a replica; a rare request for which no connection is warm goes by a store, once."""
+        first = not self.tried
         self.tried.add(line.iid)
-        line.under_way += 1
         self.fwd.ctr.add("send")
         if self.out:
             self.fwd.ctr.add("send.early")
-        task = asyncio.ensure_future(
-            self.fwd.caller.send(
-                line.addr,
-                line.iid,
-                self.method,
-                self.target,
-                self.heads,
-                self.body,
-                self.rid,
-                self.end - now,
-                AGAIN if self.again else ONCE,
-                lambda: self.fwd.clock.now() < self.end,
-            )
+            self._note_slow_proxies(now)
+        proxy = self._proxy(line, now) if first else None
+        if proxy is not None:
+            self.out[asyncio.ensure_future(self._send_by(proxy, now))] = _Send(now, proxy=proxy)
+            return
+        line.under_way += 1
+        task = asyncio.ensure_future(self._send_to(line, now))
+        self.out[task] = _Send(now, line)
+
+    def _note_slow_proxies(self, now) -> None:
+        """A store that has not answered by now, as one that stands still, is left alone for a while."""
+        for send in self.out.values():
+            if send.proxy is not None:
+                self.fwd.proxies.rest(send.proxy, now)
+
+    def _proxy(self, line, now):
+        """The store that sends this request; None if this node does so itself."""
+        proxies = self.fwd.proxies
+        if proxies is None or not self.again or not proxies.rare(self.service, now):
+            return None
+        if self.fwd.caller.idle(line.addr) or not all((k + v).isascii() for k, v in self.heads):
+            return None
+        return proxies.choose(self.service, now)
+
+    async def _send_by(self, proxy, now):
+        doc = {
+            "service": self.service,
+            "host": next((v for k, v in self.heads if k.lower() == "host"), ""),
+            "method": self.method,
+            "target": self.target,
+            "heads": self.heads,
+            "rid": self.rid,
+            "tried": [],
+            "secs": self.end - now,
+        }
+        return await self.fwd.proxies.send(proxy, doc, self.body, self.end - now, self.fwd.clock.now)
+
+    async def _send_to(self, line, now):
+        return await self.fwd.caller.send(
+            line.addr,
+            line.iid,
+            self.method,
+            self.target,
+            self.heads,
+            self.body,
+            self.rid,
+            self.end - now,
+            AGAIN if self.again else ONCE,
+            lambda: self.client_is_there and self.fwd.clock.now() < self.end,
         )
-        self.out[task] = (line, now)
 
     def _judge(self, task) -> Result | None:
-        line, at = self.out.pop(task)
-        line.under_way -= 1
+        send = self.out.pop(task)
+        send.end()
         now, ans = self.fwd.clock.now(), task.result()
-        self.fwd.picker.judge(line, ans, now, now - at, self.lane.aim_s * 0.3)
+        if send.line is not None:
+            self.fwd.picker.judge(send.line, ans, now, now - send.at, self.lane.aim_s * 0.3)
         if ans.ran is Ran.YES and ans.status < 500 and ans.status not in PROMISES:
             return self._pass(ans)
         self.fwd.ctr.add(f"send.{ans.ran.value}.{ans.status}")
@@ -126,31 +183,48 @@
             self.last = ans
         return None
 
+    def client_left(self) -> None:
+        """The client closed its connection: nothing new is sent. What may be repeated is broken off, as nobody waits
+        for it; what may run only once goes on, so that it is not left half done."""
+        self.client_is_there = False
+        self.fwd.ctr.add("front.client_left")
+        if not self.again:
+            self._let_end()
+            return
+        for task, send in self.out.items():
+            task.cancel()
+            send.end()
+        self.out.clear()
+
     def _let_end(self) -> None:
-        """Another send was faster. What is still out keeps its connection and shows how its replica does; breaking it
-        off would cost a new connection, and its replica has done most of the work."""
-        for task, (line, at) in self.out.items():
-            rest = asyncio.ensure_future(self._outlive(task, line, at))
+        """The answer is given, or not wanted. What is still out keeps its connection and shows how its replica does;
+        breaking it off would cost a new connection, and its replica has done most of the work."""
+        for task, send in self.out.items():
+            rest = asyncio.ensure_future(self._outlive(task, send))
             self.fwd.outlived.add(rest)
             rest.add_done_callback(self.fwd.outlived.discard)
         self.out = {}
 
-    async def _outlive(self, task, line, at) -> None:
+    async def _outlive(self, task, send: _Send) -> None:
         try:
             ans = await task
         finally:
-            line.under_way -= 1
+            send.end()
         now = self.fwd.clock.now()
-        self.fwd.picker.judge(line, ans, now, now - at, self.lane.aim_s * 0.3)
+        if send.line is not None:
+            self.fwd.picker.judge(send.line, ans, now, now - send.at, self.lane.aim_s * 0.3)
 
     def _drop(self) -> None:
         """The time is over: break off what is still under way."""
         now = self.fwd.clock.now()
-        for task, (line, at) in self.out.items():
+        for task, send in self.out.items():
             task.cancel()
-            line.under_way -= 1
-            soon = now - at < self.lane.aim_s  # its time was too short to prove more than that
-            self.fwd.picker.note(line, "late" if soon else "faulted", now, now - at, self.lane.aim_s * 0.3)
+            send.end()
+            soon = now - send.at < self.lane.aim_s  # its time was too short to prove more than that
+            if send.line is not None:
+                self.fwd.picker.note(
+                    send.line, "late" if soon else "faulted", now, now - send.at, self.lane.aim_s * 0.3
+                )
         self.out.clear()
 
     def _pass(self, ans) -> Result:
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -410,7 +410,11 @@
                 assert status == 503 or (status == 200 and orjson.loads(body)["ResultList"] == rows)
             status, _, _ = await w.ask("POST", "/s/x", b"b", rid="st", heads={"X-Archhatch-Model": "m"})
             assert status == 200 and "st" not in [r[0] for r in w.replicas[0].runs]
+            proxies, edge.forward.proxies = edge.forward.proxies, None
             assert (await w.ask("POST", "/q/x", b"b"))[0] in (502, 503)  # nobody it knows is there
+            edge.forward.proxies = proxies
+            # the store that it may ask knows who is there
+            assert (await w.ask("POST", "/q/x", b"b"))[:2] == (200, b"answer to b") and len(new.seen) == 1
             edge.news.fold = fold
             await w.until(edge.board, "roll", lambda: new.iid in edge.picker.all)
             assert (await w.ask("POST", "/q/x", b"b"))[:2] == (200, b"answer to b")
