Leaders keep results in bytes of their length, and load more replicas only where time is short

Excluded by tracemalloc: entries, locks, lots' items (12 MB of 150). And nearly every replica loaded each version, as a full replica counted as too few, however much time a lot had. Change: encode_kept; ended lots let their items go; pages of 300 KB; a run's mean item time forecasts whether waiting items would be done in 0.4 of the time until they are due.

--- a/lines/batches/lot.py
+++ b/lines/batches/lot.py
@@ -9,6 +9,9 @@
 import orjson
 
 
+PAGE_BYTES = 300_000  # of results that one answer holds: each is copied a few times on its way
+
+
 class BadLot(Exception):
     """A lot that cannot be read: no item of it runs."""
 
@@ -106,7 +109,11 @@
     ended_at: float = 0.0
     base: int = 0  # offset of its first item in the partition of its model
 
-    def page(self, after: int, most: int = 900_000) -> tuple[list, int]:
+    def let_items_go(self) -> None:
+        """It is ended: nobody asks for its items' bodies any more, and they are most of what it takes in memory."""
+        self.items = {}
+
+    def page(self, after: int, most: int = PAGE_BYTES) -> tuple[list, int]:
         """Listed results from a position on, up to about most bytes.
 
         >>> # rows, nxt = lot.page(12)
--- a/lines/cordboard/journal.py
+++ b/lines/cordboard/journal.py
@@ -5,6 +5,7 @@
 import orjson
 
 from ..batches import Record
+from ..frame import encode_kept
 from .window import State, Window
 
 EVERY = 32  # deltas after which a new snapshot is written
@@ -47,7 +48,7 @@
             "se": self.snapshot_epoch,
             "n": self.number,
         }
-        return Record(head, orjson.dumps(doc))
+        return Record(head, encode_kept(doc))
 
     def next(self, win: Window) -> Record | None:
         """A snapshot when one is due, else a delta of what changed; None if nothing did."""
--- a/lines/cordboard/leader.py
+++ b/lines/cordboard/leader.py
@@ -12,11 +12,13 @@
 from ..supervisor.lull import Lull
 from ..batches import Deposed
 from ..rpc import Refusal
+from .forecast import RunTimes
 from .journal import WindowJournal
 from .queue import LotQueue
 from .window import BadMove, Entry, State, Window
 
 DOUBTFUL = 3  # a replica in doubt has one place in so many
+IN_TIME = 0.4  # of the time until a lot is due: what waits and would be done in so much needs no more replicas
 RECALL = "recall"  # the worker is to give an entry back whose stream still takes a place; all else it just drops
 LAG = 4.0  # a worker whose node lags this many times more than the middle one drives no replica
 
@@ -49,6 +51,7 @@
         self.seats: dict[str, Seat] = {}
         self.drivers: dict[str, str] = {}  # engine -> worker
         self.drivers_of: tuple = ()
+        self.times = RunTimes()
 
 
 class Leader:
@@ -255,18 +258,24 @@
             lot = reign.lots.get(lid)
             if lot is None or lot.model != model or lot.ended or not q.wanted(now):
                 continue
-            if not any(
-                e.busy() < self._places(e)
-                and model not in e.held
-                and e.revs.get(model, 1) >= lot.least
-                and not e.draining
+            fit = [
+                e
                 for e in self.st.engines.of(reign.run)
-            ):
+                if model not in e.held and e.revs.get(model, 1) >= lot.least and not e.draining
+            ]
+            if any(e.busy() < self._places(e) for e in fit):
+                continue
+            if not self._in_time(run, lot, q.waiting[False], sum(e.running.get(model, 0) for e in fit), now):
                 return True
         return False
 
     def _give_back(self) -> None:
         """Live requests are back: break off the newest items over the places that are left. What is made of their
+    def _in_time(self, run: Run, lot, waiting: int, running: int, now: float) -> bool:
+        """Whether so many waiting items of a lot would be done well before it is due."""
+        lane, done_s = self._lane(lot), run.times.forecast(lot.model, waiting, running)
+        return lane is not None and done_s is not None and done_s <= IN_TIME * (lot.taken + lane.due_s - now)
+
         texts is kept, and they go on where it ends."""
         if not self.lull.busy:
             return
@@ -410,6 +419,8 @@
             return []
         free = [(e, n) for e in self.st.engines.of(run.reign.run) if (n := self._open(e, now)) > 0]
         # while there are more places than entries, whoever asks first must not fill his engines and leave others idle
+            if e.engine is not None and not e.recalled:
+                run.times.note(part, self.st.clock.now() - e.until + self.lock_s)
         share = math.ceil(waiting / max(1, len(free)))
         room = {e.iid: [e, min(n, share)] for e, n in free if self.driver(run, e) == seat.worker}
         out: list = []
--- a/lines/supervisor/reign.py
+++ b/lines/supervisor/reign.py
@@ -6,11 +6,11 @@
 import asyncio
 import base64
 
-import orjson
 from transitions import Machine
 
 from ..batches import Deposed, Lot, Record, read_lot
 from ..batches.record import unpack_many
+from ..frame import encode_kept
 from ..rpc import CallError
 from ..store.heartbeat import Leading
 from .mending import Mending, place
@@ -206,6 +206,7 @@
     async def end(self, lid: str) -> None:
         lot = self.lots[lid]
         lot.ended, lot.ended_at = True, lot.ended_at or self.st.clock.now()
+        lot.let_items_go()
         self.st.board.touch("work")
         rec = next((r for r in lot.recs if r.head["k"] == "E"), None)
         if rec is None:
@@ -229,7 +230,7 @@
                 "item": iid,
                 "t": self.tick(),
             },
-            orjson.dumps(doc),
+            encode_kept(doc),
         )
         lot.results.append(rec)
         lot.recs.append(rec)
@@ -253,7 +254,7 @@
     def item(self, lid: str, iid: str) -> bytes | None:
         lot = self.lots[lid]
         it = lot.items.get(iid)
-        return None if it is None or lot.ended else base64.b64decode(it.payload)
+        return None if it is None else base64.b64decode(it.payload)
 
     # -- repair
 
--- a/lines/supervisor/takeover.py
+++ b/lines/supervisor/takeover.py
@@ -214,6 +214,7 @@
             lot.done.add(item)
         if copies.end is not None:
             lot.ended, lot.ended_at = True, st.clock.now()
+            lot.let_items_go()
             held = {sid for sid, said in seen.items() if said["end"]}
             lot.recs.append(Record(dict(copies.end.head), copies.end.body, held))
         return lot, [rec for rec in lot.recs if not st.copier.enough(rec)]
--- /dev/null
+++ b/tests/test_forecast.py
@@ -0,0 +1,78 @@
+"""More replicas load a version only where the items that wait would not be done well before they are due."""
+
+from types import SimpleNamespace
+
+import pytest
+from conftest import HandClock
+
+from lines.cordboard import Leader
+from lines.cordboard.forecast import RunTimes
+from lines.cordboard.leader import Run
+from lines.dialplan import Plan
+from lines.frame import Board
+from lines.supervisor import Engines
+
+ROW = {
+    "Name": "l",
+    "HostName": "h",
+    "PathPrefix": "/l/",
+    "RouteClass": "rollout",
+    "Service": "s",
+    "ResultDueMs": 10000,
+}
+CASES = [  # seconds an item takes, waiting, engines that hold the version and are full, lot's age, short
+    (None, 4, 2, 0.0, True),  # nothing is known yet: as many as there are
+    (0.5, 4, 2, 0.0, False),  # two rounds of half a second, due in ten
+    (0.5, 40, 2, 0.0, True),  # eleven rounds
+    (0.5, 4, 2, 8.5, True),  # due in a second and a half
+    (0.5, 4, 2, 20.0, True),  # late already
+    (0.5, 4, 0, 0.0, True),  # nobody holds it
+    (0.5, 0, 2, 0.0, False),  # nothing waits that the trainer waits for
+]
+
+
+def leader(took, waiting, full, age):
+    clock, engines = HandClock(), Engines()
+    engines.fold(
+        [
+            {
+                "id": f"e{n}",
+                "addr": f"a{n}:1",
+                "service": "s",
+                "zone": "z",
+                "slots": 2,
+                "state": "up",
+                "models": {"m": 2},
+            }
+            for n in range(full)
+        ]
+    )
+    for engine in engines.of("s"):
+        engine.running["m"] = 2
+    plan = Plan({"Revision": 1, "RouteTable": [ROW], "ServiceTable": [{"Name": "s"}]})
+    store = SimpleNamespace(clock=clock, engines=engines, plan=plan, board=Board(), quiet_s=1.0)
+    lot = SimpleNamespace(model="m", ended=False, least=2, taken=clock.now() - age, host="h", path="/l/x")
+    reign = SimpleNamespace(run="s", lots={"lot": lot})
+    it = Leader(store)
+    run = it.runs["s"] = Run(reign, clock.now())
+    run.queues["lot"] = SimpleNamespace(wanted=lambda now: waiting > 0, waiting=[waiting, 0])
+    if took is not None:
+        run.times.note("m", took)
+    return it, reign
+
+
+@pytest.mark.parametrize("took, waiting, full, age, short", CASES)
+def test_when_more_replicas_are_wanted(took, waiting, full, age, short):
+    it, reign = leader(took, waiting, full, age)
+    assert it.short(reign, "m") is short
+    if full:
+        it.st.engines.all["e0"].running["m"] = 1  # a place is free
+        assert it.short(reign, "m") is False
+
+
+def test_times_follow_what_is_seen():
+    times = RunTimes()
+    for _ in range(100):
+        times.note("m", 2.0)
+    assert times.forecast("m", 1, 1) == pytest.approx(4.0) and times.forecast("m", 1, 0) is None
+    assert times.forecast("other", 1, 1) is None
