Planned evacuation: a tenant is told, then moves to another region, and later home

Records with states in the plan register, driven by one control node under a lease with a fence; a signed notice before the move; copies of open lots in the target before the first item moves; streams and items go on behind their last event; the run's lease is handed on. Measured over loopback by a checker that sees only what clients, replicas and the tenant saw: ten runs, with the holder killed in each state, a cancelled move, silent tenants and refused plans: no request lost or run twice; six planted violations are found. Not played: a zone lost in the middle, regions parted.

--- a/lines/areacodes/placement.py
+++ b/lines/areacodes/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ..evacuation import Moves
 from .policy import Policy, Rule
 
 ALL = "*"  # the scope of an operator's word on a region: it counts for all rules
@@ -35,13 +36,15 @@
         self.policy: Policy | None = None
         self.region_of: dict[str, str] = {}
         self.facts: dict = {}
+        self.moves = Moves()
         self._orders: dict = {}  # lane -> (rule, regions that are in, zones of the first of them)
 
     def __str__(self) -> str:
         if self.policy is None:
             return "none"
         out = [f"{r} for {', '.join(sorted(f['out']))}" for r, f in sorted(self.facts.items()) if f["out"]]
-        return f"version {self.policy.version}; out: {'; '.join(out) or 'none'}"
+        moves = f"; moves: {self.moves}" if self.moves.all else ""
+        return f"version {self.policy.version}; out: {'; '.join(out) or 'none'}{moves}"
 
     def fold(self, val: dict | None) -> bool:
         """Take up the news of the 'plan' part; whether that changed where anything may run."""
@@ -49,6 +52,7 @@
         self.policy = Policy(doc) if doc else None
         self.region_of = doc["zones"] if doc else {}
         self.facts = (val or {}).get("regions", {})
+        self.moves = Moves((val or {}).get("evacuations"))
         self._orders = {}
         return str(self) != before
 
@@ -58,6 +62,8 @@
         if got is None:
             rule = self.policy.rule(lane)
             regions = [] if rule is None else [r for r in rule.regions if not is_out(self.facts, r, rule.name)]
+            if rule is not None:
+                regions = self.moves.order(rule.name, regions)
             zones = frozenset(z for z, r in self.region_of.items() if r in regions[:1])
             got = self._orders[key] = (rule, regions, zones)
         return got
@@ -85,6 +91,15 @@
         region = self.region_of.get(zone)
         return order.index(region) if region in order else None
 
+    def leaves(self, lane, zone: str) -> bool:
+        """Whether a planned move takes a lane's requests away from a zone, so that what runs there is to end or go on
+        elsewhere."""
+        rule = self.rule(lane)
+        move = None if rule is None else self.moves.of(rule.name)
+        return (
+            move is not None and move.settling and self.region_of.get(zone) == move.left and not self.allows(lane, zone)
+        )
+
     def allows(self, lane, zone: str) -> bool:
         """Whether a lane's request may be sent to a zone now."""
         zones = self.zones(lane)
--- a/lines/areacodes/policy.py
+++ b/lines/areacodes/policy.py
@@ -17,6 +17,7 @@
     regions: tuple
     hysteresis_s: float | None
     return_after_s: float | None
+    tenant: str | None = None
 
 
 class Policy:
@@ -38,6 +39,7 @@
                 tuple(r["regions"]),
                 r.get("hysteresis_s"),
                 r.get("return_after_s"),
+                r.get("tenant"),
             )
             for r in doc["rules"]
         ]
--- a/lines/areacodes/reader.py
+++ b/lines/areacodes/reader.py
@@ -44,6 +44,7 @@
     regions = _words()
     like = fields.String(validate=validate.Length(min=1))
     hysteresis_s = _Seconds(validate=validate.Range(min=0, min_inclusive=False))
+    tenant = fields.String(validate=validate.Length(min=1, max=64))
     return_after_s = _Seconds(validate=validate.Range(min=0, min_inclusive=False))
 
 
@@ -111,7 +112,9 @@
 
 def _rule(r: dict, rows: list) -> dict:
     src = _source(r, rows)
+    tenant = {"tenant": r["tenant"]} if "tenant" in r else {}
     return {
+        **tenant,
         "name": r["name"],
         "match": _matches(r),
         "regions": src.get("regions") or [src["home"]],
--- a/lines/batches/replicator.py
+++ b/lines/batches/replicator.py
@@ -25,13 +25,27 @@
     """
 
     def __init__(
-        self, me, shelf, lines, members, alive, crew, ctr, secs: float, quorum: Quorum, takes=None, watch=None
+        self,
+        me,
+        shelf,
+        lines,
+        members,
+        alive,
+        crew,
+        ctr,
+        secs: float,
+        quorum: Quorum,
+        takes=None,
+        watch=None,
+        prefers=None,
     ):
-        """takes(store) says whether a store's disk takes records; watch(write) waits for a write to this one's."""
+        """takes(store) says whether a store's disk takes records; watch(write) waits for a write to this one's;
+        prefers(run) names stores that should hold a run's records before others."""
         self.me, self.shelf, self.lines = me, shelf, lines
         self.members, self.alive = members, alive
         self.takes = takes or (lambda sid: True)
         self.watch = watch or (lambda write: write)
+        self.prefers = prefers or (lambda run: frozenset())
         self.crew, self.ctr, self.secs = crew, ctr, secs
         self.quorum = quorum
         self._late: dict[str, float] = {}  # store -> until when it is asked only if no other will do
@@ -42,13 +56,15 @@
         """Whether a record's copies on stores that stay are enough."""
         return self.quorum.enough(rec.held, active(self.members()))
 
-    def targets(self, lid: str, held, avoid=(), silent: bool = True) -> list:
+    def targets(self, lid: str, held, avoid=(), silent: bool = True, first=frozenset()) -> list:
         """The stores that should have a lot's record besides those that hold it: this one, then by rendezvous of the
         lot's id those in touch, those that were late with an answer, and if these are not enough also silent ones;
-        none whose disk takes nothing."""
+        none whose disk takes nothing. Of each kind those in `first` come before the others."""
         members = active(self.members())
         order = [self.me] + rank(lid, [s for s in members if s != self.me])
         order = [s for s in order if s not in avoid and self.takes(s)]
+        if first:
+            order.sort(key=lambda sid: sid not in first)
         now, tiers = self.shelf.clock.now(), ([], [], [])
         for sid in order:
             tiers[2 if not self.alive(sid) else 1 if self._late.get(sid, now) > now else 0].append(sid)
@@ -66,7 +82,7 @@
     async def put(self, run: str, term: int, recs: list[Record]) -> None:
         """Have enough stores sync the records; Deposed if a store knows a higher term. One that is slow to answer is
         not waited for: another is asked as well."""
-        lid = recs[0].head["lot"]
+        lid, first = recs[0].head["lot"], self.prefers(run)
         wait: dict[asyncio.Future, tuple] = {}
         slow: set = set()  # asked, without an answer in time
         pause = 0.05
@@ -81,7 +97,7 @@
                 coming = {
                     sid for sid, rs in wait.values() if sid not in slow and self.takes(sid) and any(r is x for x in rs)
                 }
-                for sid in self.targets(lid, r.held | coming, avoid=slow):
+                for sid in self.targets(lid, r.held | coming, avoid=slow, first=first):
                     jobs.setdefault(sid, []).append(r)
             for sid, rs in jobs.items():
                 wait[self.send(sid, run, term, rs)] = (sid, rs)
--- a/lines/control/administration.py
+++ b/lines/control/administration.py
@@ -8,9 +8,11 @@
 from ..directory import part_of
 from ..frame import fault_result, json_result
 from ..rpc import Refusal
-from .calls import BadCall, Beat, GetPlan, Leave, OnPolicy, PutPlan, PutVersion, Retire, decode
+from .calls import BadCall, Beat, GetPlan, Leave, OnEvacuation, OnPolicy, PutPlan, PutVersion, Retire, decode
 from .registers import OTHERS, PLAN
 
+DONE = 1000
+NO_ROOM = 2204
 NO_PLAN = 3001
 UNREACHED = 3003
 UNCLEAR = 3000  # codes from here on say nothing final
@@ -32,6 +34,7 @@
             PutVersion: self._put_version,
             Retire: self._retire,
             OnPolicy: self._on_policy,
+            OnEvacuation: self._on_evacuation,
         }
 
     async def answer(self, req, body: bytes):
@@ -136,3 +139,15 @@
     async def _on_policy(self, command: OnPolicy):
         zones = {"zones": self.node.boot.zones} if command.name == "policy.put" else {}
         return await self._run(PLAN, command.name, {**command.args, **zones})
+
+    async def _on_evacuation(self, command: OnEvacuation):
+        args = command.args
+        if command.name == "evacuation.plan":
+            # what the policy forbids is said first: with another target, the room is another question
+            code, doc = await self.node.registers.run(PLAN, command.name, {**args, "dry_run": True})
+            if code != DONE:
+                return fault_result(code, str(doc))
+            missing = self.node.evacuations.lacks(args["plan"], doc["RuleList"])
+            if missing and doc["OperState"] == "planned":
+                return fault_result(NO_ROOM, "; ".join(missing))
+        return await self._run(PLAN, command.name, args)
--- a/lines/control/calls.py
+++ b/lines/control/calls.py
@@ -8,6 +8,7 @@
 
 import orjson
 
+from ..evacuation.plans import BadPlan, read_plan
 
 MOST_VERSION = 2**53 - 1  # the largest number that every JSON reader keeps exactly
 
@@ -62,6 +63,14 @@
     args: dict
 
 
+@dataclass(slots=True)
+class OnEvacuation:
+    """A call about evacuations: a command on their records."""
+
+    name: str
+    args: dict
+
+
 DECODERS: list = []
 
 
@@ -218,3 +227,33 @@
         "region.out" if state == "out" else "region.back",
         {"region": name, "rule": "*", "by": "operator", "reason": why[:200], "epoch": _match(heads, False)},
     )
+
+
+@call("POST", r"/api/evacuations")
+def _plan_evacuation(heads, body):
+    doc = _doc(body, 2201)
+    dry_run = doc.pop("DryRun", False)
+    if not isinstance(dry_run, bool):
+        raise BadCall(2201, "DryRun: must be true or false")
+    try:
+        return OnEvacuation("evacuation.plan", {"plan": read_plan(doc), "dry_run": dry_run})
+    except BadPlan as e:
+        raise BadCall(2201, str(e)) from None
+
+
+@call("GET", r"/api/evacuations")
+def _evacuations(heads, body):
+    return OnEvacuation("evacuation.get", {})
+
+
+@call("GET", r"/api/evacuations/([^/]+)")
+def _evacuation(name, heads, body):
+    return OnEvacuation("evacuation.get", {"id": name})
+
+
+@call("POST", r"/api/evacuations/([^/]+)/(start|cancel|return)")
+def _order_evacuation(name, order, heads, body):
+    why = _doc(body).get("Reason", "") if body else ""
+    if not isinstance(why, str):
+        raise BadCall(2001, "Reason must be words")
+    return OnEvacuation(f"evacuation.{order}", {"id": name, "why": why[:200]})
--- a/lines/control/node.py
+++ b/lines/control/node.py
@@ -9,6 +9,7 @@
 from ..batches import Quorum
 from ..counter import Window
 from ..directory import LiveBook, Neighbours, Roll
+from ..evacuation.duty import EvacuationDuty
 from ..frame import Board, Clock, Counters, Crew
 from ..rpc import CallError, Refusal, TcpNetwork
 from ..wal import WriteAheadLog
@@ -27,8 +28,8 @@
 HURRY = 0.2  # of the usual pause between looks, while some register is still unknown
 SWEEP_PINGS = 2  # pauses between pings from one look at silent replicas to the next
 SILENT_BEATS = 2.5  # heartbeats that a replica may miss
-LEAVE = 0.25  # of GraceS: how long a node that ends waits for its place in the groups to be taken
 STORE_STEP = 0.5  # pauses between pings: a store's signs of life that come closer are not each told to other nodes
+LEAVE = 0.25  # of GraceS: how long a node that ends waits for its place in the groups to be taken
 
 
 class ControlNode:
@@ -74,6 +75,7 @@
         self.feed = ConfigFeed(self)
         self.store_duty = StoreDuty(self)
         self.regions = RegionDuty(self, PLAN)
+        self.evacuations = EvacuationDuty(self, PLAN)
         self.administration = Administration(self)
         self.verbs = register_handlers(self)
         self.desk = network.server(self.verbs, log, self.ctr, lambda: self.id)
@@ -96,6 +98,7 @@
         self.crew.keep("tend", self._tend_loop)
         self.crew.keep("rewrite", self._rewrite_loop)
         self.crew.keep("regions", self.regions.run)
+        self.crew.keep("evacuation", self.evacuations.run)
         founder = bool(self.registers.founders)
         self.log.info("control node {} is up; founder={} records={}", self.id, founder, self.book.size)
 
--- a/lines/control/registers.py
+++ b/lines/control/registers.py
@@ -4,7 +4,8 @@
 
 from ..areacodes import facts
 from ..consensus import Commands
-from . import config_commands, store_commands
+from ..evacuation import commands as evacuation_commands
+from . import config_commands, leases, store_commands
 
 PLAN = "plan"
 OTHERS = ["p0", "p1", "p2"]
@@ -14,6 +15,8 @@
 commands.table.update(facts.commands.table)
 commands.table.update(config_commands.commands.table)
 commands.table.update(store_commands.commands.table)
+commands.table.update(leases.commands.table)
+commands.table.update(evacuation_commands.commands.table)
 
 
 @commands.on("noop")
@@ -42,5 +45,6 @@
             "dropped": val.get("dropped", {}),
             "retired": val.get("retired", {}),
             **facts.policy_view(val),
+            **evacuation_commands.feed_view(val),
         }
     return val
--- a/lines/cordboard/leader.py
+++ b/lines/cordboard/leader.py
@@ -74,6 +74,7 @@
             self.lull.heed(st.news.busy)
             self.sync()
             self._give_back()
+            self._move_on()
             self._wake()
             turn = await st.board.news("work", turn, st.beat_s * 0.5)
 
@@ -97,7 +98,7 @@
             for lot in reign.lots.values():
                 if lot.ended or (lot.listed >= lot.total and lot.lid not in run.queues):
                     continue
-                lane = st.plan.lane(lot.host, lot.path.split("?", 1)[0]) if st.plan is not None else None
+                lane = self._lane(lot)
                 if lot.lid not in run.queues:
                     self._take_lot(run, lot)
                 if lane is not None and run.entries[lot.lid]:
@@ -250,7 +251,8 @@
                 self.st.board.touch(("seat", name, worker))
 
     def short(self, reign, model: str) -> bool:
-        """Whether items that the trainer waits for find no free place under a version that they allow."""
+        """Whether items that the trainer waits for find no free place under a version that they allow, and would not be
+        done well before they are due where the others run."""
         run, now = self.runs.get(reign.run), self.st.clock.now()
         if run is None:
             return False
@@ -269,13 +271,13 @@
                 return True
         return False
 
-    def _give_back(self) -> None:
-        """Live requests are back: break off the newest items over the places that are left. What is made of their
     def _in_time(self, run: Run, lot, waiting: int, running: int, now: float) -> bool:
         """Whether so many waiting items of a lot would be done well before it is due."""
         lane, done_s = self._lane(lot), run.times.forecast(lot.model, waiting, running)
         return lane is not None and done_s is not None and done_s <= IN_TIME * (lot.taken + lane.due_s - now)
 
+    def _give_back(self) -> None:
+        """Live requests are back: break off the newest items over the places that are left. What is made of their
         texts is kept, and they go on where it ends."""
         if not self.lull.busy:
             return
@@ -299,6 +301,55 @@
                     self._break_off(run, x, RECALL)
                     self.st.ctr.add("item.recalled")
 
+    def _lane(self, lot):
+        """The lane that a lot came by; None if the configuration has it no more."""
+        plan = self.st.plan
+        return plan.lane(lot.host, lot.path.split("?", 1)[0]) if plan is not None else None
+
+    def _move_on(self) -> None:
+        """A planned move: entries that run where they should no longer run are recalled, as far as there are free
+        places where they go on; their texts are kept."""
+        st = self.st
+        if not any(move.settling for move in st.placement.moves.all):
+            return
+        for run in self.runs.values():
+            lanes = {lid: self._lane(run.reign.lots[lid]) for lid in run.queues if lid in run.reign.lots}
+            for lid, lane in lanes.items():
+                if lane is not None:
+                    self._leave_homes(run.queues[lid], lane)
+            held = [entry for window in run.windows.values() for entry in window.locked.values()]
+            leaving = [entry for entry in held if self._leaves(entry, lanes.get(entry.lot.lid))]
+            room = self._room_for(run, [lanes[entry.lot.lid] for entry in leaving])
+            room -= sum(q.waiting[0] + q.waiting[1] for q in run.queues.values())
+            room -= sum(1 for entry in leaving if entry.recalled)
+            fresh = sorted((entry for entry in leaving if not entry.recalled), key=lambda entry: -entry.until)
+            for entry in fresh[: max(0, room)]:
+                entry.recalled = True
+                self._break_off(run, entry, RECALL)
+                st.ctr.add("item.moved_on")
+
+    def _leaves(self, entry: Entry, lane) -> bool:
+        return (
+            lane is not None
+            and entry.engine is not None
+            and not entry.settling
+            and self.st.placement.leaves(lane, entry.engine.zone)
+        )
+
+    def _leave_homes(self, queue: LotQueue, lane) -> None:
+        """Groups that wait for a replica which they should no longer use may stand elsewhere."""
+        for group, iid in list(queue.homes.items()):
+            engine = self.st.engines.all.get(iid)
+            if engine is not None and self.st.placement.leaves(lane, engine.zone):
+                queue.forget_home(group)
+
+    def _room_for(self, run: Run, lanes: list) -> int:
+        """Free places where any of these lanes may run."""
+        now, placement = self.st.clock.now(), self.st.placement
+        zones = {zone for lane in {id(x): x for x in lanes}.values() for zone in placement.zones(lane) or ()}
+        engines = [e for e in self.st.engines.of(run.reign.run) if e.zone in zones]
+        return sum(max(0, self._open(e, now)) for e in engines)
+
     # -- fetch
 
     def _run_of(self, doc: dict) -> Run:
@@ -368,6 +419,8 @@
         win = run.windows.get(part)
         e = win.locked.get(offset) if win is not None else None
         if e is not None and e.worker == worker and e.deliveries == delivery:
+            if e.engine is not None and not e.recalled:
+                run.times.note(part, self.st.clock.now() - e.until + self.lock_s)
             self._unplace(e)
 
     def _attach(self, run: Run, seat: Seat, holding: list, now: float) -> list:
@@ -419,8 +472,6 @@
             return []
         free = [(e, n) for e in self.st.engines.of(run.reign.run) if (n := self._open(e, now)) > 0]
         # while there are more places than entries, whoever asks first must not fill his engines and leave others idle
-            if e.engine is not None and not e.recalled:
-                run.times.note(part, self.st.clock.now() - e.until + self.lock_s)
         share = math.ceil(waiting / max(1, len(free)))
         room = {e.iid: [e, min(n, share)] for e, n in free if self.driver(run, e) == seat.worker}
         out: list = []
--- /dev/null
+++ b/lines/evacuation/duty.py
@@ -0,0 +1,266 @@
+"""The duty of one control node at a time: it drives the evacuations from state to state.
+
+The owner of the `plan` register takes the duty's lease; each step is a write under the lease's term, from the state
+that was seen. A node that lost the lease, stood still or was cut off can therefore do no step, and any other goes on
+from the record. A notice may be sent twice, with the same id.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..areacodes import Placement
+from ..batches import active
+from ..control.store_commands import begun
+from ..dialplan import Plan
+from .commands import DUTY
+from .record import FINAL, Place, State
+from .room import Needs, lacks, unloaded
+
+ACKNOWLEDGED, TERM_OVER, FAILED, NO_KEY = "acknowledged", "term over", "failed", "no key"
+AGE_STEP_S = 10.0  # of a record's age that a change of holders may lose
+MOVE, BACK, GIVEN_UP = "move", "return", "cancelled"  # kinds of notices
+
+
+class EvacuationDuty:
+    """run() drives records while there are any that are not over; without one it sleeps until the register changes.
+
+    >>> # duty = EvacuationDuty(node, "plan"); crew.keep("evacuation", duty.run)
+    """
+
+    def __init__(self, node, part: str):
+        self.node, self.part = node, part
+        self.placement = Placement()
+        self._term: int | None = None
+        self._since: dict[tuple, float] = {}  # (evacuation, state, place) -> when this holder first saw it there
+        self._sending: dict[tuple, asyncio.Task] = {}
+        self._ages: dict[str, tuple] = {}  # evacuation -> (its age, when that was so by the steady clock)
+
+    # -- what is known
+
+    def _val(self) -> dict:
+        return (self.node.known.get(self.part) or {"val": {}})["val"]
+
+    def _open(self) -> dict:
+        return {n: r for n, r in self._val().get("evacuations", {}).items() if r["state"] not in FINAL}
+
+    def _named(self) -> dict:
+        """The newest named version of each model."""
+        out: dict = {}
+        for state in self.node.known.values():
+            for model, version in (state["val"].get("named") or {}).items():
+                out[model] = max(version, out.get(model, 1))
+        return out
+
+    def _needs(self, rules: list) -> Needs:
+        val = self._val()
+        self.placement.fold(val)
+        return Needs.of(Plan(val["plan"]), self.placement, rules)
+
+    def lacks(self, plan: dict, rules: list) -> list:
+        """What a plan's target lacks now, in words."""
+        val, node = self._val(), self.node
+        if "plan" not in val:
+            return ["there is no configuration yet"]
+        needs = self._needs(rules)
+        members = active(val.get("stores", {}))
+        return lacks(needs, plan, self.placement.region_of, list(node.roll.all.values()), members, node.quorum)
+
+    # -- driving
+
+    async def run(self) -> None:
+        """Look at all records again and again while this node owns the register."""
+        node = self.node
+        while True:
+            turn = node.board.turn("plan")
+            if not self._open():
+                self._since.clear()
+                await node.board.news("plan", turn)
+                continue
+            if node.in_touch() and node.owns(self.part) and "plan" in self._val():
+                await self.tend()
+            else:
+                self._term = None
+            await node.board.news("plan", turn, node.beat_s)
+
+    async def tend(self) -> None:
+        """One look at all records, under the duty's lease."""
+        if not await self._hold():
+            return
+        for name, record in list(self._open().items()):
+            key = (name, record["state"], record["placed"])
+            self._since.setdefault(key, self.node.clock.now())
+            await self._note_age(name, record)
+            await self._drive(name, record, self.node.clock.now() - self._since[key])
+
+    async def _hold(self) -> bool:
+        """Take the duty's lease, unless this life of this node has it."""
+        node = self.node
+        lease = self._val().get("leases", {}).get(DUTY)
+        if lease and (lease["holder"], lease["life"]) == (node.id, node.life):
+            self._term = lease["term"]
+            return True
+        args = {"duty": DUTY, "holder": node.id, "life": node.life, "seen": lease["term"] if lease else 0}
+        code, lease = await node.try_command(self.part, "lease.claim", args)
+        if code != 1000:
+            return False
+        self._term = lease["term"]
+        self._since.clear()  # times count from what this holder saw itself,
+        self._ages.clear()  # ... or from what an earlier one wrote down
+        node.log.info("evacuations: held under term {}", self._term)
+        return True
+
+    async def _drive(self, name: str, record: dict, here_s: float) -> None:
+        step = {
+            State.PLANNED: self._planned,
+            State.ANNOUNCED: self._announced,
+            State.PREPARING: self._preparing,
+            State.MOVING: self._moving,
+            State.RETURNING: self._returning,
+        }.get(State(record["state"]))
+        if step is not None:
+            await step(name, record, here_s)
+
+    async def _step(self, name: str, record: dict, to: State, why: str) -> None:
+        args = {
+            "id": name,
+            "term": self._term,
+            "from": record["state"],
+            "placed": record["placed"],
+            "to": to,
+            "why": why,
+            "age_s": self._age(name, record),
+        }
+        code, _ = await self.node.try_command(self.part, "evacuation.step", args)
+        if code == 1000:
+            self.node.ctr.add(f"evacuation.{to}")
+            self.node.log.info("evacuation {}: {} -> {}: {}", name, record["state"], to, why)
+
+    def _age(self, name: str, record: dict) -> float:
+        """Seconds since it was planned, as far as holders have counted them: a change of holders makes it younger by
+        AGE_STEP_S and the time without a holder, so that nothing begins too soon."""
+        age, at = self._ages.setdefault(name, (record["age_s"], self.node.clock.now()))
+        return age + self.node.clock.now() - at
+
+    async def _note_age(self, name: str, record: dict) -> None:
+        age = self._age(name, record)
+        if age - record["age_s"] >= AGE_STEP_S:
+            args = {"id": name, "term": self._term, "age_s": age}
+            await self.node.try_command(self.part, "evacuation.age", args)
+
+    def _late(self, name: str, record: dict) -> bool:
+        """Whether its deadline has passed."""
+        return self._age(name, record) > record["plan"]["DeadlineS"]
+
+    async def _planned(self, name, record, here_s) -> None:
+        if self._late(name, record):
+            await self._step(name, record, State.FAILED, "it was not started before its deadline")
+
+    async def _announced(self, name, record, here_s) -> None:
+        plan = record["plan"]
+        if self._late(name, record):
+            await self._step(name, record, State.FAILED, f"its deadline passed; the notice: {record['notices']}")
+            return
+        if not self._told(name, record, MOVE, here_s):
+            return
+        if self._age(name, record) < plan["StartAfterS"]:
+            return
+        missing = self.lacks(plan, record["rules"])
+        if missing:
+            await self._step(name, record, State.FAILED, "; ".join(missing))
+            return
+        await self._step(name, record, State.PREPARING, f"notice: {record['notices'][MOVE]}")
+
+    async def _preparing(self, name, record, here_s) -> None:
+        if self._late(name, record):
+            await self._step(name, record, State.FAILED, f"its deadline passed; {self._waits_for(record, 'copied')}")
+            return
+        missing = self.lacks(record["plan"], record["rules"])
+        if missing:
+            await self._step(name, record, State.FAILED, "; ".join(missing))
+            return
+        needs = self._needs(record["rules"])
+        replicas = list(self.node.roll.all.values())
+        cold = unloaded(needs, record["plan"]["Target"], self.placement.region_of, replicas, self._named())
+        if not cold and not self._missing(record, "copied"):
+            await self._step(name, record, State.MOVING, "copies and weights are in the target")
+
+    async def _moving(self, name, record, here_s) -> None:
+        if self._drained(record, here_s):
+            await self._step(name, record, State.MOVED, "nothing of it runs in the origin any more")
+
+    async def _returning(self, name, record, here_s) -> None:
+        given_up = record.get("outcome") == State.CANCELLED
+        if record["placed"] == Place.TARGET:
+            told = self._told(name, record, GIVEN_UP if given_up else BACK, here_s)
+            if (told or given_up) and not self._missing(record, "copied"):
+                await self._step(name, record, State.RETURNING, "copies are in the origin")
+        elif self._drained(record, here_s):
+            to = State.CANCELLED if given_up else State.RETURNED
+            await self._step(name, record, to, "nothing of it runs in the target any more")
+
+    # -- what it waits for
+
+    def _missing(self, record: dict, what: str) -> list:
+        """The tenant's runs whose present holder has not said that it is so far; a run that never began needs
+        nothing."""
+        val, reports = self._val(), record["reports"]
+        needs = self._needs(record["rules"])
+        return [
+            run
+            for run in sorted(needs.runs)
+            if begun(val, run) and not (reports.get(run, {}).get(what) and reports[run]["term"] >= begun(val, run))
+        ]
+
+    def _waits_for(self, record: dict, what: str) -> str:
+        return f"waiting for {', '.join(self._missing(record, what)) or 'nothing of the runs'}"
+
+    def _drained(self, record: dict, here_s: float) -> bool:
+        """Whether all that ran in the old place has ended: each node knows of the move within ConvergeMs, and what was
+        sent before that ends within its time-out; of lots the runs' holders say so."""
+        longest = self._needs(record["rules"]).longest_s
+        live_s = self.node.boot.secs("ConvergeMs") + min(longest, self.node.boot.secs("StatusS"))
+        return here_s >= live_s and not self._missing(record, "drained")
+
+    def _told(self, name: str, record: dict, kind: str, here_s: float) -> bool:
+        """Whether the tenant has been told, or the term of the notice has run out where the plan lets that do."""
+        plan, word = record["plan"], record["notices"].get(kind)
+        if word in (ACKNOWLEDGED, TERM_OVER):
+            return True
+        key = (name, kind)
+        task = self._sending.get(key)
+        if task is None or task.done():
+            self._sending[key] = self.node.crew.once("notice", self._send, name, plan, kind)
+        if plan["NoticeWait"] == "term" and here_s >= plan["NoticeTermS"]:
+            self.node.crew.once("notice", self._note, name, kind, TERM_OVER)
+        return False
+
+    async def _send(self, name: str, plan: dict, kind: str) -> None:
+        from .notices import NotAcknowledged, Notice  # a process that drives no evacuation needs no retry library
+
+        node = self.node
+        if not node.boot.notice_key:
+            await self._note(name, kind, NO_KEY)
+            await asyncio.sleep(node.quiet_s)
+            return
+        doc = {
+            "Id": name,
+            "Kind": kind,
+            **{k: plan[k] for k in ("Tenant", "Origin", "Target", "Reason", "StartAfterS")},
+        }
+        notice = Notice(plan["NoticeUrl"], node.boot.notice_key, doc, first_pause_s=node.beat_s)
+        try:
+            await notice.send(max(node.quiet_s, plan["NoticeTermS"]))
+        except NotAcknowledged as e:
+            node.ctr.add("notice.failed")
+            node.log.warning("notice {} was not acknowledged: {}", notice.name, e)
+            await self._note(name, kind, FAILED)
+            return
+        node.ctr.add("notice.acknowledged")
+        await self._note(name, kind, ACKNOWLEDGED)
+
+    async def _note(self, name: str, kind: str, word: str) -> None:
+        if self._term is None:
+            return
+        args = {"id": name, "term": self._term, "kind": kind, "word": word}
+        await self.node.try_command(self.part, "evacuation.notice", args)
--- a/lines/frame/boot.py
+++ b/lines/frame/boot.py
@@ -34,6 +34,9 @@
 }
 
 
+LEAST_KEY_BYTES = 16
+
+
 class BootFault(Exception):
     """A settings file that cannot be used; names the field.
 
@@ -69,6 +72,7 @@
     bounds: dict = field(default_factory=dict)
     share_lock_s: float = 30.0
     share_locks: int = 200
+    notice_key: bytes = field(default=b"", repr=False)
 
     def secs(self, name: str, ratio: float = 1.0) -> float:
         """A bound in seconds, scaled.
@@ -101,6 +105,21 @@
     return val
 
 
+def _key(doc: dict, name: str) -> bytes:
+    """The key in the file that a field names; none without the field."""
+    path = _want(doc, name, str, None, must=False)
+    if path is None:
+        return b""
+    try:
+        with open(path, "rb") as f:
+            key = f.read().strip()
+    except OSError as e:
+        raise BootFault(name, f"cannot be read: {e.strerror}: {path}") from e
+    if len(key) < LEAST_KEY_BYTES:
+        raise BootFault(name, f"must hold {LEAST_KEY_BYTES} bytes at least")
+    return key
+
+
 def _addr(name: str, val) -> str:
     if not isinstance(val, str) or val.count(":") != 1 or not val.rsplit(":", 1)[1].isdigit():
         raise BootFault(name, f"must be IP:PORT, not {val!r}")
@@ -168,6 +187,7 @@
         bounds=_bounds(doc),
         share_lock_s=_above(doc, "ShareLockS", float, 30.0),
         share_locks=_above(doc, "ShareLocks", int, 200),
+        notice_key=_key(doc, "NoticeKeyFile"),
     )
 
 
--- a/lines/frame/commands.py
+++ b/lines/frame/commands.py
@@ -30,7 +30,8 @@
 flags.DEFINE_list("regions_out", None, "policy explain: regions that count as out")
 flags.DEFINE_string("plan", None, "policy explain: a configuration file; else the one in force")
 flags.DEFINE_integer("match", None, "policy put: the version that it stands on; else the newest", lower_bound=0)
-flags.DEFINE_string("reason", None, "policy out, policy in: why")
+flags.DEFINE_string("reason", None, "policy out, policy in, evacuate cancel, evacuate return: why")
+flags.DEFINE_bool("dry_run", False, "evacuate plan: only say what would be taken")
 
 flags.DEFINE_string("out", None, "capacity measure, scale: the file to write; else standard output")
 flags.DEFINE_string("slopes", None, "capacity table, check, write: the file of measured slopes; else the recorded one")
@@ -53,6 +54,7 @@
     "exchange": "exchange core | exchange store: hold control, or keep lots and run rollouts (control plane)",
     "import": "turn a configuration file of nginx into an operator configuration, on standard output",
     "policy": "check, put, get or explain the placement policy, and take regions out or in",
+    "evacuate": "plan, start, watch, cancel or return the move of a tenant to another region",
     "doctor": "look for common faults of a settings file and of the node that it describes",
     "capacity": "capacity measure | table | check | write | scale: what each role costs at the size to design for",
     "simulate": "play seeds of the control side's code under faults, in virtual time, and judge what clients saw",
@@ -82,8 +84,6 @@
     )
 
 
-async def _live(node, boot, log) -> None:
-    loop = asyncio.get_running_loop()
 def memory_mb() -> float:
     """What this process has in memory now; 0 where the system does not tell."""
     try:
@@ -93,6 +93,8 @@
         return 0.0
 
 
+async def _live(node, boot, log) -> None:
+    loop = asyncio.get_running_loop()
     stop, hup = asyncio.Event(), asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
@@ -200,6 +202,13 @@
     return PolicyDesk(FLAGS).run(args)
 
 
+@command("evacuate")
+def _evacuate(args) -> int:
+    from ..evacuation.client import EvacuationClient
+
+    return EvacuationClient(FLAGS).run(args)
+
+
 @command("import")
 def _import(args) -> int:
     from ..testdesk.importer import Importer, ImportFault
--- a/lines/store/lease.py
+++ b/lines/store/lease.py
@@ -37,6 +37,7 @@
     takes: bool = True  # this store's disk takes records
     slow: bool = False  # its timers are far later than the others'
     successor: bool = True  # there is another that may lead
+    displaced: bool = False  # the run should be led in another region, and a store there is fit to
     gatherable: bool = True  # a successor would hear enough stores that can promise
 
 
@@ -56,7 +57,7 @@
     (<Step.RENEW: 'renew'>, <Step.HAND_ON: 'hand on'>)
     """
     if own.phase is Phase.HOLDING:
-        unfit = not own.takes or own.slow
+        unfit = not own.takes or own.slow or own.displaced
         # without its own disk a holder can still serve from the others' copies, as long as nobody could take over
         return Step.HAND_ON if unfit and own.successor and own.gatherable else Step.WAIT
     if not own.takes:
--- a/lines/store/lease_watch.py
+++ b/lines/store/lease_watch.py
@@ -71,8 +71,9 @@
         begun = reign is not None and reign.term >= lease["term"]
         phase = Phase(reign.state) if begun else Phase.NONE
         slow = begun and self._slow and st.clock.now() - reign.began > st.quiet_s * SETTLED
-        own = OwnLease(phase, takes=st.disk.takes, slow=slow)
-        if slow or not st.disk.takes:  # only then who would follow matters
+        displaced = begun and st.evacuation.leads_elsewhere(run)
+        own = OwnLease(phase, takes=st.disk.takes, slow=slow, displaced=displaced)
+        if slow or displaced or not st.disk.takes:  # only then who would follow matters
             own = replace(own, successor=self.successor(run) is not None, gatherable=st.membership.gatherable())
         step = own_step(own)
         if step is Step.RENEW and not self._may_renew(run, reign):
@@ -96,6 +97,7 @@
             place = 0  # an earlier life of this store: nobody else waits for it
         else:
             order = rank(run, [sid for sid in names if lease is None or sid != lease["holder"]])
+            order = st.evacuation.candidates(run, order)
             place = order.index(st.id) if st.id in order else len(order)
         # a holder in touch that leads nothing is replaced only by one that could do better
         in_touch = lease is not None and lease["holder"] != st.id and st.alive(lease["holder"])
@@ -136,8 +138,9 @@
 
     def successor(self, run: str) -> str | None:
         """The store that should lead a run if this one does not."""
-        names = [sid for sid in self.st.membership.fit_to_lead() if sid != self.st.id]
-        return next((sid for sid in rank(run, names) if self.st.membership.life_of(sid)), None)
+        names = rank(run, [sid for sid in self.st.membership.fit_to_lead() if sid != self.st.id])
+        row = self.st.evacuation.candidates(run, names)
+        return next((sid for sid in row if self.st.membership.life_of(sid)), None)
 
     # -- doing
 
@@ -148,7 +151,11 @@
             self.begin(run, term)
         elif step is Step.HAND_ON:
             st.log.info(
-                "run {}: another is to lead (disk takes={}, timers {:.3f}s late)", run, st.disk.takes, st.membership.lag
+                "run {}: another is to lead (disk takes={}, timers {:.3f}s late, region {})",
+                run,
+                st.disk.takes,
+                st.membership.lag,
+                st.evacuation.leading_region(run) or "any",
             )
             await self.hand_on(run, term)
         else:
--- a/lines/store/node.py
+++ b/lines/store/node.py
@@ -20,12 +20,13 @@
 from ..wal import WriteAheadLog
 from .departure import Departure
 from .disk import DiskState
+from .evacuation import EvacuationSupport
 from .handlers import StoreHandlers
 from .join import Joining
 from .lease_watch import LeaseWatch
 from .membership import Membership
-from .repair import Repair
 from .proxy import RequestProxy
+from .repair import Repair
 
 
 class StoreNode:
@@ -59,9 +60,9 @@
         self.lease_watch = LeaseWatch(self)
         self.joining = Joining(self)
         self.repair = Repair(self)
-        self.verbs = Handlers()
         self.evacuation = EvacuationSupport(self)
         self.proxy = RequestProxy(self)
+        self.verbs = Handlers()
         StoreHandlers(self).register(self.verbs)
         self.desk = Server(self.verbs, log, self.ctr, lambda: self.id)
 
@@ -96,6 +97,7 @@
             quorum=self.quorum,
             takes=self.membership.takes,
             watch=self.disk.watch,
+            prefers=self.evacuation.preferred,
         )
         self.leader = Leader(self, self.boot.share_lock_s, self.boot.share_locks)
         self.worker = Worker(self)
@@ -109,6 +111,7 @@
             "watch": self.lease_watch.run,
             "mend": self.repair.run,
             "disk": self.repair.probe_disk,
+            "evacuation": self.evacuation.run,
             "leader": self.leader.run,
             "persist": self.leader.persist,
             "worker": self.worker.run,
--- a/lines/switchboard/relay.py
+++ b/lines/switchboard/relay.py
@@ -6,7 +6,7 @@
 import enum
 
 import aiohttp
-from aiohttp import web
+from aiohttp.web_response import StreamResponse
 
 from ..frame import Result, fault_result
 from ..sends import (
@@ -33,6 +33,10 @@
     """What came is not the answer of this request, or not all of it."""
 
 
+class Relocated(ValueError):
+    """A planned move takes the stream elsewhere: it goes on there after the last event that was passed on."""
+
+
 class _After(enum.Enum):
     """What follows a send."""
 
@@ -75,16 +79,18 @@
         self.relay, self.req, self.lane, self.body = relay, req, lane, body
         self.rid, self.end, self.service = rid, end, lane.pick()
         self.mode = AGAIN if lane.resumable else ONCE
-        self.out: web.StreamResponse | None = None  # the answer, from its first head on
+        self.out: StreamResponse | None = None  # the answer, from its first head on
         self.answer: Result | None = None  # an answer that is no stream
         self.last: str | None = None  # the id of the last event that was passed on
         self.events = 0
         self.may_have_run = False
+        self.sends_left = lane.sends
 
     async def run(self):
         """Ask one replica after the other, as far as that is allowed."""
         lane, tried = self.lane, set()
-        for _ in range(lane.sends):
+        while self.sends_left:
+            self.sends_left -= 1
             now = self.relay.clock.now()
             line = self.relay.picker.pick(self.service, tried, now, lane, sure=not lane.resumable)
             if line is None or now >= self.end:
@@ -145,15 +151,15 @@
             resp.close()
             raise BadAnswer("no seal, an encoding, or nothing that tells where it ends")
         if self.out is None:
-            self.out = web.StreamResponse(status=resp.status, headers=pass_on(resp.headers.items()))
+            self.out = StreamResponse(status=resp.status, headers=pass_on(resp.headers.items()))
             self.out.enable_chunked_encoding()
             await self.out.prepare(self.req)
-        await self._pass_events(resp)
+        await self._pass_events(line, resp)
         self.relay.picker.note(line, "served", self.relay.clock.now())
         await self.out.write_eof()
         return _After.DONE
 
-    async def _pass_events(self, resp) -> None:
+    async def _pass_events(self, line, resp) -> None:
         reader, resumed = EventReader(), self.events > 0
         async for raw in resp.content.iter_any():
             for event in reader.feed(raw):
@@ -162,9 +168,18 @@
                 self.last = event.id or self.last
                 self.events += 1
                 await self.out.write(event.raw)
+                if self._is_to_move(line):
+                    raise Relocated(line.zone)
         if reader.rest:
             raise BadAnswer("stream ended inside an event")
 
+    def _is_to_move(self, line) -> bool:
+        """Whether a planned move takes the stream away from its replica, and it can go on at another."""
+        lane, picker = self.lane, self.relay.picker
+        if not (lane.resumable and self.sends_left and picker.placement.leaves(lane, line.zone)):
+            return False
+        return picker.pick(self.service, {line.iid}, self.relay.clock.now(), lane) is not None
+
     async def _take_whole(self, line, resp) -> _After:
         """An answer that is no stream; only once it is whole, it proves what it says."""
         turned_away = says_not_run(resp)
@@ -196,6 +211,9 @@
         unreached = isinstance(fault, (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError))
         if not unreached and not isinstance(fault, NotSent):
             self.may_have_run = True
+        if isinstance(fault, Relocated):
+            self.relay.ctr.add("stream.moved_on")
+            return _After.NEXT
         if not isinstance(fault, (StaleConnection, NotSent)):
             self.relay.picker.note(line, "vanished" if unreached else "faulted", self.relay.clock.now())
         if self.may_have_run and not self.lane.resumable:
--- /dev/null
+++ b/tests/test_evacuation.py
@@ -0,0 +1,212 @@
+"""Planned evacuations over loopback, judged by a checker that sees only what clients, replicas and the tenant saw."""
+
+import asyncio
+import time
+
+import pytest
+from evacuation_rig import KEY, EvacuationDay, Seen, seen_of, sound
+from test_regions import ZONES, RegionReplica
+
+BOUNDS = {"ConvergeMs": 300}
+
+
+@pytest.fixture
+def timed(monkeypatch):
+    """Replicas note when they took requests up."""
+    serve = RegionReplica.serve
+
+    async def noting(self, req):
+        times = self.__dict__.setdefault("times", [])
+        if not req.raw_path.startswith("/api/"):
+            times.append(time.monotonic())
+        return await serve(self, req)
+
+    monkeypatch.setattr(RegionReplica, "serve", noting)
+    monkeypatch.setattr(RegionReplica, "times", (), raising=False)
+
+
+def day(tmp_path):
+    key = tmp_path / "notice.key"
+    key.write_bytes(KEY)
+    return EvacuationDay(
+        str(tmp_path), stores=4, Zones=ZONES, KeepaliveMs=200, Bounds=BOUNDS, NoticeKeyFile=str(key)
+    ).begin()
+
+
+@pytest.mark.parametrize("killed_in", [None, "announced", "preparing", "moving", "returning"])
+def test_a_move_and_the_way_home(run, tmp_path, timed, killed_in):
+    """Load of each kind before, during and after; a request of each kind is at work when the move begins."""
+
+    async def go():
+        w = await day(tmp_path)
+        try:
+            await w.load("before", lambda k: k >= 4)
+            assert (await w.planned())[0] == 200 and not w.tenant.notices
+            if killed_in == "announced":
+                w.tenant.mood = "refusing"
+            held = [asyncio.ensure_future(w.one("n", "cut", "held", 1)), asyncio.ensure_future(w.lots("cut", "held"))]
+            held.append(asyncio.ensure_future(w.one("s", "cut", "held", 0)))
+            at_work = {"n", "s", "roll"}
+            await w.until(w.edge.board, "nothing", lambda: at_work <= kinds_at_work(w, "attica"))
+            assert (await w.evacuate("/e1/start"))[0] == 200
+            await w.load_until("moving", move(w, killed_in))
+            assert w.regions_of("before") == {"attica"}
+            held_lot = [first for r in w.of("thessaly") for rid, first, _ in r.runs if rid.startswith("cut.lot.held")]
+            await w.load("away", lambda k: k >= 4)
+            await asyncio.gather(*held)
+            assert w.regions_of("away") == {"thessaly"}
+            assert 3 in held_lot and set(held_lot) <= {1, 3}  # what ran went on behind its text, the rest began there
+            streams = [(r.zone, first) for r in w.replicas for rid, first, _ in r.runs if rid == "cut.s.held.0"]
+            assert sorted(streams) == [("z1", 1), ("z2", 4)]  # after the event that came when the move was on
+            assert (await w.evacuate("/e1/return"))[0] == 200
+            await w.load_until("home", home(w, killed_in))
+            await w.load("after", lambda k: k >= 4)
+            assert w.regions_of("after") == {"attica"}
+            assert not seen_of(w).faults()
+            names = [notice.name for notice in w.tenant.acknowledged]
+            assert {"e1.move", "e1.return"} == set(names) and all(sound(n) for n in w.tenant.notices)
+            assert w.tenant.notices[0].doc["Tenant"] == "yards"
+        finally:
+            await w.finish()
+
+    run(go(), 100)
+
+
+def kinds_at_work(w, region):
+    return {
+        path.split("/")[1]
+        for r in w.of(region)
+        for _, path, _, rid, _ in r.seen
+        if rid.startswith("cut.") and ".held" in rid
+    }
+
+
+async def move(w, killed_in):
+    if killed_in == "announced":
+        await w.reach("announced")
+        await w.until(w.edge.board, "nothing", lambda: w.tenant.notices)
+        await w.kill_holder()
+        w.tenant.mood = "well"
+    if killed_in == "preparing":
+        await w.reach("preparing", "moving")
+        await w.kill_holder()
+    await w.reach("moving")
+    if killed_in == "moving":
+        await w.kill_holder()
+    await w.all_place("thessaly")
+    for r in w.replicas:
+        r.hold.set()  # what is held in attica gives its next event, or ends
+    await w.reach("moved")
+
+
+async def home(w, killed_in):
+    if killed_in == "returning":
+        await w.reach("returning")
+        await w.kill_holder()
+    await w.reach("returned")
+    await w.all_place("attica")
+
+
+def test_a_move_that_is_cancelled_in_its_middle_goes_home(run, tmp_path, timed):
+    async def go():
+        w = await day(tmp_path)
+        try:
+            assert (await w.planned())[0] == 200
+            await w.evacuate("/e1/start")
+            await w.load_until("moving", w.reach("moving"))
+            assert (await w.evacuate("/e1/cancel", {"Reason": "the works are put off"}))[0] == 200
+            await w.load_until("back", w.reach("cancelled"))
+            await w.all_place("attica")
+            await w.load("after", lambda k: k >= 4)
+            assert w.regions_of("after") == {"attica"} and not seen_of(w).faults()
+            assert (await w.evacuate("/e1/start"))[0] == 409
+        finally:
+            await w.finish()
+
+    run(go(), 60)
+
+
+@pytest.mark.parametrize(
+    "mood, plan, state",
+    [
+        ("silent", {"NoticeWait": "term", "NoticeTermS": 1.0}, "moving"),
+        ("refusing", {"NoticeWait": "term", "NoticeTermS": 1.0}, "moving"),
+        ("refusing", {"NoticeWait": "acknowledged", "NoticeTermS": 0.5, "DeadlineS": 2}, "failed"),
+    ],
+)
+def test_a_tenant_that_does_not_answer(run, tmp_path, timed, mood, plan, state):
+    async def go():
+        w = await day(tmp_path)
+        try:
+            w.tenant.mood = mood
+            assert (await w.planned(**plan))[0] == 200
+            began = time.monotonic()
+            await w.evacuate("/e1/start")
+            got = await w.reach(state)
+            assert w.tenant.notices and w.tenant.notices[0].at >= began
+            if state == "failed":
+                await w.load("after", lambda k: k >= 4)
+                assert w.regions_of("after") == {"attica"} and "deadline" in got["Log"][-1]["Why"]
+            else:
+                assert got["NoticeTable"]["move"] == "term over"
+                await w.reach("moved")
+            assert not seen_of(w).faults(must_be_told=False)
+        finally:
+            await w.finish()
+
+    run(go(), 60)
+
+
+BAD = [  # change of the plan, status, code
+    ({"Tenant": "nobody"}, 404, 2203),
+    ({"Origin": "nowhere"}, 404, 2102),
+    ({"Target": "attica"}, 400, 2201),
+    ({"Target": "crete"}, 409, 2207),
+    ({"StartAfterS": -5.0}, 400, 2201),
+    ({"NoticeUrl": "tenant"}, 400, 2201),
+    ({"Room": 3.0}, 409, 2204),
+    ({"DryRun": "yes"}, 400, 2201),
+]
+
+
+def test_bad_plans_change_nothing_and_good_ones_are_taken_once(run, tmp_path):
+    async def go():
+        w = await day(tmp_path)
+        try:
+            for change, status, code in BAD:
+                got = await w.planned(**change)
+                assert (got[0], got[1]["Error"]) == (status, code), (change, got)
+            assert (await w.evacuate(method="GET"))[1]["EvacuationTable"] == []
+            assert (await w.planned(DryRun=True))[0] == 200
+            assert (await w.evacuate(method="GET"))[1]["EvacuationTable"] == []
+            assert (await w.planned())[0] == (await w.planned())[0] == 200
+            assert (await w.planned(Id="e2"))[1]["Error"] == 2205
+            assert (await w.evacuate("/e9/start"))[0] == 404
+            for r in w.of("thessaly", "llm"):  # it fills up, or falls away, after the plan was taken
+                w.up.discard(r)
+                await w.beat(r, "draining")
+            await w.evacuate("/e1/start")
+            got = await w.reach("failed")
+            assert "places in thessaly" in got["Log"][-1]["Why"] and got["Placed"] == "origin"
+        finally:
+            await w.finish()
+
+    run(go(), 60)
+
+
+PLANTED = [  # what is planted, words of the fault
+    (lambda s: s.runs.append(("a.n.1", "n", "attica")), "ran 2 times"),
+    (lambda s: s.runs.remove(("a.n.1", "n", "attica")), "never ran"),
+    (lambda s: setattr(s, "moved_at", 1.0), "before the tenant was told"),
+    (lambda s: s.notices.clear(), "before the tenant was told"),
+    (lambda s: s.unclear.append(("a.n.1", 502)), "no clear answer"),
+    (lambda s: s.runs.append(("a.q.1", "q", "crete")), "ran in crete"),
+]
+
+
+@pytest.mark.parametrize("plant, words", PLANTED)
+def test_the_checker_finds_what_is_planted(plant, words):
+    seen = Seen({"a.n.1": 1, "a.q.1": 1}, [], [("a.n.1", "n", "attica")], [("e1.move", 2.0)], moved_at=3.0)
+    assert not seen.faults()
+    plant(seen)
+    assert any(words in fault for fault in seen.faults())
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -9,10 +9,12 @@
 from test_batches import LOT
 from test_quorum import Node, Site, settings
 
+from lines.areacodes import Placement
 from lines.store.departure import Departure
 from lines.store.handlers import may_be_taken
 from lines.store.heartbeat import HeartbeatWord, Leading
 from lines.store.lease import OthersLease, OwnLease, Phase, Step, others_step, own_step
+from lines.store.evacuation import EvacuationSupport
 from lines.store.lease_watch import LeaseWatch
 from lines.store.node import StoreNode
 from lines.store.repair import Repair
@@ -82,6 +84,7 @@
         self.life, self.frozen = f"life of {sid}", False
         self.plan, self.leader = SimpleNamespace(models=lambda: {"m": "s"}), SimpleNamespace(sync=lambda: None)
         self.copier.takes, self.copier.watch = self.membership.takes, self.disk.watch
+        self.placement, self.evacuation = Placement(), EvacuationSupport(self)
         self.lease_watch, self.repair, self.book = LeaseWatch(self), Repair(self), book
 
     @property
