Share groups: the leader comes apart into places, recalls and settlements

The evacuation test reads where held items went on once they are done: before, it could look too soon.

--- /dev/null
+++ b/lines/cordboard/led_run.py
@@ -0,0 +1,43 @@
+"""What a leader knows of one service's partitions and of the workers that draw from them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from .forecast import RunTimes
+from .journal import WindowJournal
+from .queue import LotQueue
+from .window import Entry, Window
+
+RECALL = "recall"  # the worker is to give an entry back whose stream still takes a place; all else it just drops
+
+
+@dataclass
+class Seat:
+    """A worker at this leader: one life of a store node."""
+
+    worker: str
+    life: str
+    zone: str = ""
+    heard: float = 0.0
+    lag: float = 0.0
+    poll: int = 0  # the newest poll; older ones are answered at once
+    drop: list = field(default_factory=list)  # (partition, offset, delivery, why): to be broken off
+    batch: int = 0
+    unread: dict = field(default_factory=dict)  # batch -> (when, [entries]) until the worker says it came
+
+
+class LedRun:
+    """What this leader knows of one service's partitions, for as long as its reign lasts."""
+
+    def __init__(self, reign, now: float):
+        self.reign = reign
+        self.since = now
+        self.windows: dict[str, Window] = {}
+        self.journals: dict[str, WindowJournal] = {}
+        self.queues: dict[str, LotQueue] = {}  # lot -> its Available entries
+        self.entries: dict[str, dict[str, Entry]] = {}  # lot -> item -> entry that is not final
+        self.seats: dict[str, Seat] = {}
+        self.drivers: dict[str, str] = {}  # engine -> worker
+        self.drivers_of: tuple = ()
+        self.times = RunTimes()
--- /dev/null
+++ b/lines/cordboard/places.py
@@ -0,0 +1,96 @@
+"""The places of replicas: how many of them may take items now, who drives which, and whether there are too few."""
+
+from __future__ import annotations
+
+from ..directory import rank
+from ..supervisor.lull import Lull
+from .led_run import LedRun
+
+DOUBTFUL = 3  # a replica in doubt has one place in so many
+IN_TIME = 0.4  # of the time until a lot is due: what waits and would be done in so much needs no more replicas
+LAG = 4.0  # a worker whose node lags this many times more than the middle one drives no replica
+
+
+def lane_of(plan, lot):
+    """The lane that a lot came by; None if the configuration has it no more.
+
+    >>> lane_of(None, None) is None
+    True
+    """
+    return plan.lane(lot.host, lot.path.split("?", 1)[0]) if plan is not None else None
+
+
+class Places:
+    """Answers for one leader.
+
+    >>> # places = Places(store); places.open(engine, now); places.driver(run, engine)
+    """
+
+    def __init__(self, store):
+        self.st = store
+        self.lull = Lull()
+
+    def workers(self, run: LedRun) -> list:
+        """Seats that may drive replicas: not those that lag far behind the others, nor this node if others can."""
+        seats = list(run.seats.values())
+        lags = sorted(s.lag for s in seats)
+        middle = lags[len(lags) // 2] if lags else 0.0
+        well = [s for s in seats if s.lag <= max(LAG * middle, self.st.beat_s * 0.25)] or seats
+        others = [s for s in well if s.worker != self.st.id]
+        return others if len(others) >= 2 else well
+
+    def driver(self, run: LedRun, e) -> str | None:
+        """The worker of an engine, by rendezvous: of the engine's zone where there is one."""
+        seats = self.workers(run)
+        key = tuple(sorted((s.worker, s.zone) for s in seats))
+        if key != run.drivers_of:
+            run.drivers_of, run.drivers = key, {}
+        got = run.drivers.get(e.iid)
+        if got is None and key:
+            near = [w for w, z in key if z == e.zone] or [w for w, _ in key]
+            got = run.drivers[e.iid] = rank(e.iid, near)[0]
+        return got
+
+    def places(self, e) -> int:
+        return self.lull.places(e.service, e.slots, self.st.engines.count(e.service))
+
+    def open(self, e, now: float) -> int:
+        """Free places of an engine that may have items; one in doubt gets few until it has proven itself."""
+        if e.draining or e.pause_until > now:
+            return 0
+        health = e.fitness.look(now)
+        if health == "resting":
+            return 0
+        places = self.places(e)
+        return (min(places, max(1, places // DOUBTFUL)) if health == "doubtful" else places) - e.busy()
+
+    def short(self, run: LedRun, model: str) -> bool:
+        """Whether items that the trainer waits for find no free place under a version that they allow, and would not be
+        done well before they are due where the others run."""
+        now = self.st.clock.now()
+        for lid, q in run.queues.items():
+            lot = run.reign.lots.get(lid)
+            if lot is None or lot.model != model or lot.ended or not q.wanted(now):
+                continue
+            fit = [
+                e
+                for e in self.st.engines.of(run.reign.run)
+                if model not in e.held and e.revs.get(model, 1) >= lot.least and not e.draining
+            ]
+            if any(e.busy() < self.places(e) for e in fit):
+                continue
+            if not self._in_time(run, lot, q.waiting[False], sum(e.running.get(model, 0) for e in fit), now):
+                return True
+        return False
+
+    def _in_time(self, run: LedRun, lot, waiting: int, running: int, now: float) -> bool:
+        """Whether so many waiting items of a lot would be done well before it is due."""
+        lane, done_s = lane_of(self.st.plan, lot), run.times.forecast(lot.model, waiting, running)
+        return lane is not None and done_s is not None and done_s <= IN_TIME * (lot.taken + lane.due_s - now)
+
+    def room_for(self, run: LedRun, lanes: list) -> int:
+        """Free places where any of these lanes may run."""
+        now, placement = self.st.clock.now(), self.st.placement
+        zones = {zone for lane in {id(x): x for x in lanes}.values() for zone in placement.zones(lane) or ()}
+        engines = [e for e in self.st.engines.of(run.reign.run) if e.zone in zones]
+        return sum(max(0, self.open(e, now)) for e in engines)
--- /dev/null
+++ b/lines/cordboard/settlement.py
@@ -0,0 +1,98 @@
+"""Settlements of workers (KIP-932): accept, release and reject, each counted once its copies are synced."""
+
+from __future__ import annotations
+
+import asyncio
+
+import orjson
+
+from ..batches import Deposed
+from ..rpc import Refusal
+from .led_run import LedRun
+from .window import BadMove, Entry, State, Window
+
+
+class Settlements:
+    """Takes the settlements of one leader's workers.
+
+    >>> # settlements = Settlements(leader); doc = await settlements.commit(doc, body)
+    """
+
+    def __init__(self, leader):
+        self.leader, self.st, self.quiet_s = leader, leader.st, leader.quiet_s
+
+    async def commit(self, doc: dict, body: bytes):
+        """A worker's settlements. Each counts once its copies are synced under this epoch; the answer says which."""
+        run = self.leader.run_of(doc)
+        rows = orjson.loads(body)
+        outs = await asyncio.gather(*(self._settle(run, doc["worker"], row) for row in rows))
+        self.st.board.touch("work")
+        return {"done": outs}
+
+    async def _settle(self, run: LedRun, worker: str, row: dict) -> bool:
+        win = run.windows.get(row["part"])
+        try:
+            if win is None:
+                raise BadMove(f"{row['part']}: no such partition")
+            e = win.held(row["off"], worker, row["dc"])
+        except BadMove:
+            self.st.ctr.add("share.refused")
+            return False
+        self._learn(e, row)
+        if e.settling:
+            return False
+        self.leader.unplace(e)
+        if row["kind"] == "release":
+            return self._release(run, win, e, row)
+        e.settling = True
+        try:
+            await run.reign.list_result(e.lot, e.item.iid, row["doc"])
+        except Deposed:
+            run.reign.over()
+            raise Refusal(3005) from None
+        finally:
+            e.settling = False
+        if e.item.iid not in e.lot.done:  # the reign or the lot ended meanwhile: not settled
+            return False
+        if e.state is State.ACQUIRED:
+            win.settle(e.offset, worker, row["dc"], row["kind"])
+            run.entries.get(e.lot.lid, {}).pop(e.item.iid, None)
+        self.st.ctr.add("share." + row["kind"])
+        return True
+
+    def _release(self, run: LedRun, win: Window, e: Entry, row: dict) -> bool:
+        e.texts, e.last_id, e.versions = row["texts"], row["last"], set(row["versions"])
+        e.fails = max(e.fails, row["fails"])
+        if row["forget_home"]:
+            q = run.queues.get(e.lot.lid)
+            if q is not None:
+                q.forget_home(e.item.group)
+        # a delivery count never ends an item: the rules name what may. One that came back often waits longer.
+        pause = row["pause"] + min(self.quiet_s, 0.02 * max(0, e.deliveries - 5))
+        win.held(e.offset, e.worker, e.deliveries)
+        self.leader.again(run, e, "release", pause if pause > 0.001 else 0.0)
+        return True
+
+    def _learn(self, x: Entry, row: dict) -> None:
+        """What the run showed of its replica: health and versions are judged here, in one place."""
+        st, now = self.st, self.st.clock.now()
+        e = st.engines.all.get(row["engine"])
+        if e is None:
+            return
+        for sign, rest in row["signs"]:
+            if sign == "served" and st.placement.policy is not None:
+                st.picker.proofs[e.service, e.zone] = now  # a sign of life of its region
+            if sign == "gone":
+                st.engines.drop(e.iid)
+                return
+            if sign == "doubt":
+                st.orders.doubt(e)
+                e.pause_until = now + st.gap_s() * 0.4
+            elif sign == "full":
+                e.pause_until = now + st.gap_s() * 0.2
+            elif sign == "version":
+                e.proven(x.lot.model, rest)
+            elif sign == "pace":
+                e.pace += 0.1 * (rest - e.pace)
+            else:
+                e.fitness.note(sign, now, rest)
--- a/lines/erlang/probes/shares.py
+++ b/lines/erlang/probes/shares.py
@@ -56,7 +56,7 @@
             members=lambda: {n: {"state": "active"} for n in names},
             placement=need("areacodes.placement", "Placement")(),
         )
-        self.leader = need("cordboard", "Leader", "fetch", "commit", "sync", "_wake", "_give_back", "_hand_out")(store)
+        self.leader = need("cordboard", "Leader", "fetch", "commit", "sync", "_wake", "_hand_out")(store)
         self.names, self.places, self.polls = names, places, itertools.count(1)
 
     async def _list(self, lot, iid, doc) -> None:
@@ -70,10 +70,10 @@
         self.reign.fresh = fresh
         run = self.leader.runs[RUN]
         mine = self.engines.of(RUN)
-        self.worker = self.leader.driver(run, mine[0])
+        self.worker = self.leader.places.driver(run, mine[0])
         left = self.places
         for e in mine:
-            free = min(left, e.slots) if self.leader.driver(run, e) == self.worker else 0
+            free = min(left, e.slots) if self.leader.places.driver(run, e) == self.worker else 0
             e.running[MODEL] = e.slots - free
             left -= free
         if left:
@@ -126,9 +126,9 @@
 
     def turn(self) -> None:
         """What the leader's loop does whenever there is news of work."""
-        self.leader.lull.heed({})
+        self.leader.places.lull.heed({})
         self.leader.sync()
-        self.leader._give_back()
+        self.leader.recalls.give_back()
         self.leader._wake()
 
 
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -51,9 +51,9 @@
             assert (await w.evacuate("/e1/start"))[0] == 200
             await w.load_until("moving", move(w, killed_in))
             assert w.regions_of("before") == {"attica"}
-            held_lot = [first for r in w.of("thessaly") for rid, first, _ in r.runs if rid.startswith("cut.lot.held")]
             await w.load("away", lambda k: k >= 4)
             await asyncio.gather(*held)
+            held_lot = [first for r in w.of("thessaly") for rid, first, _ in r.runs if rid.startswith("cut.lot.held")]
             assert w.regions_of("away") == {"thessaly"}
             assert 3 in held_lot and set(held_lot) <= {1, 3}  # what ran went on behind its text, the rest began there
             streams = [(r.zone, first) for r in w.replicas for rid, first, _ in r.runs if rid == "cut.s.held.0"]
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -7,7 +7,7 @@
 
 from lines.cordboard import Leader
 from lines.cordboard.forecast import RunTimes
-from lines.cordboard.leader import Run
+from lines.cordboard.led_run import LedRun
 from lines.dialplan import Plan
 from lines.frame import Board
 from lines.supervisor import Engines
@@ -54,7 +54,7 @@
     lot = SimpleNamespace(model="m", ended=False, least=2, taken=clock.now() - age, host="h", path="/l/x")
     reign = SimpleNamespace(run="s", lots={"lot": lot})
     it = Leader(store)
-    run = it.runs["s"] = Run(reign, clock.now())
+    run = it.runs["s"] = LedRun(reign, clock.now())
     run.queues["lot"] = SimpleNamespace(wanted=lambda now: waiting > 0, waiting=[waiting, 0])
     if took is not None:
         run.times.note("m", took)
--- a/tests/test_share_group.py
+++ b/tests/test_share_group.py
@@ -377,7 +377,7 @@
             lead = holder(w)
             part = lead.leader.runs["llm"]
             for e in part.windows["m"].locked.values():
-                lead.leader._break_off(part, e, "recall")
+                lead.leader.break_off(part, e, "recall")
             lead.leader._wake()
             await w.until(lead.board, "nothing", lambda: not any(s.drop for s in part.seats.values()))
             w.replicas[2].mood.clear()
