--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -210,3 +210,86 @@
     assert not seen.faults()
     plant(seen)
     assert any(words in fault for fault in seen.faults())
+
+
+TWO_TENANTS = """version = 2
+
+[[rule]]
+name = "yards"
+routes = ["q"]
+regions = ["attica", "thessaly"]
+tenant = "yards"
+
+[[rule]]
+name = "mills"
+routes = ["n"]
+regions = ["thessaly", "attica"]
+tenant = "mills"
+"""
+
+
+def test_two_tenants_move_at_once_into_what_the_other_leaves(run, tmp_path, timed):
+    async def go():
+        w = await day(tmp_path)
+        try:
+            assert (await w.put_policy(TWO_TENANTS, 1))[0] == 200
+            for node in w.nodes():
+                await w.until(node.board, "parts", lambda n=node: n.placement.policy.version == 2)
+            mills = {"Id": "e2", "Tenant": "mills", "Origin": "thessaly", "Target": "attica"}
+            assert (await w.planned())[0] == (await w.planned(**mills))[0] == 200
+            assert (await w.evacuate("/e1/start"))[0] == (await w.evacuate("/e2/start"))[0] == 200
+            both = asyncio.gather(w.reach("moved"), w.reach("moved", name="e2"))
+            await asyncio.gather(both, *(clients(w, kind, "moving", both) for kind in "qn"))
+            for node in w.nodes():
+                await w.until(node.board, "parts", lambda n=node: len(n.placement.moves.all) == 2)
+            await asyncio.gather(*(w.one(kind, "away", k, 0) for kind in "qn" for k in range(6)))
+            seen = w.seen()
+            assert seen["away", "q", "thessaly"] == seen["away", "n", "attica"] == 6
+            assert not seen["away", "q", "attica"] and not seen["away", "n", "thessaly"]
+            assert {n.doc["Tenant"] for n in w.tenant.acknowledged} == {"yards", "mills"}
+            assert not seen_of(w).faults(must_be_told=False)  # requests of one always run where the other goes
+        finally:
+            await w.finish()
+
+    run(go(), 60)
+
+
+async def clients(w, kind, phase, until):
+    k = 0
+    while not until.done():
+        await w.one(kind, phase, k, k % 2)
+        k += 1
+
+
+def test_half_of_the_target_is_lost_in_the_middle_of_a_move(run, tmp_path, timed):
+    """A store that got copies, and one replica of each service there, while items are at work."""
+
+    async def go():
+        w = await day(tmp_path)
+        try:
+            assert (await w.planned())[0] == 200
+            held = [asyncio.ensure_future(w.lots("cut", "held"))]
+            await w.until(w.edge.board, "nothing", lambda: "roll" in kinds_at_work(w, "attica"))
+            assert (await w.evacuate("/e1/start"))[0] == 200
+            await w.load_until("moving", lose_half(w))
+            await asyncio.gather(*held)
+            await w.load("away", lambda k: k >= 4)
+            assert w.regions_of("away") == {"thessaly"}
+            faults = [fault for fault in seen_of(w).faults() if "no clear answer" not in fault]
+            assert not faults and len(w.odd) <= 4  # what may run once and was at a replica that was killed
+        finally:
+            await w.finish()
+
+    run(go(), 80)
+
+
+async def lose_half(w):
+    await w.reach("moving")
+    await w.kill(w.stores.pop(4))
+    for service in ("quote", "llm"):
+        replica = w.of("thessaly", service)[0]
+        w.up.discard(replica)
+        await replica.cut("killed")
+    for r in w.replicas:
+        r.hold.set()
+    await w.reach("moved")
