Evacuation: a failure of a notice that comes late undoes nothing

Cause: where the term of a notice lets the move go on, the last try fails at the same moment, and its word could stand in place of 'term over'. Words on a notice only rise now; a table of cases holds it.

--- a/lines/evacuation/commands.py
+++ b/lines/evacuation/commands.py
@@ -21,6 +21,7 @@
 KEEP_FINAL = 16  # records of evacuations that are over
 KEEP_LOG = 32  # rows of a record's log
 OPERATOR = "operator"
+NO_KEY, FAILED, TERM_OVER, ACKNOWLEDGED = WORDS = ("no key", "failed", "term over", "acknowledged")  # on a notice
 
 commands = Commands()
 
@@ -215,9 +216,11 @@
     record, refusal = _held(val, args)
     if refusal is not None:
         return refusal
-    changed = record["notices"].get(args["kind"]) != args["word"]
+    before = record["notices"].get(args["kind"])
+    if WORDS.index(args["word"]) <= (WORDS.index(before) if before else -1):
+        return DONE, None, False  # a failure that comes late does not undo what was settled
     record["notices"][args["kind"]] = args["word"]
-    return DONE, None, changed
+    return DONE, None, True
 
 
 # -- the stores that lead the tenant's runs
--- a/lines/evacuation/duty.py
+++ b/lines/evacuation/duty.py
@@ -13,11 +13,10 @@
 from ..batches import active
 from ..control.store_commands import begun
 from ..dialplan import Plan
-from .commands import DUTY
+from .commands import ACKNOWLEDGED, DUTY, FAILED, NO_KEY, TERM_OVER
 from .record import FINAL, Place, State
 from .room import Needs, lacks, unloaded
 
-ACKNOWLEDGED, TERM_OVER, FAILED, NO_KEY = "acknowledged", "term over", "failed", "no key"
 AGE_STEP_S = 10.0  # of a record's age that a change of holders may lose
 MOVE, BACK, GIVEN_UP = "move", "return", "cancelled"  # kinds of notices
 
--- a/tests/test_evacuation_commands.py
+++ b/tests/test_evacuation_commands.py
@@ -309,3 +309,23 @@
     assert register.do("evacuation.age", id="e1", term=2, age_s=90.0)[0] == 2018
     assert register.val["evacuations"]["e1"]["age_s"] == 30.0
     assert register.step("moving", age_s=31.0)[1]["Log"][-1]["AgeS"] == 31.0
+
+
+NOTICES = [  # words in the order in which they come, what the record says then
+    (["failed", "acknowledged"], "acknowledged"),
+    (["no key", "failed", "term over"], "term over"),
+    (["term over", "failed"], "term over"),  # the last try ends as the term does
+    (["term over", "acknowledged"], "acknowledged"),
+    (["acknowledged", "failed"], "acknowledged"),
+]
+
+
+@pytest.mark.parametrize("words, last", NOTICES)
+def test_a_late_failure_of_a_notice_undoes_nothing(words, last):
+    register = Register().to("announced")
+    for word in words:
+        assert register.do("evacuation.notice", id="e1", term=1, kind="move", word=word)[0] == 1000
+    assert register.val["evacuations"]["e1"]["notices"] == {"move": last}
+    before = copy.deepcopy(register.val)
+    assert register.do("evacuation.notice", id="e1", term=1, kind="move", word=last)[2] is False
+    assert register.val == before
