--- a/tests/evacuation_rig.py
+++ b/tests/evacuation_rig.py
@@ -180,7 +180,7 @@
             name = rid if rid.startswith("c-") else rid.rsplit(".", 1)[0]
             seen.runs.append((name, path.split("/")[1], ZONES[replica.zone]))
         if ZONES[replica.zone] == "thessaly":
-            seen.moved_at = min([seen.moved_at, *replica.times])
+            seen.moved_at = min([seen.moved_at, *getattr(replica, "times", ())])
     seen.notices = [(notice.name, notice.at) for notice in day.tenant.acknowledged]
     return seen
 
