--- a/tests/evacuation_rig.py
+++ b/tests/evacuation_rig.py
@@ -7,12 +7,14 @@
 import time
 from dataclasses import dataclass, field
 
+import aiohttp
 import orjson
 from aiohttp import web
 from standins import LOG, plan
 from test_regions import ZONES, Day
 
 from lines.evacuation.notices import ID, SIGNATURE, sign
+from lines.rpc import CallError
 from lines.store.node import StoreNode
 
 KEY = b"0123456789abcdef"
@@ -188,3 +190,52 @@
 def sound(notice) -> bool:
     """Whether a notice bears the signature of its body."""
     return notice.signature == sign(KEY, notice.body)
+
+
+class Parting:
+    """Cuts the nodes and replicas of one region off from all others, and joins them again."""
+
+    def __init__(self, day, zone):
+        self.day, self.zone = day, zone
+        self.cut = False
+        replicas = {replica.addr: replica.zone for replica in day.replicas}
+        self.zones = {**replicas, **{node.boot.ip: node.boot.zone for node in [*day.nodes(), *day.cores.values()]}}
+        for node in day.nodes():
+            self._watch(node)
+
+    def _parted(self, node, addr) -> bool:
+        zone = self.zones.get(addr) or self.zones.get(addr.rsplit(":", 1)[0])
+        return self.cut and (node.boot.zone == self.zone) != (zone == self.zone)
+
+    def _watch(self, node) -> None:
+        to, ask = node.lines.to, node.caller.ask
+
+        def guarded_to(addr):
+            if self._parted(node, addr):
+                return _NoWay()
+            return to(addr)
+
+        def guarded_ask(addr, *args, **kw):
+            if self._parted(node, addr):
+                raise aiohttp.ConnectionTimeoutError("parted")
+            return ask(addr, *args, **kw)
+
+        node.lines.to, node.caller.ask = guarded_to, guarded_ask
+
+    def begin(self) -> None:
+        """Part them: nodes there are not heard any more, and neither are replicas."""
+        self.cut = True
+        self.away = {replica for replica in self.day.up if replica.zone == self.zone}
+        self.day.up -= self.away
+
+    def end(self) -> None:
+        """Join them."""
+        self.cut = False
+        self.day.up |= self.away
+
+
+class _NoWay:
+    """In place of a connection over the cut."""
+
+    async def call(self, *args, **kw):
+        raise CallError("parted", sent=False)
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from evacuation_rig import KEY, EvacuationDay, Seen, seen_of, sound
+from evacuation_rig import KEY, POLICY, EvacuationDay, Parting, Seen, seen_of, sound
 from test_regions import ZONES, RegionReplica
 
 BOUNDS = {"ConvergeMs": 300}
@@ -293,3 +293,39 @@
     for r in w.replicas:
         r.hold.set()
     await w.reach("moved")
+
+
+def test_the_regions_part_in_the_middle_of_a_move_and_meet_again(run, tmp_path, timed):
+    """For longer than a region may be silent: the target is out for the rules, the origin serves as what is left;
+    when they meet again, the move goes on from where it stood."""
+
+    async def go():
+        w = await day(tmp_path)
+        try:
+            quick = POLICY.replace("version = 1", "version = 2").replace(
+                'tenant = "yards"', "return_after_s = 1\ntenant = 'yards'"
+            )
+            assert (await w.put_policy(quick, 1))[0] == 200
+            parting = Parting(w, "z2")
+            assert (await w.planned())[0] == 200
+            await w.load("before", lambda k: k >= 4)
+            assert (await w.evacuate("/e1/start"))[0] == 200
+            await w.reach("moving")
+            parting.begin()
+            await w.until(w.edge.board, "parts", lambda: is_out(w.edge, "thessaly"))
+            assert (await w.record())["OperState"] == "moving"
+            await asyncio.gather(*(w.one(kind, "parted", k, 0) for kind in "qn" for k in range(4)))
+            parting.end()
+            await w.load_until("met", w.reach("moved"))
+            await w.all_place("thessaly")
+            await w.load("away", lambda k: k >= 4)
+            assert w.regions_of("away") == {"thessaly"} and w.regions_of("before") == {"attica"}
+            assert w.regions_of("parted") == {"attica"} and not seen_of(w).faults()
+        finally:
+            await w.finish()
+
+    run(go(), 80)
+
+
+def is_out(edge, region):
+    return bool(edge.placement.facts.get(region, {}).get("out"))
