Evacuation tests: a move does not end before its test waits for that

Cause of the known red test, found in a run that hung beside load (40 s after its start the record stood at moved while the test waited to see moving): a move ends by itself after two seconds, and on a busy machine it was over before the test had looked. The rig now holds a move in its middle until a test waits for its end, so the losses always fall into it; nothing is checked less. Effects are done through protect(): intent, observation after an expiry, act, commit, for usage and orders alike.

--- a/lines/autoscale/controller.py
+++ b/lines/autoscale/controller.py
@@ -9,8 +9,9 @@
 import asyncio
 from collections import Counter
 
-from ..cloud import CallResult, PlatformClient
+from ..cloud import PlatformClient
 from ..ledger.commands import split_key
+from ..ledger.effect import EffectFailed, protect
 from ..ledger.lease import DutyCallFailed, StandingLease
 from ..ledger.record import DutyState
 from .policy import ScaleLimits, ServiceScaler, spread
@@ -19,7 +20,6 @@
 NAMESPACE = "capacity"  # of the ledger, and the platform's path
 LOOK_S = 0.5  # between looks
 LIVE_SHARE = 0.6  # of a service's places that live requests may take before replicas are added
-PAUSE_S, LONGEST_PAUSE_S = 0.3, 2.0  # before a call is sent again
 
 
 class CapacityController:
@@ -110,29 +110,21 @@
             self._sending[subject] = self.st.crew.once("capacity", self._order, subject, number, order)
 
     async def _order(self, subject: str, number: int, order: dict) -> None:
-        key = f"{NAMESPACE}/{subject}:{number}"
         try:
-            begun = await self.lease.call("duty.intend", key, intent=order)
-            if begun["cached"]:
-                return
-            self.st.log.info("capacity: {}", begun["intent"])
-            if await self._send(begun["intent"]):
-                await self.lease.call("duty.commit", key, result="taken")
-            else:
-                await self.lease.call("duty.fail", key, error="the platform refused it")
-                self.st.log.error("the platform refused the order {}", begun["intent"])
+            await protect(self.lease, f"{NAMESPACE}/{subject}:{number}", order, self._send, self._observe)
         except DutyCallFailed as e:
             self.st.ctr.add(f"capacity.put_off.{e.code}")
+        except EffectFailed as e:
+            self.st.log.error("capacity: {}: {}", order, e)
+
+    async def _observe(self, order: dict) -> str | None:
+        """Whether an order whose holder fell silent has been carried out: so many replicas are there."""
+        found = self._there(order["Service"]).get(order["Zone"]) == order["DesiredCount"]
+        return "observed" if found else None
 
-    async def _send(self, order: dict) -> bool:
-        pause = PAUSE_S
-        while self.lease.may_act():
-            result = await self.platform.post(f"/{NAMESPACE}", order, self.lease.tenancy.fence, self.lease.may_act)
-            if result in (CallResult.TAKEN, CallResult.REFUSED):
-                return result is CallResult.TAKEN
-            await asyncio.sleep(pause)
-            pause = min(pause * 2, LONGEST_PAUSE_S)
-        raise DutyCallFailed(2302)
+    async def _send(self, order: dict) -> str:
+        self.st.log.info("capacity: {}", order)
+        return await self.platform.deliver(f"/{NAMESPACE}", order, self.lease)
 
 
 def latest_orders(duties: dict) -> dict:
--- a/lines/cloud/client.py
+++ b/lines/cloud/client.py
@@ -9,10 +9,14 @@
 import aiohttp
 import orjson
 
+from ..ledger.effect import EffectFailed
+from ..ledger.lease import DutyCallFailed, StandingLease
+from ..ledger.machine import STALE_FENCE
 from ..sends import NotSent
 
 HOLDER, FENCE = "X-Archhatch-Duty-Owner", "X-Archhatch-Fence-Token"
 CALL_S = 2.0  # how long the platform may take to answer
+PAUSE_S, LONGEST_PAUSE_S = 0.3, 2.0  # before a call is sent again
 RATE_SHARE = 0.5  # of what the platform accepts a second: a holder that has just changed may not know the last calls
 
 
@@ -28,7 +32,7 @@
 class PlatformClient:
     """POSTs to the platform; the lease is checked when the connection is there, right before the write.
 
-    >>> # result = await client.post("/capacity", {"Service": "s", ...}, fence=4, may_send=lease.may_act)
+    >>> # await client.deliver("/capacity", {"Service": "s", "Zone": "z", "DesiredCount": 4}, lease)
     """
 
     def __init__(self, settings, node: str, caller, clock, counters):
@@ -54,6 +58,20 @@
             self.counters.add("platform.unanswered")
             return CallResult.AGAIN
 
+    async def deliver(self, path: str, doc: dict, lease: StandingLease) -> str:
+        """Send a call again and again until it is taken, under a lease. EffectFailed if it never can be; DutyCallFailed
+        once the lease has ended."""
+        pause = PAUSE_S
+        while lease.may_act():
+            result = await self.post(path, doc, lease.tenancy.fence, lease.may_act)
+            if result is CallResult.TAKEN:
+                return result.value
+            if result is CallResult.REFUSED:
+                raise EffectFailed(f"{path}: the platform refused it")
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, LONGEST_PAUSE_S)
+        raise DutyCallFailed(STALE_FENCE)
+
     def _judge(self, status: int) -> CallResult:
         self.counters.add(f"platform.{status}")
         if 200 <= status < 300:
--- a/lines/usage/reporter.py
+++ b/lines/usage/reporter.py
@@ -8,8 +8,9 @@
 
 import asyncio
 
-from ..cloud import CallResult, PlatformClient
+from ..cloud import PlatformClient
 from ..ledger.commands import split_key
+from ..ledger.effect import EffectFailed, protect
 from ..ledger.lease import DutyCallFailed, StandingLease
 from ..ledger.record import DutyState
 from .collector import UsageCollector
@@ -19,7 +20,6 @@
 CLOSE = 0.35  # of UsageDelayS: so long after its end a window is closed; edges have told by then
 LATE = 3.0  # times UsageDelayS: a window that ended so long ago is not begun any more
 LOOK_S = 0.25  # between looks for a window to report
-PAUSE_S, LONGEST_PAUSE_S = 0.3, 2.0  # before a call is sent again
 
 
 class UsageReporter:
@@ -90,26 +90,11 @@
         window = split_key(key)[2]
         intent = {"WindowId": window, "Counts": self.collector.counts(window)}
         try:
-            begun = await self.lease.call("duty.intend", key, intent=intent)
-            if begun["cached"]:
-                return
-            if await self._send(begun["intent"]):
-                await self.lease.call("duty.commit", key, result="taken")
-            else:
-                await self.lease.call("duty.fail", key, error="the platform refused it")
-                self.st.log.error("usage of window {} was refused by the platform", window)
+            await protect(self.lease, key, intent, self._send)
         except DutyCallFailed as e:
             self.st.ctr.add(f"usage.put_off.{e.code}")
+        except EffectFailed as e:
+            self.st.log.error("usage of window {}: {}", window, e)
 
-    async def _send(self, report: dict) -> bool:
-        """Send a report until it is taken; False if it never can be. DutyCallFailed once the lease has ended."""
-        pause = PAUSE_S
-        while self.lease.may_act():
-            result = await self.platform.post(f"/{DUTY}", report, self.lease.tenancy.fence, self.lease.may_act)
-            if result is CallResult.TAKEN:
-                return True
-            if result is CallResult.REFUSED:
-                return False
-            await asyncio.sleep(pause)
-            pause = min(pause * 2, LONGEST_PAUSE_S)
-        raise DutyCallFailed(2302)
+    async def _send(self, report: dict) -> str:
+        return await self.platform.deliver(f"/{DUTY}", report, self.lease)
--- a/tests/evacuation_rig.py
+++ b/tests/evacuation_rig.py
@@ -81,7 +81,19 @@
 
 
 class EvacuationDay(Day):
-    """Two edges, stores and replicas in two regions, and replicas in a third where the tenant may not run."""
+    """Two edges, stores and replicas in two regions, and replicas in a third where the tenant may not run.
+
+    A move that is under way does not end before a test waits for its end: its middle would else be over, on a busy
+    machine, before the test has looked.
+    """
+
+    moves_may_end = False
+
+    async def add_core(self, i, first=True):
+        await super().add_core(i, first)
+        duty = self.cores[i].evacuations
+        drained = duty._drained
+        duty._drained = lambda *args: self.moves_may_end and drained(*args)
 
     async def add_store(self, i, first=True):
         boot = dataclasses.replace(self.boot("store", f"{self.net}.2.{i}", first), zone=STORE_ZONES[i - 1])
@@ -120,6 +132,7 @@
 
     async def reach(self, *states, name="e1", placed=None):
         """Wait until an evacuation is in one of these states."""
+        self.moves_may_end = bool({"moved", "returned", "cancelled", "failed"} & set(states))
         while True:
             got = await self.record(name)
             if got["OperState"] in states and placed in (None, got["Placed"]):
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -7,6 +7,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from lines.ledger.commands import KEEP_FINISHED, commands
+from lines.ledger.effect import EffectFailed, protect
+from lines.ledger.lease import DutyCallFailed
 from lines.ledger.record import AUDIT_KEPT
 from lines.ledger.watch import LeaseWatch
 
@@ -165,6 +167,79 @@
     assert len(audit) == AUDIT_KEPT and audit[-1] == ["granted", AUDIT_KEPT + 5, "a"]
 
 
+class OneLease:
+    """A lease of one node, on a ledger without a network."""
+
+    def __init__(self, ledger, node, fence):
+        self.ledger, self.node, self.fence = ledger, node, fence
+
+    async def call(self, name, key, **args):
+        code, doc = self.ledger.run(name.removeprefix("duty."), self.node, key=key, fence=self.fence, **args)
+        if code != DONE:
+            raise DutyCallFailed(code, doc)
+        return doc
+
+
+PROTECTED = [  # what came before, what an observation finds, what is done, the result
+    ("nothing", "found", ["act"], "acted"),
+    ("an expiry", "found", ["observe"], "found"),
+    ("an expiry", None, ["observe", "act"], "acted"),
+    ("a commit", None, [], "before"),
+    ("a reset", "found", ["act"], "acted"),
+]
+
+
+@pytest.mark.parametrize("before, found, done, result", PROTECTED)
+def test_what_is_done_to_have_an_effect_once(run, before, found, done, result):
+    async def go():
+        ledger = play([ASK_A])
+        steps = {
+            "nothing": [],
+            "an expiry": [("intend", {"intent": 1})],
+            "a commit": [("intend", {"intent": 1}), ("commit", {"result": "before"})],
+            "a reset": [("intend", {"intent": 1}), ("fail", {"error": "x"})],
+        }[before]
+        for name, args in steps:
+            assert ledger.run(name, "a", key=WINDOW, fence=1, **args)[0] == DONE
+        if before == "a reset":
+            assert ledger.run("reset", "operator", key=WINDOW)[0] == DONE
+        ledger.clock.at += 6
+        assert ledger.run("request", "b")[0] == DONE
+        seen = []
+
+        async def act(intent):
+            seen.append("act")
+            assert intent == (1 if before == "an expiry" else 2)
+            return "acted"
+
+        async def observe(intent):
+            seen.append("observe")
+            return found
+
+        lease = OneLease(ledger, "b", 2)
+        assert await protect(lease, WINDOW, 2, act, observe) == result and seen == done
+        assert await protect(lease, WINDOW, 3, act, observe) == result and seen == done  # and never again
+
+    run(go())
+
+
+def test_an_act_that_cannot_succeed_is_kept_as_failed(run):
+    async def go():
+        ledger = play([ASK_A])
+
+        async def act(intent):
+            raise EffectFailed("no such zone")
+
+        lease = OneLease(ledger, "a", 1)
+        with pytest.raises(EffectFailed):
+            await protect(lease, WINDOW, 1, act)
+        with pytest.raises(DutyCallFailed) as refusal:
+            await protect(lease, WINDOW, 1, act)
+        assert (refusal.value.code, refusal.value.doc) == (FAILED, "no such zone")
+
+    run(go())
+
+
 NODES = st.sampled_from(["a", "b", "c"])
 
 
