--- a/lines/cordboard/worker.py
+++ b/lines/cordboard/worker.py
@@ -3,48 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import base64
-from dataclasses import dataclass, field
 from types import SimpleNamespace
 
-import aiohttp
 import orjson
 
-from ..sends import AGAIN, ECHO, EXPECT_REV, SEAL, VERSIONS, NotSent, belongs, has_end, says_not_run
-from ..sends.events import EventReader, follows
-from ..sends.heads import LAST_ID, URGENCY, with_tenant
 from ..supervisor.lull import Lull
 from ..supervisor.scoring import Scoring
 from ..rpc import CallError, Refusal
-
-
-@dataclass(eq=False)
-class Job:
-    """An acquired entry in a worker's hands. state: running, scoring, settling."""
-
-    run: str
-    card: dict
-    until: float  # the lock's end by this node's steady clock
-    state: str = "running"
-    texts: list = field(default_factory=list)
-    last_id: str = ""
-    versions: set = field(default_factory=set)
-    fails: int = 0
-    score_fails: int = 0
-    signs: list = field(default_factory=list)
-    pause: float = 0.0
-    forget_home: bool = False
-    off_told: bool = False
-    row: dict | None = None  # its settlement, until the leader committed it
-    task: object = None
-    item: object = None
-    may_send: object = None
-
-    def key(self) -> tuple:
-        return self.card["lot"], self.card["iid"]
-
-    def drop_text(self) -> None:
-        self.texts, self.last_id, self.versions = [], "", set()
+from .item_stream import ItemStream
+from .job import Job
 
 
 class Desk:
@@ -72,6 +39,7 @@
         self.st = store
         self.desks: dict[str, Desk] = {}
         self.lull = Lull()
+        self.stream = ItemStream(store)
         self.scoring = Scoring(store, self.lull)
         self.hold_s = store.boot.secs("CancelMs", 0.25)
         self.touch_s = store.boot.secs("CancelMs", 0.5)
@@ -254,7 +222,7 @@
 
     async def _run(self, desk: Desk, job: Job) -> None:
         try:
-            await self._stream(job)
+            await self.stream.run(job)
         except asyncio.CancelledError:
             # the leader wants it back: what was made goes with it
             if desk.jobs.get(job.key()) is job and job.state == "running":
@@ -363,128 +331,3 @@
                         st.ctr.add("share.lost_settlement")
             if any(j.row is not None for j in desk.jobs.values()):
                 desk.ready.set()
-
-    # -- one stream
-
-    def _sign(self, job: Job, what: str, rest: float = 0.0) -> None:
-        job.signs.append([what, rest])
-
-    async def _stream(self, job: Job) -> None:
-        """Run an entry once; what is whole moves on to scoring."""
-        st, card = self.st, job.card
-        version, gap = card["version"], self.st.gap_s()
-        given = with_tenant(card["heads"], card.get("tenant"))
-        heads = [("Host", card["host"]), (ECHO, card["iid"]), (EXPECT_REV, str(version))] + [
-            (k, v) for k, v in given if k.lower() not in ("host", ECHO.lower(), EXPECT_REV.lower())
-        ]
-        if card["service"] in st.live_services:
-            heads.append((URGENCY, "9"))
-        if job.last_id:
-            heads.append((LAST_ID, job.last_id))
-        now = st.clock.now
-        if not self._may_send(job):
-            return
-        st.ctr.add("item.send")
-        quiet = gap * 3
-        try:
-            async with asyncio.timeout(quiet + gap * 2) as limit:
-                async with st.caller.ask(
-                    card["addr"],
-                    card["engine"],
-                    "POST",
-                    card["path"],
-                    heads,
-                    base64.b64decode(card["payload"]),
-                    0.0,
-                    AGAIN,
-                    lambda: self._may_send(job),
-                ) as resp:
-                    if not belongs(resp, card["iid"], AGAIN):
-                        resp.close()
-                        raise ValueError("answer of another item")
-                    if says_not_run(resp):
-                        await resp.read()
-                        return self._turned_away(job, resp)
-                    if resp.status == 422:
-                        await resp.read()
-                        job.state, job.fails = "scoring", card["sends"]
-                        return
-                    if resp.status != 200:
-                        await resp.read()
-                        st.ctr.add(f"item.{resp.status}")
-                        if resp.status == 500:
-                            job.fails += 1
-                            if job.fails >= card["sends"]:
-                                job.state = "scoring"
-                        self._sign(job, "faulted", gap)
-                        job.pause = gap
-                        return
-                    if SEAL not in resp.headers or not has_end(resp):
-                        resp.close()
-                        raise ValueError("no seal, or nothing that tells where it ends")
-                    cur = newest(resp.headers.get(VERSIONS, ""), version)
-                    rd, began, n = EventReader(), now(), 0
-                    async for raw in resp.content.iter_any():
-                        limit.reschedule(asyncio.get_running_loop().time() + quiet)
-                        for ev in rd.feed(raw):
-                            if not follows(job.last_id, ev.id):
-                                raise ValueError("an event comes again")
-                            if ev.version:
-                                cur = newest(ev.version, cur)
-                            job.texts.append(ev.data)
-                            job.last_id = ev.id
-                            job.versions.add(cur)
-                            n += 1
-                    if rd.rest:
-                        raise ValueError("stream ended inside an event")
-                    if cur > version:
-                        self._sign(job, "version", cur)
-            self._sign(job, "served", gap)
-            if n:
-                self._sign(job, "pace", (now() - began) / n)
-            if (
-                any(v < card["least"] for v in job.versions)
-                or (card["single"] and len(job.versions) > 1)
-                or not job.texts
-            ):
-                st.ctr.add("item.misfit")
-                job.drop_text()
-                return
-            job.state = "scoring"
-            return
-        except NotSent:
-            st.ctr.add("item.too_late")
-            return
-        except aiohttp.ClientConnectorError:
-            self._sign(job, "vanished", gap * 2)
-            st.ctr.add("item.no_way")
-        except (asyncio.TimeoutError, TimeoutError):
-            self._sign(job, "vanished", gap * 2)
-            st.ctr.add("item.silent")
-        except (aiohttp.ClientError, OSError, ValueError) as ex:
-            self._sign(job, "faulted", gap)
-            st.ctr.add("item.cut")
-            st.log.debug("item cut at {}: {!r}", card["engine"], ex)
-        job.forget_home = True
-
-    def _turned_away(self, job: Job, resp) -> None:
-        st, card = self.st, job.card
-        st.ctr.add(f"item.away.{resp.status}")
-        other = resp.headers.get("X-Archhatch-Instance-Id")
-        if resp.status == 421 and other not in (None, card["engine"]):
-            self._sign(job, "gone")
-        elif resp.status == 421:
-            self._sign(job, "doubt")
-        else:
-            self._sign(job, "full")
-            job.forget_home = True
-
-
-def newest(head: str, dflt: int) -> int:
-    """The newest number in a head of versions.
-
-    >>> newest("6,7", 1), newest("", 3)
-    (7, 3)
-    """
-    nums = [int(x) for x in head.replace(" ", "").split(",") if x.isdigit()]
-    return nums[-1] if nums else dflt
