Usage and ledger: what is gathered and watched is bounded

Cause, found by reading: a store kept every window of an edge's life, and a lease watch every effect, for as long as the process lived. Now the newest 24 windows, and what is a duty.

--- a/lines/ledger/host.py
+++ b/lines/ledger/host.py
@@ -157,6 +157,7 @@
         now = self.st.clock.now()
         for key, duty in state["val"].get("duties", {}).items():
             self.watch.note(key, duty["fence"], duty["renewals"], now)
+        self.watch.keep_only({key for name in self.known for key in self.duties(name)})
         self.st.board.touch("ledger")
 
     # -- commands
--- a/lines/ledger/watch.py
+++ b/lines/ledger/watch.py
@@ -31,6 +31,10 @@
         if before is None or (before.fence, before.renewals) != (fence, renewals):
             self._seen[key] = _Seen(fence, renewals, now)
 
+    def keep_only(self, keys) -> None:
+        """Forget what is no duty any more."""
+        self._seen = {key: seen for key, seen in self._seen.items() if key in keys}
+
     def args(self, key: str, now: float) -> dict:
         """What a request for a key's lease has to bring."""
         seen = self._seen.get(key)
--- a/lines/usage/collector.py
+++ b/lines/usage/collector.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+WINDOWS_KEPT = 24  # of an edge's life, the newest
 KEEP_S = 60.0  # how long the words of an edge are kept after its last one
 
 
@@ -32,6 +33,8 @@
             return
         kept = dict(word.sums) if word is not None else {}
         kept.update(sums)
+        for old in sorted(kept)[:-WINDOWS_KEPT]:
+            del kept[old]
         self._words[edge, life] = _Word(version, kept, now)
         for key in [key for key, word in self._words.items() if now - word.at > KEEP_S]:
             del self._words[key]
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -243,6 +243,14 @@
     run(go())
 
 
+def test_a_watch_forgets_what_is_no_duty_any_more():
+    watch = LeaseWatch()
+    for key in ("a", "b"):
+        watch.note(key, 1, 0, 10.0)
+    watch.keep_only({"b"})
+    assert watch.args("a", 12.0) == {} and watch.args("b", 12.0)["seen"] == [1, 0]
+
+
 NODES = st.sampled_from(["a", "b", "c"])
 
 
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -8,6 +8,7 @@
 from lines.directory.agreed_time import AgreedTime
 from lines.frame import Counters
 from lines.rpc import CallError
+from lines.usage import collector
 from lines.usage.collector import UsageCollector
 from lines.usage.counter import WINDOWS_KEPT, UsageTeller
 
@@ -108,11 +109,13 @@
         assert gathered.counts(1) == counts
 
 
-def test_an_edge_keeps_the_last_windows_only():
-    edge = teller(Stores())
-    for window in range(20):
+def test_edges_and_stores_keep_the_last_windows_only():
+    edge, gathered = teller(Stores()), UsageCollector()
+    for window in range(60):
         edge.began("t", 5.0 * window + 1)
-    assert sorted(edge.counter.sums) == list(range(20 - WINDOWS_KEPT, 20))
+        gathered.tell("e1", "a", window, edge.counter.sums, 0.0)
+    assert sorted(edge.counter.sums) == list(range(60 - WINDOWS_KEPT, 60))
+    assert gathered.windows() == list(range(60 - collector.WINDOWS_KEPT, 60))
 
 
 @pytest.mark.parametrize("jumped, by", [(1, 3.0), (1, -3600.0), (2, 9.0)])
