--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -21,6 +21,7 @@
 import tomllib
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -273,6 +274,15 @@
         """Returns where an edge takes clients' requests."""
         return f"{self.net}.2.{edge}:{self.front_port}"
 
+    def readiness(self, edge: int = 1) -> str:
+        """Returns where the platform asks an edge for its readiness."""
+        return f"{self.net}.2.{edge}:{self.readiness_port}"
+
+    def add_edge(self, number: int) -> None:
+        """Adds an edge machine."""
+        bindings = {"FrontHttp": self.front(number), "Readiness": self.readiness(number)}
+        self._add(f"edge-{number}", "data-plane", "edge", f"{self.net}.2.{number}", bindings)
+
     def _settings(self, name: str, machine_class: str, ip: str, bindings: dict[str, str], has_disk: bool) -> dict:
         serves = {"edge": "edge", "core": "control", "storage": "storage"}[machine_class]
         data_dir = self.folder / name
@@ -346,13 +356,10 @@
         for i in (1, 2, 3):
             self._add(f"store-{i}", "store", "storage", f"{self.net}.1.{i}", {})
         for i in range(1, self.edge_count + 1):
-            ip = f"{self.net}.2.{i}"
-            bindings = {"FrontHttp": f"{ip}:{self.front_port}", "Readiness": f"{ip}:{self.readiness_port}"}
-            self._add(f"edge-{i}", "data-plane", "edge", ip, bindings)
+            self.add_edge(i)
         await self._until("the first configuration", lambda: self.change_configuration(configuration, 0))
         for i in range(1, self.edge_count + 1):
-            address = f"{self.net}.2.{i}:{self.readiness_port}"
-            await self._until(f"edge-{i} ready", lambda address=address: call_once(address, "GET", "/api/readiness"))
+            await self._until(f"edge-{i} ready", partial(call_once, self.readiness(i), "GET", "/api/readiness"))
 
     async def _until(self, what: str, attempt: Callable, wait_s: float = 25.0) -> None:
         end = time.monotonic() + wait_s
