--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -265,11 +265,19 @@
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.net = _loopback_net()
         self.control_port, self.front_port, self.readiness_port = (_free_port(f"{self.net}.0.1") for _ in range(3))
-        self.internal_port = _free_port(f"{self.net}.0.1", 16)
+        self.internal_port = _free_port(f"{self.net}.0.1", self.ports_needed())
         self.control_addresses = [f"{self.net}.0.{i}:{self.control_port}" for i in (1, 2, 3)]
         with (ROOT / "deploy" / "system.toml").open("rb") as file:
             self.roles = tomllib.load(file)["roles"]
 
+    def ports_needed(self) -> int:
+        """Returns how many internal ports are used from the first on."""
+        return 16
+
+    def settings_of(self, name: str, settings: dict) -> dict:  # noqa: ARG002 - a case may change those of a machine
+        """Returns the settings of a machine, as its file gets them."""
+        return settings
+
     def front(self, edge: int = 1) -> str:
         """Returns where an edge takes clients' requests."""
         return f"{self.net}.2.{edge}:{self.front_port}"
@@ -321,7 +329,8 @@
 
     def _add(self, name: str, program: str, machine_class: str, ip: str, bindings: dict[str, str]) -> None:
         path = self.folder / f"{name}.json"
-        path.write_text(json.dumps(self._settings(name, machine_class, ip, bindings, machine_class != "edge")))
+        settings = self._settings(name, machine_class, ip, bindings, machine_class != "edge")
+        path.write_text(json.dumps(self.settings_of(name, settings)))
         self.nodes[name] = Node(name, program, path)
         self.start_node(name)
 
