review: a script that is told to end ends its processes

Cause: SIGTERM ended a script before it ended what it had started. Change: it leaves by its way out.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -676,6 +676,7 @@
     """
     record = Record(Path(folder) / "record.txt")
     code = COULD_NOT_RUN
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))  # the case ends its processes on its way out
     try:
         is_broken = asyncio.run(asyncio.wait_for(play(record), limit_s))  # type: ignore[arg-type] # a coroutine
         code = BROKEN if is_broken else HELD
