Membership: the registry, not the order of news, says which incarnation has an address

Cause: readers took the last told of two ids at an address for the newer one. The silent mark of a crashed replica is told 3 s after its last heartbeat, after the successor that was back within that time; the living one was dropped for good.

Change: the registry keeps when each id was first heard, passes its age on to the other control nodes, marks all but the latest at an address as superseded, and tells readers nothing of these after their successor. One that is still heard takes its address back from one that is not. Readers drop superseded entries, let no unknown silent entry replace a replica that is heard, and take the marks of the answering node even where its sequence number is behind. Evacuations no longer count dead incarnations as capacity.

--- a/archhatch/control/admin_api.py
+++ b/archhatch/control/admin_api.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
 from ..consensus import is_majority
-from ..membership import ReplicaEntry, shard_of
+from ..membership import ReplicaEntry, shard_of, without_marks
 from ..rpc import CallRefusedError
 from ..runtime import error_result, json_result
 from ..singleton_roles.admin import SingletonRoleAdmin
@@ -145,8 +145,8 @@
         group = node.registers.group(PLAN)
         assert group is not None  # a node that knows no group does not serve
         voters = group["voters"]
-        pushed = {key: value for key, value in entry.items() if key != "silent"}
-        document = {"roll": [{**pushed, "age": 0.0}]}
+        first_age_s = node.clock.now() - node.registry.first_heard[entry["id"]]
+        document = {"roll": [{**without_marks(entry), "age": 0.0, "first_age": first_age_s}]}
         calls = [
             asyncio.ensure_future(node.call(card["addr"], "roll.push", document)) for card in node.cores.cards.values()
         ]
--- a/archhatch/control/node.py
+++ b/archhatch/control/node.py
@@ -224,7 +224,7 @@
         silent_s = {
             replica_id: now - self.registry.last_heard[replica_id]
             for replica_id, entry in self.registry.replicas.items()
-            if entry.get("silent") and entry["state"] != "gone"
+            if entry.get("silent") and entry["state"] != "gone" and not entry.get("superseded")
         }
         return {
             "id": self.id,
--- a/archhatch/control/peers.py
+++ b/archhatch/control/peers.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
+from ..membership import without_marks
 from . import topics
 from .messages import CommitNotice, Ping
 
@@ -292,8 +293,8 @@
                 continue
             entry: Any = dict(whole)
             age_s = entry.pop("age", 0.0)
-            entry.pop("silent", None)  # this node judges by what it has heard itself
-            node.registry.record_heartbeat(entry, now - age_s)
+            first_age_s = entry.pop("first_age", age_s)
+            node.registry.record_heartbeat(without_marks(entry), now - age_s, now - first_age_s)
         if node.registry.version != version:
             node.state_board.notify(topics.FEED)
         return is_missing
--- a/archhatch/evacuation/target_capacity.py
+++ b/archhatch/evacuation/target_capacity.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from ..membership import takes_requests
+
 if TYPE_CHECKING:
     from ..jobs import Quorum
     from ..region_policy import Placement
@@ -106,7 +108,8 @@
     """
     loaded: dict[str, int] = {}
     for entry in replicas:
-        if entry["state"] == "up" and region_of.get(entry["zone"]) == target:
+        is_up = entry["state"] == "up" and not entry.get("superseded")
+        if is_up and region_of.get(entry["zone"]) == target:
             for model, version in entry["models"].items():
                 loaded[model] = max(version, loaded.get(model, 0))
     return sorted(model for model in needs.models if loaded.get(model, 0) < newest_versions.get(model, FIRST_VERSION))
@@ -116,7 +119,7 @@
     """Returns the slots of the replicas that take requests, by (service, region)."""
     slots: dict[tuple, int] = {}
     for entry in replicas:
-        if entry["state"] == "up" and not entry.get("silent"):
+        if takes_requests(entry):
             key = (entry["service"], region_of.get(entry["zone"]))
             slots[key] = slots.get(key, 0) + entry["slots"]
     return slots
--- a/archhatch/membership/__init__.py
+++ b/archhatch/membership/__init__.py
@@ -5,7 +5,7 @@
 from .live_requests import LiveRequests
 from .peer_set import NodeCard, PeerSet
 from .rendezvous import choose, rank, shard_of
-from .replica_entry import ReplicaEntry, ReplicaState
+from .replica_entry import ReplicaEntry, ReplicaState, marks_of, takes_requests, without_marks
 from .replica_registry import ReplicaRegistry
 
 __all__ = [
@@ -18,6 +18,9 @@
     "ReplicaRegistry",
     "ReplicaState",
     "choose",
+    "marks_of",
     "rank",
     "shard_of",
+    "takes_requests",
+    "without_marks",
 ]
--- a/archhatch/membership/config_watcher.py
+++ b/archhatch/membership/config_watcher.py
@@ -17,7 +17,7 @@
 from .delta import apply_all
 from .feed_messages import FeedAnswer, FeedQuery, ShardUpdate
 from .peer_set import NodeCard
-from .replica_entry import DRAINING, GONE, UP, ReplicaEntry
+from .replica_entry import DRAINING, GONE, UP, ReplicaEntry, marks_of
 
 DONE = 1000
 NO_CONFIGURATION = 3001
@@ -228,9 +228,11 @@
         self.source_index = self.addresses.index(source)
 
     def _apply_replicas(self, entries: list[ReplicaEntry]) -> list[ReplicaEntry]:
-        """Takes over entries, and returns those that were not older than the known ones, as a lagging node sends them.
+        """Takes over entries, and returns those that changed something.
 
-        A replica never comes back from draining or from being gone.
+        What a replica said is never replaced by something older, as a lagging node sends it, and a replica never comes
+        back from draining or from being gone. The marks are always those of the node that answers: it sends them again
+        only when they change.
         """
         replicas = self.replicas
         changed = []
@@ -241,7 +243,10 @@
                 has_left = known_state == GONE or (known_state == DRAINING and entry["state"] == UP)
                 if has_left or (entry["seq"] < known["seq"] and entry["state"] == known_state):
                     self.counters.add("config.late_replica")
-                    continue
+                    if known_state == GONE or marks_of(entry) == marks_of(known):
+                        continue
+                    is_silent, is_superseded = marks_of(entry)
+                    entry = {**known, "silent": is_silent, "superseded": is_superseded}
             replicas[entry["id"]] = entry
             changed.append(entry)
         return changed
--- a/archhatch/membership/replica_entry.py
+++ b/archhatch/membership/replica_entry.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Mapping
 from typing import Any, NotRequired, TypedDict, final
 
 
@@ -26,6 +27,9 @@
 GONE = ReplicaState.GONE.value
 
 
+MARKS = ("silent", "superseded")  # keys that a control node sets by what it has heard itself; not passed on to others
+
+
 class ReplicaEntry(TypedDict):
     """The last heartbeat of a replica; the keys are those on the wire.
 
@@ -40,7 +44,9 @@
         models: The revision of each model that it has loaded, by model.
         rev: The revision of its software.
         silent: Whether its heartbeats have stopped; set by the registry, absent until then.
+        superseded: Whether a later incarnation has its address; set by the registry, absent otherwise.
         age: Seconds since it was heard; only between control nodes.
+        first_age: Seconds since it was heard for the first time; only between control nodes.
     """
 
     id: str
@@ -53,7 +59,9 @@
     models: NotRequired[dict[str, Any]]
     rev: NotRequired[str]
     silent: NotRequired[bool]
+    superseded: NotRequired[bool]
     age: NotRequired[float]
+    first_age: NotRequired[float]
 
 
 @final
@@ -69,3 +77,22 @@
     id: str
     seq: int
     age: float
+
+
+def marks_of(entry: ReplicaEntry) -> tuple[bool, bool]:
+    """Returns whether an entry is marked as silent, and whether as superseded.
+
+    >>> marks_of({"id": "a", "state": "up", "seq": 1, "silent": True})
+    (True, False)
+    """
+    return bool(entry.get("silent")), bool(entry.get("superseded"))
+
+
+def without_marks(entry: ReplicaEntry) -> ReplicaEntry:
+    """Returns an entry as it is sent to another control node, which makes its own marks."""
+    return {key: value for key, value in entry.items() if key not in MARKS}  # type: ignore[return-value] # fewer keys
+
+
+def takes_requests(entry: Mapping[str, Any]) -> bool:
+    """Returns whether a replica is up and heard, and the latest incarnation at its address."""
+    return entry["state"] == UP and not entry.get("silent") and not entry.get("superseded")
--- a/archhatch/rollout_controller/engines.py
+++ b/archhatch/rollout_controller/engines.py
@@ -90,13 +90,15 @@
         """
         for entry in entries:
             engine = self.all.get(entry["id"])
-            if entry["state"] == "gone":
+            if entry["state"] == "gone" or entry.get("superseded"):
                 if engine is not None:
                     self._drop(engine)
                 continue
             if not entry.get("models"):
                 continue
             if engine is None:
+                if entry.get("silent") and self._is_served(entry["addr"]):
+                    continue  # a dead incarnation, whose successor the control node does not know yet
                 engine = self._add(entry)
             engine.draining = entry["state"] == "draining"
             was_unreachable = engine.is_unreachable
@@ -106,6 +108,11 @@
             for model, revision in entry["models"].items():
                 engine.record_revision(model, revision)
 
+    def _is_served(self, address: str) -> bool:
+        """Whether an engine at this address is heard."""
+        engine = self.by_address.get(address)
+        return engine is not None and not engine.is_unreachable
+
     def _add(self, entry: dict) -> Engine:
         former = self.by_address.get(entry["addr"])
         if former is not None:  # a new incarnation at an address ends the one that was there
--- a/archhatch/upstream/load_balancer.py
+++ b/archhatch/upstream/load_balancer.py
@@ -83,11 +83,13 @@
         """Applies changed entries of the replica registry, as they came from a control node."""
         for entry in entries:
             replica = self.replicas.get(entry["id"])
-            if entry["state"] == "gone":
+            if entry["state"] == "gone" or entry.get("superseded"):
                 if replica is not None:
                     self._remove(replica)
                 continue
             if replica is None:
+                if entry.get("silent") and self._is_served(entry["addr"]):
+                    continue  # a dead incarnation, whose successor the control node does not know yet
                 replica = self._add(entry)
             if entry["state"] == "draining" and not replica.is_draining:
                 replica.is_draining = True
@@ -97,6 +99,11 @@
             if was_silent and not replica.is_silent:
                 replica.health.hint_recovery()
 
+    def _is_served(self, address: str) -> bool:
+        """Whether a replica at this address is heard."""
+        replica = self._by_address.get(address)
+        return replica is not None and not replica.is_silent
+
     def _add(self, entry: ReplicaEntry) -> ReplicaEndpoint:
         replica = ReplicaEndpoint(entry["id"], entry["addr"], entry["service"], entry["zone"], entry["slots"])
         previous = self._by_address.get(replica.address)
--- a/tests/membership/test_config_watcher.py
+++ b/tests/membership/test_config_watcher.py
@@ -3,7 +3,7 @@
 import pytest
 from tests.support.fakes import HandClock
 
-from archhatch.membership import ConfigWatcher, FeedAnswer
+from archhatch.membership import ConfigWatcher, FeedAnswer, marks_of
 from archhatch.runtime import StateBoard, Counters
 from archhatch.runtime.settings import check_settings
 from archhatch.rpc import CallError, ConnectionPool
@@ -61,6 +61,15 @@
     ] == late
 
 
+def test_marks_are_those_of_the_source_even_where_it_has_heard_less_of_a_replica():
+    r = reader()
+    for n, (seq, silent, superseded) in enumerate([(5, False, False), (6, True, True), (5, False, False)]):
+        e = entry("up", seq, silent=silent, superseded=superseded)
+        r.apply_answer(FeedAnswer.from_document(feed_answer(registry=[e], incarnation=f"core-{n}")))
+    assert marks_of(r.replicas["r"]) == (False, False) and r.replicas["r"]["seq"] == 6
+    assert [marks_of(e) for e in r.take_changed_replicas()] == [(False, False), (True, True), (False, False)]
+
+
 def test_addresses_are_learnt_and_the_one_that_answers_is_kept():
     r = reader()
     r.addresses, r.source_index = ["1.1.1.1:7", "1.1.1.2:7"], 1
--- a/tests/upstream/test_load_balancer.py
+++ b/tests/upstream/test_load_balancer.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from archhatch.rollout_controller.engines import Engines
 from archhatch.upstream import LoadBalancer
 
 
@@ -65,6 +66,27 @@
     assert set(p.replicas) == {"b"}
 
 
+# Both readers of the registry kept the dead one of two incarnations at an address, and dropped the living (review/1).
+@pytest.mark.parametrize(
+    "late, kept",
+    [
+        ({"id": "old", "silent": True}, {"new"}),  # its mark, from a node that does not know the successor
+        ({"id": "old", "superseded": True}, {"new"}),
+        ({"id": "old", "superseded": True, "silent": True}, {"new"}),
+        ({"id": "new", "superseded": True}, set()),
+        ({"id": "third"}, {"third"}),
+    ],
+)
+def test_what_is_told_late_of_a_dead_incarnation_does_not_drop_its_successor(late, kept):
+    common = {"addr": "a:1", "service": "s", "zone": "z1", "slots": 2, "state": "up", "models": {"m": 1}}
+    balancer, engines = LoadBalancer("z1"), Engines()
+    for apply in (balancer.apply_updates, engines.apply_entries):
+        for entry in ({"id": "old"}, {"id": "new"}, late):
+            apply([{**common, **entry}])
+    assert set(balancer.replicas) == set(engines.all) == kept
+    assert set(balancer.by_service["s"]) == {e.instance_id for e in engines.of_service("s")} == kept
+
+
 @pytest.mark.parametrize("head, load, slots", [("4,1,8", 4.0, 8), ("bad", 0.0, 6), ("1,2", 0.0, 6)])
 def test_a_replicas_own_word_on_its_load(head, load, slots):
     p = load_balancer(in_flight=1)
