Share groups: cancellations are told again until the worker confirms an answer with them

Cause: the leader emptied a worker's cancellations when it wrote them into an answer. The handler of a poll whose connection was reset took them, and its answer went nowhere; so did an answer that the worker dropped as too old.

Change: they are in every answer until the worker confirms one that carried them, by the number that confirms batches. A worker does not cancel an entry's task twice.

--- a/archhatch/share_group/entry_fetcher.py
+++ b/archhatch/share_group/entry_fetcher.py
@@ -89,7 +89,8 @@
         if response.is_superseded:
             return True
         if self.host.clock.now() - sent_at > self.max_batch_age_s:
-            # it was delayed on its way, or this node stood still: what it hands out may have ended by now
+            # it was delayed on its way, or this node stood still: what it hands out may have ended by now. Nothing of
+            # it is confirmed, so the leader tells the cancellations again and takes the batch back.
             self.host.counters.add("share.stale_batch")
             return False
         session.leader_heard_at = max(session.leader_heard_at, sent_at)
@@ -172,7 +173,7 @@
     """Stops an entry, unless it is recalled and its stream has ended: then no slot is gained, and it goes on."""
     acquisition = Acquisition(cancellation.partition, cancellation.offset, cancellation.delivery_count)
     entry = session.find(acquisition)
-    if entry is None or entry.task is None:
-        return
+    if entry is None or entry.task is None or entry.task.cancelling():
+        return  # told before: a cancellation comes again until it is confirmed
     if cancellation.reason != CancelReason.RECALL or entry.state is WorkState.RUNNING:
         entry.task.cancel()
--- a/archhatch/share_group/fetch.py
+++ b/archhatch/share_group/fetch.py
@@ -4,10 +4,10 @@
 
 import orjson
 
-from .acquisition import AcquiredItem, EntryAcquisition
+from .acquisition import EntryAcquisition
 from .errors import LeaderEpochError, NotLeaderError
 from .hosts import LeaderHost
-from .led_partitions import LedPartitions, UnconfirmedBatch, WorkerState, worker_topic
+from .led_partitions import LedPartitions, WorkerState, worker_topic
 from .led_runs import LedRuns
 from .lost_acquisitions import release_worker
 from .messages import (
@@ -61,7 +61,7 @@
         worker.timer_lag_s = request.timer_lag_s
         self.host.state_board.notify(worker_topic(request.run, worker.worker_id))  # ends an earlier poll
         for number in request.received_batches:
-            worker.unconfirmed_batches.pop(number, None)
+            worker.confirm_answer(number)
         for acquisition in request.ended_streams:
             self._end_stream(run, worker.worker_id, acquisition)
         reacquired = None
@@ -107,14 +107,13 @@
                 superseded = FetchResponse(is_superseded=True, reacquired_entries=reacquired)
                 return superseded.to_document(), EMPTY_BATCH
             worker.last_poll_at = now
-            cancellations = worker.cancellations
-            worker.cancellations = []
             batch = self.acquisition.acquire_batch(run, worker, now)
-            if batch or cancellations or reacquired is not None or now >= deadline:
+            if batch or worker.cancellations or reacquired is not None or now >= deadline:
+                acquisitions = [(item.entry, item.entry.delivery_count) for item in batch]
                 response = FetchResponse(
                     reacquired_entries=reacquired,
-                    cancellations=cancellations,
-                    batch_number=_number_batch(worker, batch, now),
+                    cancellations=list(worker.cancellations),
+                    batch_number=worker.number_answer(acquisitions, now),
                 )
                 return response.to_document(), orjson.dumps([item.document for item in batch])
             await host.state_board.wait_for_change(topic, turn, deadline - now)
@@ -173,13 +172,3 @@
         if engine is not None:
             entry.take_slot(engine)
         return True
-
-
-def _number_batch(worker: WorkerState, batch: list[AcquiredItem], now: float) -> int | None:
-    """Numbers a batch, and keeps it until the worker confirms it; None if it is empty."""
-    if not batch:
-        return None
-    worker.last_batch += 1
-    acquisitions = [(item.entry, item.entry.delivery_count) for item in batch]
-    worker.unconfirmed_batches[worker.last_batch] = UnconfirmedBatch(now, acquisitions)
-    return worker.last_batch
--- a/archhatch/share_group/leader_session.py
+++ b/archhatch/share_group/leader_session.py
@@ -17,7 +17,7 @@
         session_epoch: Number of the last poll.
         entries: The entries in hand by batch job and item.
         ended_streams: Acquisitions whose streams ended, until a poll that reported them was answered.
-        received_batches: Numbers of batches that arrived, until a poll that confirmed them was answered.
+        received_batches: Numbers of answers that arrived, until a poll that confirmed them was answered.
         leader_heard_at: When the last poll that was answered was sent, by the steady clock.
         poll_again: Set when there is something to tell the leader, or another leader to ask.
         acknowledgements_ready: Set when acknowledgements wait to be committed.
--- a/archhatch/share_group/led_partitions.py
+++ b/archhatch/share_group/led_partitions.py
@@ -41,9 +41,10 @@
         last_poll_at: When it was last served, by the steady clock.
         timer_lag_s: How late its timers fire.
         session_epoch: Number of its newest poll; older ones are answered at once.
-        cancellations: What its next poll is told to stop.
-        last_batch: Number of the last batch.
+        cancellations: What it is to stop: in every answer until the worker confirms one that carried it.
+        last_batch: Number of the last answer that carried something.
         unconfirmed_batches: Batches by number until the worker confirms them.
+        unconfirmed_cancellations: The cancellations that numbered answers carried, until the worker confirms one.
     """
 
     worker_id: str
@@ -55,6 +56,34 @@
     cancellations: list[Cancellation] = field(default_factory=list)
     last_batch: int = 0
     unconfirmed_batches: dict[int, UnconfirmedBatch] = field(default_factory=dict)
+    unconfirmed_cancellations: dict[int, list[Cancellation]] = field(default_factory=dict)
+
+    def number_answer(self, acquisitions: list[tuple[ShareEntry, int]], now: float) -> int | None:
+        """Numbers an answer, and keeps what it carries until the worker confirms it.
+
+        Args:
+            acquisitions: The entries of its batch, each with the delivery count of the acquisition.
+            now: The time, by the steady clock.
+
+        Returns:
+            The number; None if the answer carries neither a batch nor cancellations.
+        """
+        if not acquisitions and not self.cancellations:
+            return None
+        self.last_batch += 1
+        if acquisitions:
+            self.unconfirmed_batches[self.last_batch] = UnconfirmedBatch(now, acquisitions)
+        if self.cancellations:
+            self.unconfirmed_cancellations[self.last_batch] = list(self.cancellations)
+        return self.last_batch
+
+    def confirm_answer(self, number: int) -> None:
+        """Takes up that a numbered answer has arrived."""
+        self.unconfirmed_batches.pop(number, None)
+        confirmed = self.unconfirmed_cancellations.pop(number, [])
+        self.cancellations = [cancellation for cancellation in self.cancellations if cancellation not in confirmed]
+        if not self.cancellations:
+            self.unconfirmed_cancellations.clear()
 
 
 def worker_topic(run: str, worker_id: str) -> str:
--- a/archhatch/share_group/messages.py
+++ b/archhatch/share_group/messages.py
@@ -129,7 +129,7 @@
         session_epoch: Number of the poll (KIP-932's share session epoch); only the newest is served.
         max_wait_s: How long the leader may wait for entries.
         ended_streams: Acquisitions whose streams ended, so that their slots are free.
-        received_batches: Numbers of the batches that arrived.
+        received_batches: Numbers of the answers that arrived.
         held_entries: Under a new leader epoch, all that the worker still holds; otherwise None.
     """
 
@@ -160,8 +160,9 @@
     Attributes:
         is_superseded: Whether a newer poll came meanwhile; the rest means nothing then.
         reacquired_entries: The held entries that the worker keeps; None if it named none.
-        cancellations: Entries to stop.
-        batch_number: Number of the batch in the body, to be confirmed by a later poll; None if it is empty.
+        cancellations: Entries to stop; in every answer until one that carried them is confirmed.
+        batch_number: Number of the answer, to be confirmed by a later poll; None if it has neither a batch in the body
+            nor cancellations.
     """
 
     is_superseded: bool = wire("old", default=False, optional=True)
