Share groups: a worker is told to stop the entries that are taken back from it

Cause: a batch that was not confirmed within quiet_s, or that a worker did not name when it attached again, was taken back, but its answer could still have arrived. The worker ran those entries; their job's end was told to their next worker only.

Change: taking entries back cancels them at the worker, which does nothing if it does not have them.

Both cases of the new test failed on the code before, and pass now; tests/share_group passes.

--- a/archhatch/share_group/fetch.py
+++ b/archhatch/share_group/fetch.py
@@ -12,6 +12,7 @@
 from .lost_acquisitions import release_worker
 from .messages import (
     Acquisition,
+    CancelReason,
     FetchRequest,
     FetchResponse,
     HeldEntry,
@@ -152,6 +153,7 @@
             ]
             for entry in missing:
                 self.host.counters.add("share.not_held")
+                run.cancel(entry, CancelReason.EXPIRED)  # a batch with it may still be on its way to the worker
                 run.release(entry)
         self.host.counters.add("share.attached", len(reacquired))
         return reacquired
--- a/archhatch/share_group/lost_acquisitions.py
+++ b/archhatch/share_group/lost_acquisitions.py
@@ -34,7 +34,7 @@
 
 
 def _release_lost_batches(host: LeaderHost, run: LedPartitions, worker: WorkerState, now: float) -> None:
-    """Takes back batches whose arrival the worker did not confirm in time."""
+    """Takes back batches whose arrival the worker did not confirm in time, and has it stop what it may run of them."""
     for number, batch in list(worker.unconfirmed_batches.items()):
         if now - batch.sent_at <= host.quiet_s:
             continue
@@ -42,4 +42,5 @@
         for entry, delivery_count in batch.acquisitions:
             if entry.is_acquired_by(worker.worker_id, delivery_count):
                 host.counters.add("share.batch_lost")
+                run.cancel(entry, CancelReason.EXPIRED)
                 run.release(entry)
--- a/tests/share_group/test_fetch.py
+++ b/tests/share_group/test_fetch.py
@@ -13,8 +13,9 @@
 from archhatch.share_group.leader_client import DONE_CODE, LeaderAddress
 from archhatch.share_group.leader_session import LeaderSession
 from archhatch.share_group.led_partitions import LedPartitions
+from archhatch.share_group.lost_acquisitions import release_lost
 from archhatch.share_group.messages import Cancellation, CancelReason
-from archhatch.share_group.window import SharePartition
+from archhatch.share_group.window import EntryState, SharePartition
 
 ENDED = Cancellation("m", 0, 1, CancelReason.ENDED)
 
@@ -90,6 +91,28 @@
     run(go())
 
 
+# A worker went on with entries that were taken from it while its polls did not arrive, beyond the end of their job.
+@pytest.mark.parametrize("way", ["batch not confirmed", "attached without it"])
+def test_a_worker_is_told_to_stop_what_is_taken_from_it(run, way):
+    async def go():
+        leader = Leader()
+        await leader.poll(held=[])
+        leader.offer_entry()
+        _, number = await leader.poll()  # it arrives, and runs
+        if way == "batch not confirmed":
+            leader.host.clock.at += 0.8
+            release_lost(leader.host, leader.run, leader.host.clock.now())
+            cancellations, _ = await leader.poll(received=[number])
+        else:
+            cancellations, _ = await leader.poll(held=[])  # sent before it arrived
+        assert (
+            cancellations == [ENDED._replace(reason=CancelReason.EXPIRED)]
+            and leader.entry.state is EntryState.AVAILABLE
+        )
+
+    run(go())
+
+
 @pytest.mark.parametrize("age_s, confirmed, has_stopped", [(0.1, [9], True), (1.6, [], False)])
 def test_a_worker_confirms_an_answer_only_if_it_took_it_up(run, age_s, confirmed, has_stopped):
     async def go():
