Feed: the news of replicas' answers stays until a query that carried it is answered

Cause: take_answer_ages forgot the answers by zone when it made a query. If that query had no answer (a reset, a refused or late call), the control nodes never heard of them; a region whose replicas only answer, and cannot reach the control nodes, passed for silent until their next answer.

Change: the answers stay until a query sent after them is answered. The test of one telling is replaced by one that also loses a query and keeps what is newer than the confirmation.

--- a/archhatch/data_plane/edge.py
+++ b/archhatch/data_plane/edge.py
@@ -110,7 +110,7 @@
         }
         watcher = ConfigWatcher(settings, card, self.connections, self.state_board, self.clock, self.counters)
         watcher.live = self.live_requests
-        watcher.successes_by_zone = self.load_balancer.take_answer_ages
+        watcher.successes = self.load_balancer
         return watcher
 
     def _make_usage_sender(self) -> UsageSender | None:
--- a/archhatch/membership/config_watcher.py
+++ b/archhatch/membership/config_watcher.py
@@ -8,7 +8,6 @@
 import asyncio
 import random
 from collections import deque
-from collections.abc import Callable
 from typing import Any, Protocol
 
 from ..rpc import CallError, ConnectionPool, is_misdirected
@@ -41,6 +40,16 @@
         """Returns the live requests in progress, by service."""
 
 
+class SuccessReports(Protocol):
+    """Successful answers of replicas, for the control nodes."""
+
+    def answer_ages(self, now: float) -> list[list[Any]]:
+        """Returns the answers that are not confirmed yet, as the feed's query carries them."""
+
+    def confirm_answers(self, until: float) -> None:
+        """Forgets the answers up to a time: a control node has been told of them."""
+
+
 class ConfigWatcher:
     """Holds the newest shards and replica entries; within one process neither ever goes back to an older version.
 
@@ -58,7 +67,7 @@
         confirmed_at: When the last query was sent whose answer came from a current source.
         plan: The routing table that the node made of the shard "plan"; set by the node.
         live: Counts the live requests of this node; set by a node that takes some.
-        successes_by_zone: Returns successful answers of replicas by zone, as the feed sends them; set by the node.
+        successes: Successful answers of replicas by zone, which queries carry until one is answered; set by the node.
     """
 
     def __init__(
@@ -92,7 +101,7 @@
         self.sources = ConfigSources(self.hold_s)
         self.plan: Any = None
         self.live: LiveRequestTally | None = None
-        self.successes_by_zone: Callable[[float], list] | None = None
+        self.successes: SuccessReports | None = None
         self._changed_replicas: list[ReplicaEntry] = []
         self._wall_offsets_s: deque[float] = deque(maxlen=WALL_TIMES_KEPT)
         self._has_failed = False  # whether the last query had no answer
@@ -134,6 +143,8 @@
             return False
         if code != DONE:
             return False
+        if self.successes is not None:
+            self.successes.confirm_answers(asked_at)
         if self.clock.now() - asked_at > hold_s + self.grace_s:
             # This node was suspended: the answer waited for it, and may be outdated by now.
             self.counters.add("config.answer_outdated")
@@ -144,7 +155,7 @@
 
     def _query(self, hold_s: float, now: float) -> FeedQuery:
         return FeedQuery(
-            successes=self.successes_by_zone(now) if self.successes_by_zone is not None else [],
+            successes=self.successes.answer_ages(now) if self.successes is not None else [],
             live=self.live.tally() if self.live is not None else {},
             busy_services=sorted(self.live_totals),
             card=self.card,
--- a/archhatch/store/node.py
+++ b/archhatch/store/node.py
@@ -161,7 +161,7 @@
         self.config_watcher = ConfigWatcher(
             settings, self.identity(), self.connections, self.state_board, self.clock, self.counters
         )
-        self.config_watcher.successes_by_zone = self.load_balancer.take_answer_ages
+        self.config_watcher.successes = self.load_balancer
         self.replicator = Replicator(
             self.id,
             self.record_store,
--- a/archhatch/upstream/load_balancer.py
+++ b/archhatch/upstream/load_balancer.py
@@ -44,7 +44,8 @@
         by_service: The replicas of each service by id.
         pools: What is known of each service's replicas together.
         placement: Where the placement policy lets a route's requests run now.
-        last_answer_at: When a service's replicas in a zone answered last; kept only under a policy.
+        last_answer_at: When a service's replicas in a zone answered last, until a control node has been told; kept only
+            under a policy.
     """
 
     def __init__(
@@ -212,15 +213,17 @@
         replicas = (self.by_service.get(service) or {}).values()
         return NO_REPLICA_CODE if any(replica.zone in zones for replica in replicas) else REGION_OUT_CODE
 
-    def take_answer_ages(self, now: float) -> list[list[Any]]:
-        """Returns the answers since the last call, for the control nodes, and forgets them.
+    def answer_ages(self, now: float) -> list[list[Any]]:
+        """Returns the answers that no control node has confirmed to have been told of.
 
         Returns:
             Lists of service, zone and age in seconds, as the feed's question carries them.
         """
-        ages = [[service, zone, now - at] for (service, zone), at in self.last_answer_at.items()]
-        self.last_answer_at = {}
-        return ages
+        return [[service, zone, now - at] for (service, zone), at in self.last_answer_at.items()]
+
+    def confirm_answers(self, until: float) -> None:
+        """Forgets the answers up to a time, by the steady clock: a control node has been told of them."""
+        self.last_answer_at = {key: at for key, at in self.last_answer_at.items() if at > until}
 
     def record_result(
         self, replica: ReplicaEndpoint, result: AttemptResult, now: float, took_s: float, typical_s: float
--- a/tests/membership/test_config_watcher.py
+++ b/tests/membership/test_config_watcher.py
@@ -1,5 +1,7 @@
 """The configuration as it reaches a node: it never goes back, whichever control node answers, and however late."""
 
+from types import SimpleNamespace
+
 import pytest
 from tests.support.fakes import HandClock
 
@@ -141,6 +143,19 @@
     run(go())
 
 
+def test_answers_of_replicas_are_confirmed_only_by_an_answered_query(run):
+    async def go():
+        r, _, clock = reading({"a": None, "b": 5})
+        told, confirmed = [], []
+        r.successes = SimpleNamespace(answer_ages=lambda now: told.append(now) or [], confirm_answers=confirmed.append)
+        for at, source in ((200.0, 0), (201.0, 1)):
+            clock.at, r.source_index = at, source
+            await r.ask_once()
+        assert told == [200.0, 201.0] and confirmed == [201.0]
+
+    run(go())
+
+
 def test_a_source_that_is_behind_is_left_at_once_and_versions_stay(run):
     async def go():
         r, nodes, _ = reading({"a": 5, "b": 4, "c": 6})
--- a/tests/region_policy/test_region_policy.py
+++ b/tests/region_policy/test_region_policy.py
@@ -531,15 +531,20 @@
         and p.select_replica("s", set(), 0.0).zone == "z3"
     )
     p.record_outcome(p.replicas["z1-1"], "served", 1.0)
-    assert p.last_answer_at == {} and p.take_answer_ages(2.0) == []
+    assert p.last_answer_at == {} and p.answer_ages(2.0) == []
 
 
-def test_answers_are_told_once_and_only_under_a_policy():
+# A query whose answer never came took the news of a region's answers with it, and the region could pass for silent.
+def test_answers_are_told_until_that_is_confirmed_and_only_under_a_policy():
     p = load_balancer()
     p.record_outcome(p.replicas["z1-1"], "served", 1.0)
     p.record_outcome(p.replicas["z1-2"], "served", 3.0)
     p.record_outcome(p.replicas["z2-1"], "faulted", 3.0)
-    assert p.take_answer_ages(4.0) == [["s", "z1", 1.0]] and p.take_answer_ages(5.0) == []
+    assert p.answer_ages(4.0) == [["s", "z1", 1.0]]
+    assert p.answer_ages(5.0) == [["s", "z1", 2.0]]  # the query at 4.0 had no answer
+    p.record_outcome(p.replicas["z2-1"], "served", 6.0)
+    p.confirm_answers(5.0)  # the one at 5.0 had
+    assert p.answer_ages(7.0) == [["s", "z2", 1.0]]
 
 
 def test_every_sender_names_the_lane():
