HTTP server: what was read is answered at the end, and nothing is read that is not

Cause: at the end of its time the server cancelled its handlers without an answer. While it did so, for up to 0.2 s, resting connections stayed open and what came on them was read and thrown away. A connection with half a request passed for resting.

Change: close() waits for requests of which a part has arrived; at the end of the time it stops to listen and closes resting connections unread in one step, answers what is being handled with 504 (4002) unless its answer has begun, and reads nothing of a connection that was accepted meanwhile. Requests read behind another are answered before Connection: close. Control nodes say Connection: close from their signal on.

--- a/archhatch/control/node.py
+++ b/archhatch/control/node.py
@@ -159,13 +159,13 @@
     async def leave(self) -> None:
         """Ends in order: another node takes this one's work and, where a spare stands by, its place in the groups."""
         self.leaving = True
+        self.window.is_draining = True
         self.state_board.notify(topics.FEED)  # whoever waits for the feed is sent on to another node
         self.peers.announce()
         end = self.clock.now() + self.settings.seconds("GraceS", LEAVE_SHARE)
         await asyncio.sleep(self.heartbeat_interval_s)
         while self.clock.now() < end and self.groups.is_needed_for_leaving():
             await asyncio.sleep(self.heartbeat_interval_s)
-        self.window.is_draining = True
         await self.window.close(self.settings.seconds("GraceS", LEAVE_SHARE))
         await self.task_group.cancel_all()
         await self.desk.close()
--- a/archhatch/http_server/server.py
+++ b/archhatch/http_server/server.py
@@ -37,8 +37,11 @@
 DRAIN_POLL_S = 0.05
 SHUTDOWN_S = 0.2  # how long connections may take to end
 
+FLUSH_S = 0.2  # how long the last answers may take to be written
+
 BODY_TOO_LARGE_CODE = 2012
 HEADERS_TOO_LARGE_CODE = 2017
+TIME_UP_CODE = 4002
 
 _HEADER_TIMEOUT_RESPONSE = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -61,6 +64,22 @@
         self.header_started_at: float | None = None
         self.awaits_request = True
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes a connection; one that was accepted just before the server closed is left unread."""
+        manager = cast(_Server, self._manager)
+        super().connection_made(transport)
+        if manager.is_closed:
+            self.force_close()
+
+    def has_queued_requests(self) -> bool:
+        """Returns whether further requests have been read on it."""
+        return bool(self._messages)
+
+    def is_resting(self) -> bool:
+        """Returns whether nothing of a request has arrived that is not answered yet."""
+        waiter = self._waiter
+        return waiter is not None and not waiter.done() and self.header_started_at is None
+
     def data_received(self, data: bytes) -> None:
         """Takes bytes from the socket."""
         if self.awaits_request and self.header_started_at is None:
@@ -69,6 +88,8 @@
 
 
 class _Server(Server):
+    is_closed = False  # whether connections are not read any more
+
     def __call__(self) -> _ClientConnection:
         """Returns the protocol for a new connection."""
         return _ClientConnection(self, loop=self._loop, **self._kwargs)
@@ -108,6 +129,8 @@
         self._server: _Server | None = None
         self._listener: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
+        self._handlers: set[asyncio.Task[Any]] = set()
+        self._is_time_up = False
 
     async def open(self, address: str, sock: socket.socket | None = None) -> None:
         """Serves on an address, or on a socket that listens already."""
@@ -140,14 +163,34 @@
         return cast(asyncio.Server, self._listener).sockets[0].getsockname()[1]
 
     async def close(self, grace_s: float) -> None:
-        """Lets the requests that are being handled finish, for `grace_s` at most, and ends."""
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + grace_s
-        while self.in_flight and loop.time() < deadline:
-            await asyncio.sleep(DRAIN_POLL_S)
+        """Lets the requests that are on their way finish, for `grace_s` at most, and ends.
+
+        No request is read that is not answered: what is being handled at the end of the time is answered with an
+        error, unless its answer has begun; connections on which nothing is under way are closed without being read.
+        """
+        server = cast(_Server, self._server)
+        await self._wait_until_resting(grace_s)
         cast(asyncio.Task, self._sweeper).cancel()
         cast(asyncio.Server, self._listener).close()
-        await cast(_Server, self._server).shutdown(SHUTDOWN_S)
+        server.is_closed = True
+        for connection in list(server.connections):
+            if cast(_ClientConnection, connection).is_resting():
+                connection.force_close()
+        self._is_time_up = True
+        for handler in list(self._handlers):
+            handler.cancel()
+        await self._wait_until_resting(FLUSH_S)
+        await server.shutdown(SHUTDOWN_S)
+
+    async def _wait_until_resting(self, timeout_s: float) -> None:
+        """Waits until all connections rest, but not longer than the timeout."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        server = cast(_Server, self._server)
+        while loop.time() < deadline:
+            if all(cast(_ClientConnection, connection).is_resting() for connection in server.connections):
+                return
+            await asyncio.sleep(DRAIN_POLL_S)
 
     def _make_request(
         self,
@@ -193,18 +236,27 @@
         connection = cast(_ClientConnection, request.protocol)
         connection.awaits_request = False
         connection.header_started_at = connection.opened_at = None
+        task = cast(asyncio.Task, asyncio.current_task())
+        self._handlers.add(task)
         try:
             try:
                 result = await self._handle(request)
             except HTTPRequestEntityTooLarge:
                 result = _closing_error(BODY_TOO_LARGE_CODE)
-            return result if isinstance(result, StreamResponse) else self._response(result)
+            except asyncio.CancelledError:
+                if not self._is_time_up or _has_begun_answer(request):
+                    raise
+                task.uncancel()
+                self.counters.add("http.time_up")
+                result = _closing_error(TIME_UP_CODE)
+            return result if isinstance(result, StreamResponse) else self._response(result, connection)
         finally:
             self.in_flight -= 1
+            self._handlers.discard(task)
             connection.awaits_request = True
 
     async def _handle(self, request: BaseRequest) -> Result | StreamResponse:
-        if request.headers.get("Expect", "").lower() == "100-continue" and request.version >= HttpVersion11:
+        if _expects_continue(request):
             await request.writer.write(_CONTINUE_RESPONSE)  # type: ignore[attr-defined] # a StreamWriter
         max_header_bytes = self.limits.get("MaxHeaderBytes")
         if max_header_bytes is not None and _header_bytes(request) > max_header_bytes:
@@ -219,9 +271,10 @@
             raise HTTPRequestEntityTooLarge(max_bytes, request.content_length)
         return await request.read()
 
-    def _response(self, result: Result) -> Response:
+    def _response(self, result: Result, connection: _ClientConnection) -> Response:
         response = Response(status=result.status, body=result.body, headers=result.head)
-        if self.is_draining or result.close:
+        is_last = self.is_draining and not connection.has_queued_requests()
+        if is_last or result.close:
             response.force_close()
             response.headers["Connection"] = "close"
         return response
@@ -232,6 +285,17 @@
     return fields + len(request.raw_path)
 
 
+def _expects_continue(request: BaseRequest) -> bool:
+    """Whether the client waits for leave to send the body."""
+    return request.headers.get("Expect", "").lower() == "100-continue" and request.version >= HttpVersion11
+
+
+def _has_begun_answer(request: BaseRequest) -> bool:
+    """Whether part of an answer is on its way to the client, so that another would look like its rest."""
+    sent_before = len(_CONTINUE_RESPONSE) if _expects_continue(request) else 0
+    return request.transport is None or request.writer.output_size > sent_before  # type: ignore[attr-defined] # a StreamWriter
+
+
 def _closing_error(code: int) -> Result:
     """A refusal after which the rest of the request is not read."""
     result = error_result(code)
