Edge: an edge that ends refuses what it could not answer before its end

Cause: the edge took all that came on kept connections while anything was under way, up to 0.82 of GraceS, and had less time left than the requests could take.

Change: once the platform sends no new connections any more, a request is taken only if its client's deadline or its route's timeout ends before the edge's last answers; else it gets 503, code 3012, and has not run.

--- a/archhatch/data_plane/dispatcher.py
+++ b/archhatch/data_plane/dispatcher.py
@@ -7,17 +7,21 @@
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import StreamResponse
 
-from ..routing import JOB_CLASSES, RouteClass, RoutingTable
-from ..runtime import Counters, Result, Settings, StateBoard, error_result
+from ..routing import JOB_CLASSES, Route, RouteClass, RoutingTable
+from ..runtime import Clock, Counters, Result, Settings, StateBoard, error_result
+from ..upstream import Headers
 from ..upstream.headers import with_tenant
 from .admission import Admission, Admitted
 from .forward import RequestForwarder
 from .job_handlers import JobHandlers
 from .relay import StreamRelay
+from .request_terms import RequestTerms, read_terms
+from .shutdown_window import ShutdownWindow
 
 NO_ROUTE_CODE = 2006
 METHOD_NOT_ALLOWED_CODE = 2010
 NO_CONFIGURATION_CODE = 3001
+SHUTTING_DOWN_CODE = 3012
 
 JOB_PATHS = ("/api/lots/", "/api/items/")
 CONFIGURATION_WAIT_SHARE = 0.1  # of ContactMs: how long a request waits for an edge's first configuration
@@ -29,6 +33,7 @@
 
     Attributes:
         routing_table: The configuration in force; None before the first one came.
+        shutdown_window: What may still be taken; None until the edge is told to end.
     """
 
     def __init__(  # noqa: PLR0913 - what it uses, named one by one
@@ -36,16 +41,19 @@
         *,
         settings: Settings,
         state_board: StateBoard,
+        clock: Clock,
         counters: Counters,
         admission: Admission,
         job_handlers: JobHandlers,
         request_forwarder: RequestForwarder,
         stream_relay: StreamRelay,
     ) -> None:
-        self._settings, self._state_board, self._counters = settings, state_board, counters
+        self._settings, self._state_board = settings, state_board
+        self._clock, self._counters = clock, counters
         self._admission, self._job_handlers = admission, job_handlers
         self._request_forwarder, self._stream_relay = request_forwarder, stream_relay
         self.routing_table: RoutingTable | None = None
+        self.shutdown_window: ShutdownWindow | None = None
 
     async def dispatch(self, request: BaseRequest, body: bytes) -> Result | StreamResponse:
         """Answers one request."""
@@ -93,6 +101,22 @@
             if request.method != "POST":
                 return error_result(METHOD_NOT_ALLOWED_CODE)
             return await self._job_handlers.submit(request, route, body, admitted.tenant)
+        return await self._dispatch_to_replica(request, route, headers, body, admitted.tenant)
+
+    async def _dispatch_to_replica(
+        self, request: BaseRequest, route: Route, headers: Headers, body: bytes, tenant: str | None
+    ) -> Result | StreamResponse:
+        if not self._has_time_for(request, route):
+            self._counters.add("front.shutting_down")
+            return error_result(SHUTTING_DOWN_CODE)
         if route.kind == RouteClass.STREAMING:
-            return await self._stream_relay.relay(request, route, headers, body, admitted.tenant)
-        return await self._request_forwarder.forward(request, route, headers, body, admitted.tenant)
+            return await self._stream_relay.relay(request, route, headers, body, tenant)
+        return await self._request_forwarder.forward(request, route, headers, body, tenant)
+
+    def _has_time_for(self, request: BaseRequest, route: Route) -> bool:
+        """Whether this edge lives long enough to answer a request, whatever its replica does."""
+        window = self.shutdown_window
+        if window is None:
+            return True
+        terms = read_terms(request, route)
+        return not isinstance(terms, RequestTerms) or window.admits(self._clock.now(), terms.timeout_s)
--- a/archhatch/data_plane/edge.py
+++ b/archhatch/data_plane/edge.py
@@ -26,6 +26,7 @@
 from .lifecycle import READY, STARTING, STATES, TRANSITIONS
 from .live_requests import LiveRequestTracker
 from .relay import StreamRelay
+from .shutdown_window import ShutdownWindow
 from .store_proxies import StoreProxies
 
 if TYPE_CHECKING:
@@ -41,7 +42,7 @@
 
 # Shares of GraceS, within which the platform expects a node to end.
 READINESS_SHARE = 0.32  # the platform asks for readiness each second and wants two misses
-DRAIN_SHARE = 0.5
+LAST_ANSWER_SHARE = 0.85  # when the last answers are sent; what follows takes a tenth
 
 BUSY_SHARE = 0.5  # of a replica's slots in use, from which on an edge looks at further replicas
 LIVE_REPORT_TARGETS = 2  # control nodes that are told of new live requests, one after the other
@@ -166,6 +167,7 @@
         return RequestDispatcher(
             settings=self.settings,
             state_board=self.state_board,
+            clock=self.clock,
             counters=self.counters,
             admission=admission,
             job_handlers=job_handlers,
@@ -183,12 +185,18 @@
         return self.dispatcher.routing_table
 
     async def leave(self) -> None:
-        """Ends the node within GraceS: shows that it is not ready, serves what still comes, and closes."""
+        """Ends the node within GraceS: shows that it is not ready, serves what it has the time for, and closes."""
         self.shutdown_ordered()
         self.log.info("edge: shutting down, in_flight={}", self.http_server.in_flight)
-        self.http_server.is_draining = True
-        await asyncio.sleep(self.settings.seconds("GraceS", READINESS_SHARE))
-        await self.http_server.close(self.settings.seconds("GraceS", DRAIN_SHARE))
+        self.http_server.is_draining = self.readiness_server.is_draining = True
+        now = self.clock.now()
+        window = ShutdownWindow(
+            certain_from=now + self.settings.seconds("GraceS", READINESS_SHARE),
+            ends_at=now + self.settings.seconds("GraceS", LAST_ANSWER_SHARE),
+        )
+        self.dispatcher.shutdown_window = window
+        await asyncio.sleep(window.certain_from - now)
+        await self.http_server.close(window.ends_at - self.clock.now())
         await self.readiness_server.close(0.0)
         if self.usage is not None:
             await self.usage.send()
