Share groups: items go where the configuration in force leads, not where it led at first

Cause: a run's leader offered items only to replicas of the run's own service, and of these only to those of services that the route names now. After the move that is none.

Change: a batch job stays with the leader of the run that accepted it, under that run's lease; its items go to the replicas of all services that its route leads to now, if they have the model. Recalls, wake-ups, free slots, demand and the want of more replicas ask the same place. Orders of weights consider the batch jobs of all runs that the node leads.

--- a/archhatch/rollout_controller/weight_orders.py
+++ b/archhatch/rollout_controller/weight_orders.py
@@ -6,7 +6,7 @@
 from typing import Any, NamedTuple
 
 from ..health import EJECTED
-from ..jobs import DeposedError
+from ..jobs import BatchJob, DeposedError
 from .engines import Engine
 from .host import WeightOrderHost
 from .load_concurrency import LoadConcurrencyLimit
@@ -97,7 +97,7 @@
                 engines = [engine for engine in host.engines.of_service(leadership.run) if not engine.draining]
                 if not self._needs_another(leadership, model, engines, revision):
                     continue
-                urgent = is_urgent(leadership.batch_jobs.values(), engines, model, revision)
+                urgent = is_urgent(self._batch_jobs(), engines, model, revision)
                 for engine in engines:
                     if not self._may_load(leadership, engine, model, revision, now):
                         continue
@@ -106,6 +106,10 @@
                         best = _Load(rank, leadership, model, engine, revision)
         return best
 
+    def _batch_jobs(self) -> list[BatchJob]:
+        """The batch jobs of all runs that this node leads: a job's route may lead to another service by now."""
+        return [job for leadership in self.host.leaderships.values() for job in leadership.batch_jobs.values()]
+
     def _needs_another(self, leadership: Any, model: str, engines: list[Engine], revision: int) -> bool:  # noqa: ANN401 - a leadership term or a stand-in
         """Whether one more engine should load: up to each model's even share at once, then while items wait."""
         if not has_share(engines, model, revision, len(self.host.models_of(leadership.run))):
@@ -136,7 +140,7 @@
             if not await self.client.is_resolved(engine):
                 return
             mode = "retain"
-            if needs_single_version(leadership.batch_jobs.values(), model, host.plan):
+            if needs_single_version(self._batch_jobs(), model, host.plan):
                 mode = "hold"
                 await self._wait_until_idle(leadership, model, engine)
             if not leadership.may_order() or engine.instance_id not in host.engines.all:
--- a/archhatch/share_group/acquisition.py
+++ b/archhatch/share_group/acquisition.py
@@ -11,7 +11,7 @@
 from .led_partitions import LedPartitions, WorkerState
 from .led_runs import LedRuns, OpenJob
 from .messages import acquired_record_document
-from .replica_slots import ReplicaSlots
+from .replica_slots import ReplicaSlots, has_model
 from .window import ShareEntry
 
 if TYPE_CHECKING:
@@ -99,7 +99,7 @@
             return {}
         free = [
             (engine, count)
-            for engine in self.host.engines.of_service(run.leadership.run)
+            for engine in self.slots.engines_of(run)
             if (count := self.slots.free_slots(engine, now)) > 0
         ]
         even_share = math.ceil(waiting / max(1, len(free)))
@@ -152,6 +152,7 @@
             engine_id
             for engine_id, slots in free.items()
             if slots.engine.service in services
+            and has_model(slots.engine, job.run, model)
             and model not in slots.engine.held_models
             and slots.engine.revisions.get(model, 1) >= batch_job.min_revision
             and self.host.placement.allows(route, slots.engine.zone)
--- a/archhatch/share_group/leader.py
+++ b/archhatch/share_group/leader.py
@@ -63,7 +63,7 @@
                 continue
             worker_ids: set[str | None] = {worker.worker_id for worker in run.workers.values() if worker.cancellations}
             if not all(queue.is_empty() for queue in run.queues.values()):
-                for engine in self.host.engines.of_service(name):
+                for engine in self.slots.engines_of(run):
                     if self.slots.free_slots(engine, now) > 0:
                         worker_ids.add(self.slots.driver_of(run, engine))
             for worker_id in worker_ids:
@@ -71,17 +71,22 @@
                     self.host.state_board.notify(worker_topic(name, worker_id))
 
     def lacks_replicas(self, leadership: Leadership, model: str) -> bool:
-        """Returns whether more replicas of a run should load a version of a model that its open jobs allow."""
-        run = self.runs.get(leadership.run)
-        return run is not None and self.slots.lacks_replicas(run, model)
+        """Returns whether more replicas of a run's service should load a version of a model that open jobs allow.
+
+        Those of other runs count too, if their routes lead to this service by now.
+        """
+        runs = [run for run in self.runs.values() if leadership.run in run.services]
+        return any(self.slots.lacks_replicas(run, model) for run in runs)
 
     def demand(self) -> dict[str, float]:
-        """Returns by run the slots with which its open batch jobs would be done in time."""
-        return {
-            name: round(self.slots.demand(run), 1)
-            for name, run in self.runs.items()
-            if run.leadership.state == LEADERSHIP_HELD
-        }
+        """Returns by service the slots with which all open batch jobs would be done in time."""
+        slots: dict[str, float] = {}
+        for run in self.runs.values():
+            if run.leadership.state != LEADERSHIP_HELD:
+                continue
+            for service, count in self.slots.demand(run).items():
+                slots[service] = slots.get(service, 0.0) + count
+        return {service: round(count, 1) for service, count in slots.items()}
 
     async def fetch(self, document: dict) -> tuple[dict, bytes]:
         """Answers a worker's poll; see FetchHandler.fetch."""
--- a/archhatch/share_group/led_partitions.py
+++ b/archhatch/share_group/led_partitions.py
@@ -107,6 +107,7 @@
         drivers: Cache of ReplicaSlots.driver_of: the worker of each engine.
         drivers_key: The workers and zones that the cache was made from.
         times: The durations of the items' streams.
+        services: The services to whose replicas the routes of the open batch jobs lead now.
     """
 
     def __init__(self, leadership: Leadership, now: float, lock_s: float, max_locks: int) -> None:
@@ -122,6 +123,7 @@
         self.drivers: dict[str, str] = {}
         self.drivers_key: tuple[tuple[str, str], ...] = ()
         self.times = RunTimes()
+        self.services: set[str] = {leadership.run}
 
     def restore(self, counters: Counters) -> None:
         """Builds the windows from the records that the stores reported at takeover."""
--- a/archhatch/share_group/led_runs.py
+++ b/archhatch/share_group/led_runs.py
@@ -70,9 +70,15 @@
         return run.leadership is leadership and leadership.state == LEADERSHIP_HELD
 
     def _sync_jobs(self, run: LedPartitions) -> None:
+        """Takes up the batch jobs of a run, and the routes that the configuration in force gives them.
+
+        A batch job stays with the leader of the run that accepted it, whatever becomes of its route: one leader at a
+        time has it, under the run's lease. Its items go to the services to which its route leads now.
+        """
         batch_jobs = run.leadership.batch_jobs
         for job_id in [job_id for job_id in run.queues if job_id not in batch_jobs or batch_jobs[job_id].is_ended]:
             run.drop_job(job_id)
+        services: set[str] = set()
         for job_id, batch_job in batch_jobs.items():
             is_queued = job_id in run.queues
             if batch_job.is_ended or (batch_job.listed_count >= batch_job.total and not is_queued):
@@ -82,6 +88,8 @@
                 run.add_job(batch_job)
             if route is not None and run.entries[job_id]:
                 self.open_jobs.append(OpenJob(batch_job.accepted_at + route.result_due_s, batch_job, route, run))
+                services.update(service for service, _ in route.traffic_split)
+        run.services = services or {run.leadership.run}
 
     def _close(self, name: str) -> None:
         run = self.runs.pop(name)
--- a/archhatch/share_group/recalls.py
+++ b/archhatch/share_group/recalls.py
@@ -48,7 +48,7 @@
     def _excess_by_engine(self, run: LedPartitions) -> dict[str, int]:
         """By engine, how many items it has over the slots that live requests leave."""
         excess = {}
-        for engine in self.host.engines.of_service(run.leadership.run):
+        for engine in self.slots.engines_of(run):
             count = engine.running_count() - self.slots.usable_slots(engine)
             if count > 0:
                 excess[engine.instance_id] = count
--- a/archhatch/share_group/replica_slots.py
+++ b/archhatch/share_group/replica_slots.py
@@ -35,6 +35,17 @@
     return plan.find_route(batch_job.host, batch_job.path.split("?", 1)[0]) if plan is not None else None
 
 
+def has_model(engine: Engine, run: LedPartitions, model: str) -> bool:
+    """Returns whether an engine serves a model of a run; those of the run's own service do."""
+    return engine.service == run.leadership.run or model in engine.revisions
+
+
+def _demanded_service(run: LedPartitions, route: Route) -> str:
+    """The service that is to have the slots for a batch job: the run's own, if its route leads there at all."""
+    services = [service for service, _ in route.traffic_split]
+    return run.leadership.run if run.leadership.run in services else services[0]
+
+
 class ReplicaSlots:
     """Answers for one leader.
 
@@ -77,6 +88,13 @@
             run.drivers[engine.instance_id] = driver
         return driver
 
+    def engines_of(self, run: LedPartitions) -> list[Engine]:
+        """Returns the engines to which items of a run may go: those of all services that its routes lead to now."""
+        engines_of_service = self.host.engines.of_service
+        if len(run.services) == 1:
+            return engines_of_service(next(iter(run.services)))
+        return [engine for service in sorted(run.services) for engine in engines_of_service(service)]
+
     def usable_slots(self, engine: Engine) -> int:
         """Returns how many slots of an engine live requests leave, busy ones included."""
         return self.load_limit.usable_slots(engine.service, engine.slots, self.host.engines.count_of(engine.service))
@@ -120,8 +138,9 @@
         model = batch_job.model
         return [
             engine
-            for engine in self.host.engines.of_service(run.leadership.run)
-            if model not in engine.held_models
+            for engine in self.engines_of(run)
+            if has_model(engine, run, model)
+            and model not in engine.held_models
             and engine.revisions.get(model, 1) >= batch_job.min_revision
             and not engine.draining
         ]
@@ -134,13 +153,13 @@
             return False
         return done_s <= IN_TIME_SHARE * (batch_job.accepted_at + route.result_due_s - now)
 
-    def demand(self, run: LedPartitions) -> float:
-        """Returns the slots with which all open batch jobs would be done in time.
+    def demand(self, run: LedPartitions) -> dict[str, float]:
+        """Returns, by service, the slots with which all open batch jobs of a run would be done in time.
 
-        Counts what the trainer waits for and what runs now.
+        Counts what the trainer waits for and what runs now, where the batch job's route leads first.
         """
         now = self.host.clock.now()
-        total = 0.0
+        slots = {run.leadership.run: 0.0}
         for job_id, queue in run.queues.items():
             batch_job = run.leadership.batch_jobs.get(job_id)
             if batch_job is None or batch_job.is_ended:
@@ -152,13 +171,14 @@
             running = len(run.entries.get(job_id, ())) - queue.wanted_count - queue.surplus_count
             left_s = DEMAND_DONE_BY * (batch_job.accepted_at + route.result_due_s - now)
             slots_per_item = min(1.0, mean_s / left_s) if left_s > 0 else 1.0
-            total += slots_per_item * (queue.wanted_count + max(0, running))
-        return total
+            service = _demanded_service(run, route)
+            slots[service] = slots.get(service, 0.0) + slots_per_item * (queue.wanted_count + max(0, running))
+        return slots
 
     def free_slots_on(self, run: LedPartitions, routes: Iterable[Route]) -> int:
         """Returns the free slots of the run's engines in all zones that any of the routes may use."""
         now = self.host.clock.now()
         distinct = {id(route): route for route in routes}.values()  # by identity: equal routes are one object
         zones = {zone for route in distinct for zone in self.host.placement.zones(route) or ()}
-        engines = [engine for engine in self.host.engines.of_service(run.leadership.run) if engine.zone in zones]
+        engines = [engine for engine in self.engines_of(run) if engine.zone in zones]
         return sum(max(0, self.free_slots(engine, now)) for engine in engines)
