Edge: a batch job that is sent again after its model's move is not taken twice

Cause: a batch job goes to the run of the service that has its model now. One whose 202 was lost, and that its trainer sent again after a configuration had moved the model, was accepted a second time by the model's new run, with results of its own order: a position that was read could come back as another.

Change: where another run may have it (one to which this edge sent jobs of the model, or one that serves no model any more), the edge asks the runs' leaders first. One that has it: 202. Surely none: it is handed in. Else 504, send again.

Still open: an edge that has not seen the move, while the former run serves other models.

--- a/archhatch/data_plane/job_handlers.py
+++ b/archhatch/data_plane/job_handlers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Collection
 from typing import Protocol, cast
 from urllib.parse import parse_qs, urlsplit
 
@@ -29,6 +30,10 @@
 )
 from .store_directory import RunLease, ShardDocuments, newest_leases, registered_stores, store_address
 
+HTTP_OK = 200
+HTTP_ACCEPTED = 202
+HTTP_NOT_FOUND = 404
+
 DONE_CODE = 1000
 INVALID_REQUEST_CODE = 2001
 INVALID_JOB_CODE = 2003
@@ -42,6 +47,7 @@
 NOT_TAKEN_CODES = frozenset({2008, 3001, 3005, 3008})
 
 MAX_HOLD_S = 5.0  # a read is held no longer, whatever its caller allows
+BEYOND_ALL_RESULTS = 1 << 31  # a position: asks whether a job is there, without any result
 MAX_UNCLEAR_JOBS = 4096  # submissions without a clear outcome that are remembered
 SUBMIT_CONTACT_SHARE = 0.6  # of ContactMs: how long a submission looks for its leader,
 MIN_SUBMIT_S = 0.4  # ... at least
@@ -87,6 +93,7 @@
         self._store_port = settings.internal_ports[0] + 1
         self.run_by_job: dict[str, str] = {}
         self.unclear: dict[str, None] = {}
+        self._runs_by_model: dict[str, set[str]] = {}  # the runs to which jobs of a model went
         self._quorum = Quorum.from_settings(settings)
 
     def _leases(self) -> dict[str, RunLease]:
@@ -111,11 +118,17 @@
             self.counters.add("job.malformed")
             return error_result(INVALID_JOB_CODE, str(error))
         assert self._config_source.plan is not None  # the request was routed by it
+        service_by_model = self._config_source.plan.service_by_model()
+        run_id = service_by_model.get(model, route.traffic_split[0][0])
+        if self._may_be_in_other_run(model, run_id, service_by_model.values()):
+            result = await self._find_accepted(job_id)
+            if result is not None:
+                return result
         message = SubmitJobRequest(
             store_id="",
             term=0,
             job_id=job_id,
-            run_id=self._config_source.plan.service_by_model().get(model, route.traffic_split[0][0]),
+            run_id=run_id,
             host=request.headers.get("Host", ""),
             path=request.raw_path,
             tenant=tenant,
@@ -130,6 +143,31 @@
         self.counters.add("job.refused")
         return error_result(NO_LEADER_CODE, after_s=RETRY_SUBMISSION_AFTER_S)
 
+    def _may_be_in_other_run(self, model: str, run_id: str, services: Collection[str]) -> bool:
+        """Whether a job of a model may have been accepted before the model, or its route, came to this run.
+
+        That is so if there is a run to which this edge sent jobs of the model, or one that serves no model any more.
+        """
+        known = self._runs_by_model.setdefault(model, set())
+        known.add(run_id)
+        return any(run != run_id and (run in known or run not in services) for run in self._leases())
+
+    async def _find_accepted(self, job_id: str) -> Result | None:
+        """Returns the answer for a job that another run accepted, or may have; None if it is surely in none.
+
+        An accepted job stays with its run. One that is sent again goes by its model's present service, where it would
+        be taken a second time.
+        """
+        query = ReadJobRequest(store_id="", job_id=job_id, start_after=BEYOND_ALL_RESULTS, hold_s=0.0)
+        found = await self._ask(query, 0.0)
+        if found.status == HTTP_OK:
+            self.counters.add("job.accepted_before")
+            return Result(HTTP_ACCEPTED)
+        if found.status == HTTP_NOT_FOUND:
+            return None
+        self.counters.add("job.unclear")
+        return error_result(SUBMISSION_UNCLEAR_CODE)
+
     async def _submit_to_leader(self, message: SubmitJobRequest, body: bytes) -> Result | None:
         """Looks for a run's leader until one takes the job or the time is over, which returns None."""
         deadline = self._clock.now() + max(MIN_SUBMIT_S, self._settings.seconds("ContactMs", SUBMIT_CONTACT_SHARE))
@@ -162,7 +200,7 @@
         if code == DONE_CODE and SubmitJobResponse.from_document(cast(dict, document)).store_id == message.store_id:
             self.run_by_job[job_id] = message.run_id
             self.unclear.pop(job_id, None)
-            return Result(202)
+            return Result(HTTP_ACCEPTED)
         if code == INVALID_JOB_CODE:
             return error_result(INVALID_JOB_CODE, str(document))
         if code == WRONG_PROCESS_CODE:
@@ -253,7 +291,7 @@
             return False
         if response is not None:
             self.run_by_job[query.job_id] = response.run_id
-            return Result(200, body, [("Content-Type", query.content_type)])
+            return Result(HTTP_OK, body, [("Content-Type", query.content_type)])
         if code == NOT_FOUND_CODE and document == "item":
             return error_result(NOT_FOUND_CODE)
         return code == NOT_FOUND_CODE
--- a/tests/data_plane/test_job_handlers.py
+++ b/tests/data_plane/test_job_handlers.py
@@ -116,3 +116,38 @@
     result = run(asyncio.wait_for(edge.desk._ask(ReadJobRequest("", "l", 0, 0.0), 0.0), 5))
     assert result.status == status and edge.desk.counters.counts["job.wrong_process"] == counted
     assert edge.calls[0][1]["to"] == "s0"
+
+
+# A job that its trainer sent again after its model's move was taken a second time, by the model's new run.
+@pytest.mark.parametrize(
+    "present, answers, statuses, verbs",
+    [
+        ({"m": "s", "x": "t"}, [(1000, MINE)], [202, 202], ["lot.put", "lot.put"]),  # it did not move
+        ({"m": "t"}, [(1000, MINE), (1000, MINE)], [202, 202], ["lot.put", "lot.read"]),
+        ({"m": "t", "x": "s"}, [(1000, MINE), (1000, MINE)], [202, 202], ["lot.put", "lot.read"]),
+        ({"m": "t"}, [(1000, MINE), LOST], [202, 504], ["lot.put", "lot.read"]),  # nobody can say whether it was taken
+        (  # the first try did not arrive
+            {"m": "t"},
+            [LOST, LOST, (2007, None), (1000, {**MINE, "run": "t"})],
+            [504, 202],
+            ["lot.put", "lot.put", "lot.read", "lot.put"],
+        ),
+    ],
+)
+def test_a_job_that_is_sent_again_after_a_move_is_taken_once(run, present, answers, statuses, verbs):
+    async def go():
+        edge = Edge(*answers)
+
+        async def nowhere(job_id):
+            return True
+
+        edge.desk._is_absent = nowhere
+        shards, plan = edge.desk._config_source.shards, edge.desk._config_source.plan
+        plan.service_by_model = lambda: {LOT["Model"]: "s"}
+        found = [await edge.hand_in()]
+        shards["p1"] = {"tenures": {"t": LEASE}}
+        plan.service_by_model = lambda: {LOT["Model"] if model == "m" else model: run for model, run in present.items()}
+        found.append(await edge.hand_in())
+        assert found == statuses and [verb for verb, _ in edge.calls] == verbs
+
+    run(go())
