Programs: a SIGHUP that arrives while a program loads its code does not end it

Cause: SIGHUP has a handler only once the code is loaded and the event loop runs; until then its default ends the process.

Change: the first thing that a program does is to hold the signal; the event loop takes it over and checks the settings file.

Before the interpreter runs our first line, the default stands.

--- a/archhatch/cli/programs.py
+++ b/archhatch/cli/programs.py
@@ -13,6 +13,7 @@
 from absl import flags
 
 from ..runtime import Counters, Settings, SettingsError, open_logs, read_settings
+from ..early_signals import take_reload_signal
 from .common_flags import SETTINGS, load_settings, print_error
 from .registry import EXIT_FAILURE, EXIT_OK, EXIT_USAGE, command
 
@@ -66,6 +67,8 @@
     loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
     loop.add_signal_handler(signal.SIGINT, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
+    if take_reload_signal():
+        reload_requested.set()
     await program.start()
     # What was loaded stays until the end: without it, each run of the collector is shorter.
     gc.collect()
