Programs: a SIGTERM that arrives while a program loads its code ends it in order

Cause: until the event loop has its handler, SIGTERM ended a starting program by its default, with the status of a failure.

Change: it ends with status 0. Nothing has been read from anybody by then, and nothing been written.

The three cases of tests/cli/test_early_signals.py with SIGTERM pass; before, the process ended by the signal. Before the interpreter runs our first line, the default stands.

--- a/archhatch/__main__.py
+++ b/archhatch/__main__.py
@@ -8,12 +8,12 @@
 os.environ.setdefault("SSL_CERT_FILE", os.devnull)
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "target", "deps"))
 
-from .early_signals import hold_reload_signal  # noqa: E402
+from .early_signals import hold_signals  # noqa: E402
 
 PROGRAMS = {"data-plane", "control-plane", "store"}
 
 if PROGRAMS.intersection(sys.argv[1:]):
-    hold_reload_signal()  # before the imports that take long
+    hold_signals()  # before the imports that take long
 
 from .cli.commands import main  # noqa: E402
 
--- a/archhatch/early_signals.py
+++ b/archhatch/early_signals.py
@@ -1,12 +1,15 @@
 """Signals that arrive before a program has set its own handlers.
 
-A starting program loads code for some tenths of a second. Meanwhile SIGHUP, by its default, would end the process.
+A starting program loads code for some tenths of a second. Meanwhile SIGHUP, by its default, would end the process, and
+SIGTERM would end it as if it had failed.
 """
 
 from __future__ import annotations
 
 import signal
+import sys
 from types import FrameType
+from typing import NoReturn
 
 _received: set[int] = set()
 
@@ -15,9 +18,14 @@
     _received.add(number)
 
 
-def hold_reload_signal() -> None:
-    """Keeps SIGHUP from ending the process, and remembers it."""
+def _end(_number: int, _frame: FrameType | None) -> NoReturn:
+    sys.exit(0)  # nothing has been read from anybody yet
+
+
+def hold_signals() -> None:
+    """Keeps SIGHUP from ending the process, and remembers it; has SIGTERM end it in order."""
     signal.signal(signal.SIGHUP, _note)
+    signal.signal(signal.SIGTERM, _end)
 
 
 def take_reload_signal() -> bool:
