Control node: its servers are http_server and rpc_server, as in the other programs

Cause: "window" and "desk" needed explaining. No change of behaviour. tests/control, compatibility, capacity, simulation and region_policy pass.

--- a/archhatch/capacity/probes/control.py
+++ b/archhatch/capacity/probes/control.py
@@ -46,10 +46,10 @@
 async def serve(one, verb: str, doc: dict) -> int:
     """Answer one call as the desk does, encoded and framed; the bytes of the answer."""
     desk, env = need("rpc", "Server", "_run"), need("rpc", "Envelope")
-    if not isinstance(one.desk, desk):
-        raise TypeError("ControlNode.desk is no Server")
+    if not isinstance(one.rpc_server, desk):
+        raise TypeError("ControlNode.rpc_server is no Server")
     sink = Sink()
-    await one.desk._run(env(call=1, verb=verb, head=orjson.dumps(doc)), sink, one.desk.now())
+    await one.rpc_server._run(env(call=1, verb=verb, head=orjson.dumps(doc)), sink, one.rpc_server.now())
     return sink.size
 
 
--- a/archhatch/capacity/probes/edge.py
+++ b/archhatch/capacity/probes/edge.py
@@ -129,12 +129,12 @@
 
     one = core(n)
     need("control.admin_api", "AdminApi", "answer")
-    await one.window.open("127.0.0.1:0")
+    await one.http_server.open("127.0.0.1:0")
 
     async def function():
         began = time.thread_time()
-        await asyncio.to_thread(BeatPeer(one.window.port(), n))
+        await asyncio.to_thread(BeatPeer(one.http_server.port(), n))
         return time.thread_time() - began
 
     yield function, 1
-    await one.window.close(0)
+    await one.http_server.close(0)
--- a/archhatch/control/node.py
+++ b/archhatch/control/node.py
@@ -118,8 +118,8 @@
         self.evacuations = EvacuationController(self, PLAN)
         self.admin_api = AdminApi(self)
         self.verbs = register_handlers(self)
-        self.desk = network.server(self.verbs, log, self.counters, lambda: self.id)
-        self.window = HttpServer(self.admin_api.answer, log, self.counters)
+        self.rpc_server = network.server(self.verbs, log, self.counters, lambda: self.id)
+        self.http_server = HttpServer(self.admin_api.answer, log, self.counters)
 
     # -- start and end
 
@@ -131,8 +131,8 @@
         if not self.id:
             await self._make_identity()
         self.registers.start()
-        await self.desk.open(self.address)
-        await self.window.open(self.settings.bindings["ControlPlane"])
+        await self.rpc_server.open(self.address)
+        await self.http_server.open(self.settings.bindings["ControlPlane"])
         self.peers.start()
         self.task_group.run_forever("sweep", self._sweep_loop)
         self.task_group.run_forever("maintenance", self._maintenance_loop)
@@ -159,16 +159,16 @@
     async def leave(self) -> None:
         """Ends in order: another node takes this one's work and, where a spare stands by, its place in the groups."""
         self.leaving = True
-        self.window.is_draining = True
+        self.http_server.is_draining = True
         self.state_board.notify(topics.FEED)  # whoever waits for the feed is sent on to another node
         self.peers.announce()
         end = self.clock.now() + self.settings.seconds("GraceS", LEAVE_SHARE)
         await asyncio.sleep(self.heartbeat_interval_s)
         while self.clock.now() < end and self.groups.is_needed_for_leaving():
             await asyncio.sleep(self.heartbeat_interval_s)
-        await self.window.close(self.settings.seconds("GraceS", LEAVE_SHARE))
+        await self.http_server.close(self.settings.seconds("GraceS", LEAVE_SHARE))
         await self.task_group.cancel_all()
-        await self.desk.close()
+        await self.rpc_server.close()
         self.connections.end()
         await self.wal.close()
         self.log.info("counters {}", self.counters.summary())
--- a/archhatch/simulation/control_node.py
+++ b/archhatch/simulation/control_node.py
@@ -100,7 +100,7 @@
         settings = simulated_settings(deployment, machine.host, seeds, machine.bootstrap)
         log = QuietLog(deployment.loop.faults)
         self.node = ControlNode(settings, log, VirtualClock(machine.loop), place, machine.disk)
-        self.node.window = _Entry(place, self.node.admin_api.answer)
+        self.node.http_server = _Entry(place, self.node.admin_api.answer)
 
     async def start(self) -> None:
         """Start the node."""
--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -186,10 +186,10 @@
     async def kill(self, node):
         """What a killed process leaves: closed sockets and its disk."""
         await node.task_group.cancel_all()
-        await (node.rpc_server if isinstance(node, StoreNode) else node.desk).close()
+        await node.rpc_server.close()
         node.connections.end()
-        if hasattr(node, "window"):
-            await node.window.close(0)
+        if hasattr(node, "http_server"):
+            await node.http_server.close(0)
         if hasattr(node, "upstream_client"):
             await node.upstream_client.close()
         await node.wal.close()
