Tools: one place chooses an operator's command, for policy, evacuate and duties

Cause: the look-up of a command by name and arguments, its usage line and the exit statuses stood in three clients and in the command line. Change: runtime/tool_commands.py, used by all four. No change of behaviour; tests/cli, tests/singleton_roles/test_client, tests/region_policy/test_region_policy and the doctests pass.

--- a/archhatch/cli/registry.py
+++ b/archhatch/cli/registry.py
@@ -5,9 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-EXIT_OK = 0
-EXIT_FAILURE = 1
-EXIT_USAGE = 2  # wrong use, or settings that cannot be used
+from ..runtime.tool_commands import EXIT_FAILURE, EXIT_OK, EXIT_USAGE
 
 Handler = Callable[[list[str]], int]  # takes the arguments that are no flags, returns the exit status
 
@@ -27,6 +25,8 @@
     handler: Handler
 
 
+__all__ = ["COMMANDS", "EXIT_FAILURE", "EXIT_OK", "EXIT_USAGE", "Command", "command"]
+
 COMMANDS: dict[str, Command] = {}  # in the order of the help
 
 
--- a/archhatch/evacuation/client.py
+++ b/archhatch/evacuation/client.py
@@ -2,19 +2,17 @@
 
 from __future__ import annotations
 
-import asyncio
 import sys
 import tomllib
-from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 from urllib.parse import quote
 
 import orjson
 
 from ..region_policy.control_plane import CommandFailedError, ControlPlane
 from ..runtime import SettingsError, read_settings
+from ..runtime.tool_commands import EXIT_FAILURE, EXIT_OK, ToolCommands, run_tool_command
 from .plans import InvalidPlanError, read_plan
 
 USAGE = """archhatch: evacuate: say one of
@@ -24,8 +22,6 @@
   evacuate cancel ID [--reason=WHY] give it up; what is moving goes home
   evacuate return ID [--reason=WHY] bring the tenant home"""
 
-EXIT_OK, EXIT_FAILURE, EXIT_USAGE = 0, 1, 2
-
 
 @dataclass(frozen=True, slots=True)
 class EvacuationOptions:
@@ -47,7 +43,7 @@
 
     def __init__(self, options: EvacuationOptions) -> None:
         self._options = options
-        self._commands: dict[tuple[str, int], Callable[..., Coroutine[Any, Any, int]]] = {  # by name and arguments
+        self._commands: ToolCommands = {
             ("plan", 1): self._plan,
             ("start", 1): self._start,
             ("status", 0): self._status,
@@ -65,12 +61,8 @@
         Returns:
             The exit status: EXIT_OK, EXIT_FAILURE, or EXIT_USAGE for wrong use.
         """
-        command = self._commands.get((args[0], len(args) - 1)) if args else None
-        if command is None:
-            print(USAGE, file=sys.stderr)
-            return EXIT_USAGE
         try:
-            return asyncio.run(command(*args[1:]))
+            return run_tool_command(self._commands, args, USAGE)
         except (SettingsError, CommandFailedError) as error:
             print(f"archhatch: {error}", file=sys.stderr)
         except InvalidPlanError as error:
--- a/archhatch/region_policy/client.py
+++ b/archhatch/region_policy/client.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
 import sys
-from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 from urllib.parse import quote
 
 import orjson
@@ -15,6 +12,7 @@
 from ..routing import Route, RoutingTable
 from ..routing.schemas import InvalidConfigError, check_config
 from ..runtime import Settings, SettingsError, read_settings
+from ..runtime.tool_commands import EXIT_FAILURE, EXIT_OK, EXIT_USAGE, ToolCommands, run_tool_command
 from .commands import policy_view
 from .control_plane import HTTP_OK, CommandFailedError, ControlPlane
 from .errors import PolicyError
@@ -30,8 +28,6 @@
   policy out REGION --reason=WHY    an operator's order: nothing new goes there
   policy in REGION --reason=WHY     it is in again, for all rules"""
 
-EXIT_OK, EXIT_FAILURE, EXIT_USAGE = 0, 1, 2
-
 
 @dataclass(frozen=True, slots=True)
 class PolicyOptions:
@@ -76,9 +72,7 @@
 
     def __init__(self, options: PolicyOptions) -> None:
         self._options = options
-        self._commands: dict[
-            tuple[str, int], Callable[..., Coroutine[Any, Any, int]]
-        ] = {  # by name and number of arguments
+        self._commands: ToolCommands = {
             ("check", 1): self._check,
             ("put", 1): self._put,
             ("get", 0): self._get,
@@ -98,12 +92,8 @@
         Returns:
             The exit status: EXIT_OK, EXIT_FAILURE, or EXIT_USAGE for wrong use.
         """
-        command = self._commands.get((args[0], len(args) - 1)) if args else None
-        if command is None:
-            print(USAGE, file=sys.stderr)
-            return EXIT_USAGE
         try:
-            return asyncio.run(command(*args[1:]))
+            return run_tool_command(self._commands, args, USAGE)
         except SettingsError as error:
             print(f"archhatch: {error}", file=sys.stderr)
         except CommandFailedError as error:
--- a/archhatch/singleton_roles/client.py
+++ b/archhatch/singleton_roles/client.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-import asyncio
 import sys
-from collections.abc import Callable, Coroutine
 from http import HTTPStatus
 from typing import Any, Protocol
 from urllib.parse import quote
 
 from ..region_policy.control_plane import CommandFailedError, ControlPlane
 from ..runtime import SettingsError, read_settings
+from ..runtime.tool_commands import EXIT_FAILURE, EXIT_OK, ToolCommands, run_tool_command
 
-EXIT_DONE, EXIT_FAILED, EXIT_WRONG_USAGE = 0, 1, 2
 USAGE = """archhatch: duties: say one of
   duties list          each duty's state, fence and holder
   duties show KEY      one duty with its audit trail
@@ -34,7 +32,7 @@
 
     def __init__(self, options: CommandLineOptions) -> None:
         self._options = options
-        self._commands: dict[tuple[str, int], Callable[..., Coroutine[Any, Any, None]]] = {
+        self._commands: ToolCommands = {
             ("list", 0): self._list,
             ("show", 1): self._show,
             ("reset", 1): self._reset,
@@ -49,16 +47,11 @@
         Returns:
             The exit status: 0 done, 1 failed, 2 wrong usage.
         """
-        command = self._commands.get((args[0], len(args) - 1)) if args else None
-        if command is None:
-            print(USAGE, file=sys.stderr)
-            return EXIT_WRONG_USAGE
         try:
-            asyncio.run(command(*args[1:]))
+            return run_tool_command(self._commands, args, USAGE)
         except (SettingsError, CommandFailedError) as error:
             print(f"archhatch: {error}", file=sys.stderr)
-            return EXIT_FAILED
-        return EXIT_DONE
+            return EXIT_FAILURE
 
     async def _call(self, method: str, path: str = "") -> dict:
         async with ControlPlane(read_settings(self._options.settings)) as control:
@@ -67,21 +60,24 @@
             raise CommandFailedError(f"code {answer.get('Error')} {answer.get('Says')}: {answer.get('Why')}")
         return answer
 
-    async def _list(self) -> None:
+    async def _list(self) -> int:
         for role in (await self._call("GET"))["DutyList"]:
             print(_format_role(role))
+        return EXIT_OK
 
-    async def _show(self, key: str) -> None:
+    async def _show(self, key: str) -> int:
         role = (await self._call("GET", "/" + quote(key, safe="")))["DutyList"][0]
         print(_format_role(role))
         for entry in role["Audit"]:
             print(f"  {entry['Event']:<10} fence {entry['FenceToken']:<6} {entry['Owner']}")
         if role["Error"]:
             print(f"  failed: {role['Error']}")
+        return EXIT_OK
 
-    async def _reset(self, key: str) -> None:
+    async def _reset(self, key: str) -> int:
         await self._call("POST", "/" + quote(key, safe="") + "/reset")
         print(f"{key}: may be tried again")
+        return EXIT_OK
 
 
 def _format_role(role: dict) -> str:
