--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -16,6 +16,8 @@
 REST_SHARE = 0.15  # of the requests are followed by a rest on the open connection
 LONGEST_REST_S = 6.0
 ENDED_SHARE = 0.3  # of the batch jobs are ended early
+ENDED_IN_RESET_SHARE = 0.5  # of the others, if connections between stores are reset meanwhile
+END_AFTER_RESET_S = 0.1
 READ_HOLD_MS = 800
 ITEMS = 24
 
@@ -147,8 +149,11 @@
 class Trainer:
     """Hands in one batch job after the other, reads each to its end, or ends it before."""
 
-    def __init__(self, system: System, name: str, rng: random.Random, jobs: list[Job]) -> None:
+    def __init__(
+        self, system: System, name: str, rng: random.Random, jobs: list[Job], reset_begun: asyncio.Event
+    ) -> None:
         self.system, self.name, self.rng, self.jobs = system, name, rng, jobs
+        self._reset_begun = reset_begun  # set for a moment when connections between stores are reset
 
     async def run(self, until: asyncio.Event) -> None:
         """Goes on until the event is set; batch jobs that are under way then stay."""
@@ -174,7 +179,21 @@
             if ends_early and self.system.record.now() >= end_at:
                 await self.end(job)
                 return
-            await self.read(job)
+            if await self._read_until_reset(job) and self.rng.random() < ENDED_IN_RESET_SHARE:
+                await asyncio.sleep(END_AFTER_RESET_S)
+                await self.end(job)
+                return
+
+    async def _read_until_reset(self, job: Job) -> bool:
+        """Reads a job's next page; breaks off and returns True when connections between stores are reset."""
+        reading = asyncio.ensure_future(self.read(job))
+        resetting = asyncio.ensure_future(self._reset_begun.wait())
+        await asyncio.wait({reading, resetting}, return_when=asyncio.FIRST_COMPLETED)
+        is_reset = resetting.done()
+        for task in (reading, resetting):
+            task.cancel()
+        await asyncio.gather(reading, resetting, return_exceptions=True)
+        return is_reset
 
     async def read(self, job: Job) -> None:
         """Reads a job's next page, and now and then all of it again."""
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -22,8 +22,8 @@
 )
 
 BLUE, GREEN = "llm-blue", "llm-green"
-EVENTS = 6
-EVENT_S, SLOW_EVENT_S = 0.1, 0.6  # a slow item streams for longer than CancelMs
+EVENTS = 16
+EVENT_S, SLOW_EVENT_S = 0.04, 0.4  # a slow item streams for twice CancelMs
 SLOW_EVERY = 3  # items
 ORDER_WORK_S = (0.02, 0.02, 0.3, 1.0, 3.0)  # in turn
 SLOTS = 8  # of a replica of live requests
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -44,7 +44,10 @@
         for replica in replicas:
             await replica.start()
         await asyncio.sleep(2.0)
-        trainers = [Trainer(system, f"{n:04x}", random.Random(rng.random()), jobs) for n in range(TRAINERS)]
+        trainers = [
+            Trainer(system, f"{n:04x}", random.Random(rng.random()), jobs, troubles.reset_begun)
+            for n in range(TRAINERS)
+        ]
         clients = [
             LiveClient(system, str(n), random.Random(rng.random()), outcomes).run(is_over)
             for n in range(CLIENTS_A_EDGE * min(edge_count, 8))
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -40,6 +40,7 @@
     def __init__(self, system: LinkedSystem, replicas: list[Replica], rng: random.Random) -> None:
         self.system, self.replicas, self.rng = system, replicas, rng
         self.log = Log()
+        self.reset_begun = asyncio.Event()
         self.model_service = BLUE
         self._revision = 1
         self._started_at: dict[str, float] = {}
@@ -123,10 +124,12 @@
         """Cuts a store off from the other stores for a moment, at times several; their connections are reset."""
         store = name if name in STORES else self.rng.choice(STORES)
         links = self.system.links_between_stores(store)
-        for _ in range(self.rng.randint(1, 4)):
+        for _ in range(self.rng.choice([1, 1, 4])):
             self.system.record.say(f"connections of {store} with the other stores are reset")
             for link in links:
                 link.cut()
+            self.reset_begun.set()  # for those that wait now
+            self.reset_begun.clear()
             await self._pause(0.05, 0.6)
             for link in links:
                 link.is_cut = False
