Configurations: one strict reader for the register, edges, stores and tools

Cause: two parsers. The control nodes checked a document with a schema that converts, and kept the document as it came; edges and stores read it again, and failed on it in the task that follows the configuration (in a store also joining).

Change: routing/configuration.py reads a document into a typed Configuration (readers of fields in runtime/schema.py): no text for numbers, no booleans for numbers, bounds, required names, in every field of every table. The register accepts what can be read, and RoutingTable is made of the same value; the second parsers (RoutingTable, Route, ScaleLimits, the API's look-up of a model's service, limits of the HTTP server) are gone. ConfigurationFollower keeps the last good configuration if a stored one cannot be read, logs and counts it (config.unreadable), and takes the next; a store joins meanwhile. A limit that Limits leaves out has its default again; before, an edge kept the one of an older configuration until it restarted.

Tests: two cases are replaced.

--- a/archhatch/autoscaler/controller.py
+++ b/archhatch/autoscaler/controller.py
@@ -100,7 +100,7 @@
             if order.is_running:
                 self._start_order(subject, order.number, order.record["intent"])
         for name, service in self._node.plan.services.items():
-            limits = ScaleLimits.read(service)
+            limits = ScaleLimits.of(service)
             if limits is not None:
                 self._check_service(name, limits, latest)
 
--- a/archhatch/autoscaler/policy.py
+++ b/archhatch/autoscaler/policy.py
@@ -9,6 +9,10 @@
 import math
 from collections import deque
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..routing.configuration import ServiceEntry
 
 HIGH_PRESSURE = 1.1  # pressure from which replicas are added: above 1, as a service in balance varies around it,
 HIGH_PRESSURE_FOR_S = 1.5  # ... once it lasts so long: a moment's peak is no reason
@@ -32,12 +36,10 @@
     boot_s: float
 
     @classmethod
-    def read(cls, service: dict) -> ScaleLimits | None:
-        """Reads the limits of a service of the configuration; None if it has a fixed number of replicas."""
-        scale = service.get("Autoscale")
-        if not scale:
-            return None
-        return cls(int(scale["MinCount"]), int(scale["MaxCount"]), float(scale.get("BootS", 0.0)))
+    def of(cls, service: ServiceEntry) -> ScaleLimits | None:
+        """Returns the limits of a service of the configuration; None if it has a fixed number of replicas."""
+        scale = service.autoscale
+        return None if scale is None else cls(scale.min_count, scale.max_count, scale.boot_s)
 
     def clamp(self, count: int) -> int:
         """Returns the nearest count that is allowed in a zone.
--- a/archhatch/capacity/probes/agreement.py
+++ b/archhatch/capacity/probes/agreement.py
@@ -97,20 +97,20 @@
 
 @probe("plan.check", "cpu", "check a configuration", "routes", (50, 200, 800))
 async def _check(n):
-    check, doc = need("routing.schemas", "check_config"), plan(n)
+    check, doc = need("routing", "read_configuration"), plan(n)
     yield (lambda: check(doc)), 1
 
 
 @probe("plan.make", "cpu", "make a configuration ready for look-ups", "routes", (50, 200, 800))
 async def _make(n):
-    made, doc = need("routing", "RoutingTable", "find_route"), plan(n)
-    yield (lambda: [made(doc) for _ in range(5)]), 5
+    made, doc = need("routing", "RoutingTable", "from_document"), plan(n)
+    yield (lambda: [made.from_document(doc) for _ in range(5)]), 5
 
 
 @probe("plan.memory", "memory", "a configuration in hand, as JSON and as look-ups", "routes", (200, 800))
 async def _memory(n):
-    made, raw = need("routing", "RoutingTable"), orjson.dumps(plan(n))
-    yield (lambda: made(orjson.loads(raw))), 1
+    made, raw = need("routing", "RoutingTable", "from_document"), orjson.dumps(plan(n))
+    yield (lambda: made.from_document(orjson.loads(raw))), 1
 
 
 @probe("plan.merge", "cpu", "apply a change of one route", "routes", (50, 200, 800))
--- a/archhatch/capacity/probes/edge.py
+++ b/archhatch/capacity/probes/edge.py
@@ -60,7 +60,7 @@
         one.request_forwarder = need("data_plane.forward", "RequestForwarder", "forward")(*args)
         need("data_plane.relay", "StreamRelay", "relay")
         one.dispatcher = one._make_dispatcher()
-        one.dispatcher.routing_table = need("routing", "RoutingTable")(plan(4))
+        one.dispatcher.routing_table = need("routing", "RoutingTable", "from_document").from_document(plan(4))
         one.http_server = one._make_http_server()
         one.load_balancer.apply_updates([{**entry(i), "addr": f"127.0.0.1:{port}", "id": f"i-{i}"} for i in (0, 2)][:1])
         one.load_balancer.apply_updates([{**entry(2), "addr": f"localhost:{port}", "id": "i-1"}])
--- a/archhatch/capacity/probes/shares.py
+++ b/archhatch/capacity/probes/shares.py
@@ -44,7 +44,7 @@
             incarnation="x",
             leaderships={RUN: self.leadership},
             engines=self.engines,
-            plan=need("routing", "RoutingTable")(plan(SERVICES)),
+            plan=need("routing", "RoutingTable", "from_document").from_document(plan(SERVICES)),
             clock=need(frame, "Clock")(),
             state_board=need(frame, "StateBoard")(),
             config_watcher=types.SimpleNamespace(live_totals={}),
--- a/archhatch/control/admin_api.py
+++ b/archhatch/control/admin_api.py
@@ -35,6 +35,7 @@
     from ..evacuation.controller import EvacuationController
     from ..jobs import Quorum
     from ..membership import PeerSet, ReplicaRegistry
+    from ..routing import ConfigurationFollower
     from ..runtime import Clock, Counters, Result, Settings, StateBoard
     from .agreement import Registers
 
@@ -57,6 +58,7 @@
     cores: PeerSet
     quorum: Quorum
     registers: Registers
+    configuration: ConfigurationFollower
     evacuations: EvacuationController
 
     def check_serving(self) -> bool:
@@ -182,14 +184,11 @@
             CallRefusedError: NO_CONFIG, because the register that holds the model's versions is not known yet.
         """
         state = self.node.registers.known.get(PLAN)
-        config = config_of(state["val"]) if state is not None else None
-        if config is None:
+        self.node.configuration.update(config_of(state["val"]) if state is not None else None)
+        table = self.node.configuration.table
+        if table is None:
             raise CallRefusedError(NO_CONFIG)
-        for service in config.get("ServiceTable", []):
-            for row in (service.get("Engine") or {}).get("ModelList") or []:
-                if row.get("Name") == model:
-                    return service["Name"]
-        return model
+        return table.service_by_model().get(model, model)
 
     async def _name_version(self, request: NameVersionRequest) -> Result:
         shard = shard_of(self._service_of(request.model), SERVICE_SHARDS)
--- a/archhatch/control/api_requests.py
+++ b/archhatch/control/api_requests.py
@@ -13,9 +13,10 @@
 from ..evacuation.plans import InvalidPlanError, read_plan
 from ..exceptions import ArchhatchError
 from ..membership import ReplicaEntry
+from ..routing import InvalidConfigError
+from ..routing.configuration import MAX_REVISION, read_revision
 from . import result_codes
 
-MAX_REVISION = 2**53 - 1  # the largest integer that every JSON reader keeps exactly
 MAX_REASON_CHARS = 200  # of an operator's reason that are kept
 DEFAULT_SLOTS = 1  # slots of a replica whose heartbeat names none
 FIRST_MODEL_REVISION = 1  # of a model whose heartbeat names none
@@ -310,9 +311,10 @@
 def _read_config_change(kind: str, headers: Mapping[str, str], body: bytes) -> ChangeConfigRequest:
     document = _read_object(body, InvalidConfigRequestError)
     expected_revision = _read_if_match(headers)
-    revision = document.get("Revision")
-    if isinstance(revision, bool) or not isinstance(revision, int) or not 0 < revision <= MAX_REVISION:
-        raise InvalidConfigRequestError(f"Revision: is missing or no number from 1 to {MAX_REVISION}")
+    try:
+        read_revision(document)
+    except InvalidConfigError as error:
+        raise InvalidConfigRequestError(str(error)) from None
     return ChangeConfigRequest(kind, document, expected_revision)
 
 
--- a/archhatch/control/config_commands.py
+++ b/archhatch/control/config_commands.py
@@ -22,7 +22,8 @@
 
 from ..consensus import Commands
 from ..routing.patch import merge
-from ..routing.schemas import InvalidConfigError, check_config
+from ..routing import InvalidConfigError, read_configuration
+from ..routing.configuration import read_revision
 from ..runtime.message import Message, wire
 from .register_values import RegisterValue, config_revision
 from .result_codes import DONE, INVALID_CONFIG, NO_CONFIG, REVISION_NOT_HIGHER, UNCERTAIN, VERSION_MISMATCH
@@ -61,7 +62,10 @@
     """Applies a change unless it was applied or refused before, or builds on another version."""
     current = config_revision(value)
     answer = {"Revision": current}
-    revision = change.document["Revision"]
+    try:
+        revision = read_revision(change.document)
+    except InvalidConfigError as error:
+        return INVALID_CONFIG, str(error), False
     expected = change.expected_revision
     change_digest = digest(kind, change.document, expected)
 
@@ -80,12 +84,13 @@
 def _put_in_force(value: RegisterValue, change_digest: str, revision: int, build: Callable[[], Any]) -> tuple:
     current = config_revision(value)
     try:
-        config = check_config(build())
+        document = build()
+        configuration = read_configuration(document)
     except InvalidConfigError as error:
         return INVALID_CONFIG, str(error), False
-    if config["Revision"] <= current:
+    if configuration.revision <= current:
         return REVISION_NOT_HIGHER, {"Revision": current}, False
-    value["plan"] = config
+    value["plan"] = document
     _remember_applied(value, revision, change_digest)
     return DONE, {"Revision": revision}, True
 
--- a/archhatch/control/node.py
+++ b/archhatch/control/node.py
@@ -12,6 +12,7 @@
 from ..membership import LiveRequests, NodeCard, PeerSet, ReplicaRegistry
 from ..membership.agreed_time import AgreedTime
 from ..region_policy.region_monitor import RegionMonitor
+from ..routing import ConfigurationFollower
 from ..rpc import CallError, CallRefusedError, TcpNetwork
 from ..runtime import Clock, Counters, Settings, StateBoard, TaskGroup
 from ..wal import WriteAheadLog
@@ -66,6 +67,7 @@
         cores: The other control nodes.
         stores: The stores that it or another control node has heard.
         live: Live requests by service, as reported by edges.
+        configuration: Follows the configuration in force.
     """
 
     def __init__(  # noqa: PLR0913 - the simulation brings its own clock, network and disk
@@ -114,6 +116,7 @@
         self.peers = Peers(self)
         self.feed = ConfigFeed(self)
         self.store_membership = StoreMembershipController(self)
+        self.configuration = ConfigurationFollower(log, self.counters)
         self.regions = RegionMonitor(self, PLAN)
         self.evacuations = EvacuationController(self, PLAN)
         self.admin_api = AdminApi(self)
--- a/archhatch/data_plane/edge.py
+++ b/archhatch/data_plane/edge.py
@@ -6,14 +6,15 @@
 import random
 import socket
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, cast
 
 from aiohttp.web_request import BaseRequest
 from transitions import Machine
 
-from ..http_server import HttpServer
+from ..http_server import HttpLimits, HttpServer
 from ..membership import ConfigWatcher, NodeCard
-from ..routing import RoutingTable
+from ..routing import ConfigurationFollower, RoutingTable
+from ..routing.configuration import ClientLimits
 from ..rpc import CallError, ConnectionPool
 from ..runtime import Clock, Counters, Result, Settings, StateBoard, TaskGroup, error_result
 from ..upstream import LoadBalancer, UpstreamClient
@@ -48,6 +49,7 @@
 LIVE_REPORT_TARGETS = 2  # control nodes that are told of new live requests, one after the other
 LIVE_REPORT_S = 0.3
 PROCESS_ID_BITS = 48
+MS_PER_S = 1000.0
 
 
 class Edge:
@@ -57,7 +59,7 @@
         state: "starting", "ready" or "leaving" (`lifecycle`).
         http_server: Serves clients; there from start() on.
         readiness_server: Serves the platform's readiness checks.
-        limits: The configuration's Limits, shared with the HTTP server.
+        configuration: Follows the configuration in force.
         load_balancer: Knows the replicas.
         placement: Where the placement policy lets routes run.
         usage: Counts requests for the tenants' usage; None where no usage is reported.
@@ -84,7 +86,7 @@
         self.task_group = TaskGroup(log, self.counters)
         self.state_board = StateBoard()
         self.connections = ConnectionPool(self.counters)
-        self.limits: dict[str, Any] = {}
+        self.configuration = ConfigurationFollower(log, self.counters)
         self._lifecycle = Machine(
             self, states=STATES, initial=STARTING, transitions=TRANSITIONS, auto_transitions=False
         )
@@ -177,7 +179,7 @@
 
     def _make_http_server(self) -> HttpServer:
         handler = self.dispatcher.dispatch
-        return HttpServer(handler, self.log, self.counters, self.limits, cancel_on_disconnect=True)
+        return HttpServer(handler, self.log, self.counters, cancel_on_disconnect=True)
 
     @property
     def plan(self) -> RoutingTable | None:
@@ -212,14 +214,13 @@
             shard = self.config_watcher.shards.get("plan")
             if self.placement.update(shard):
                 self.log.info("edge: placement policy applied, policy={}", self.placement)
-            document = (shard or {}).get("plan")
-            if document is not None and (self.plan is None or document["Revision"] > self.plan.revision):
-                self._apply_configuration(RoutingTable(document))
+            if self.configuration.update((shard or {}).get("plan")):
+                self._apply_configuration(cast(RoutingTable, self.configuration.table))
             turn = await self.state_board.wait_for_change("parts", turn)
 
     def _apply_configuration(self, table: RoutingTable) -> None:
         self.dispatcher.routing_table = self.config_watcher.plan = table
-        self.limits.update(table.limits)
+        self.http_server.limits = http_limits(table.limits)
         self.log.info("edge: configuration applied, revision={}", table.revision)
         self.configuration_arrived()
 
@@ -257,3 +258,15 @@
         if request.raw_path.split("?")[0] != READINESS_PATH:
             return error_result(NOT_FOUND_CODE)
         return Result(200 if self.state == READY else 503)
+
+
+def http_limits(limits: ClientLimits) -> HttpLimits:
+    """Returns the limits of a configuration as the HTTP server takes them; what it leaves out has the defaults."""
+    defaults = HttpLimits()
+    header_ms, idle_ms = limits.header_timeout_ms, limits.idle_timeout_ms
+    return HttpLimits(
+        max_header_bytes=limits.max_header_bytes,
+        max_body_bytes=defaults.max_body_bytes if limits.max_body_bytes is None else limits.max_body_bytes,
+        header_timeout_s=defaults.header_timeout_s if header_ms is None else header_ms / MS_PER_S,
+        idle_timeout_s=defaults.idle_timeout_s if idle_ms is None else idle_ms / MS_PER_S,
+    )
--- a/archhatch/diagnostics/importer.py
+++ b/archhatch/diagnostics/importer.py
@@ -10,7 +10,7 @@
 import crossplane
 
 from ..exceptions import ArchhatchError
-from ..routing.schemas import InvalidConfigError, check_config
+from ..routing import InvalidConfigError, read_configuration
 from ..runtime.message import Message, wire
 from .nginx_values import parse_duration_ms, parse_size_bytes
 
@@ -139,9 +139,10 @@
         if self._limits:
             config["Limits"] = self._limits
         try:
-            return check_config(config), self.notes
+            read_configuration(config)
         except InvalidConfigError as error:
             raise ConfigImportError(f"{self.path}: {error}") from error
+        return config, self.notes
 
     def _parse(self) -> list[Directive]:
         try:
--- a/archhatch/evacuation/controller.py
+++ b/archhatch/evacuation/controller.py
@@ -119,7 +119,7 @@
                 self._since.clear()
                 await node.state_board.wait_for_change("plan", version)
                 continue
-            if node.has_majority_contact() and node.owns(self._shard) and "plan" in self.readiness.value():
+            if node.has_majority_contact() and node.owns(self._shard) and self.readiness.has_configuration():
                 await self.drive_all()
             else:
                 self.term = None
--- a/archhatch/evacuation/readiness.py
+++ b/archhatch/evacuation/readiness.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol, cast
 
 from ..control.register_values import begun_term, stores_of
 from ..jobs import active_members
 from ..region_policy import Placement
-from ..routing import RoutingTable
+from ..routing import ConfigurationFollower, RoutingTable
 from .decisions import Report
 from .record import FINAL
 from .target_capacity import FIRST_VERSION, Needs, capacity_gaps, cold_models
@@ -24,6 +24,7 @@
     settings: Settings
     registry: ReplicaRegistry
     quorum: Quorum
+    configuration: ConfigurationFollower
 
     @property
     def known(self) -> dict[str, dict]:
@@ -56,7 +57,7 @@
     def capacity_gaps(self, plan: dict, rules: list[str]) -> list[str]:
         """Returns what the target of a plan lacks now, in words."""
         value = self.value()
-        if "plan" not in value:
+        if not self.has_configuration():
             return ["there is no configuration yet"]
         needs = self._needs(rules)
         members = active_members(stores_of(value))
@@ -94,10 +95,16 @@
         live_requests_s = settings.seconds("ConvergeMs") + longest_s
         return in_state_s >= live_requests_s and not self.missing_reports(record, Report.DRAINED)
 
+    def has_configuration(self) -> bool:
+        """Returns whether a configuration is known that can be read."""
+        self._host.configuration.update(self.value().get("plan"))
+        return self._host.configuration.table is not None
+
     def _needs(self, rules: list[str]) -> Needs:
-        value = self.value()
-        self._placement.update(value)
-        return Needs.of_rules(RoutingTable(value["plan"]), self._placement, rules)
+        self._placement.update(self.value())
+        if not self.has_configuration():
+            raise RuntimeError("the needs of a tenant stand in a configuration")
+        return Needs.of_rules(cast(RoutingTable, self._host.configuration.table), self._placement, rules)
 
     def _newest_versions(self) -> dict[str, int]:
         """Returns the newest named version of each model."""
--- a/archhatch/http_server/server.py
+++ b/archhatch/http_server/server.py
@@ -20,16 +20,14 @@
 from aiohttp.web_response import Response, StreamResponse
 from aiohttp.web_server import Server
 from ..runtime import Counters, Result, error_result
+from .limits import HttpLimits
 
 if TYPE_CHECKING:
     from loguru import Logger
 
 Handler = Callable[[BaseRequest, bytes], Awaitable[Result | StreamResponse]]
 
-DEFAULT_MAX_BODY_BYTES = 32 << 20
 DEFAULT_MAX_HEADER_BYTES = 16384
-DEFAULT_HEADER_TIMEOUT_MS = 10000
-DEFAULT_IDLE_TIMEOUT_MS = 15000
 SWEEPS_PER_HEADER_TIMEOUT = 4  # how often connections are looked at
 HEADER_LINE_OVERHEAD = 4  # ": " and the end of the line
 LISTEN_BACKLOG = 1024
@@ -101,7 +99,7 @@
     Attributes:
         is_draining: Whether connections are closed after their present request.
         in_flight: How many requests are being handled.
-        limits: The configuration's Limits, read anew for each request.
+        limits: What it takes from clients; read anew for each request.
     """
 
     def __init__(
@@ -109,7 +107,7 @@
         handler: Handler,
         log: Logger,
         counters: Counters,
-        limits: dict[str, Any] | None = None,
+        limits: HttpLimits | None = None,
         cancel_on_disconnect: bool = False,
     ) -> None:
         """Prepares a server.
@@ -118,12 +116,12 @@
             handler: Called with each request and its body.
             log: Where errors of handlers go.
             counters: Where refused connections and errors are counted.
-            limits: Limits by their names in the configuration; changes apply to later requests.
+            limits: What it takes from clients; the defaults if left out.
             cancel_on_disconnect: Whether a handler is cancelled when its client closes the connection.
         """
         self._handler, self._log, self.counters = handler, log, counters
         self._cancel_on_disconnect = cancel_on_disconnect
-        self.limits = {} if limits is None else limits
+        self.limits = HttpLimits() if limits is None else limits
         self.is_draining = False
         self.in_flight = 0
         self._server: _Server | None = None
@@ -135,7 +133,7 @@
     async def open(self, address: str, sock: socket.socket | None = None) -> None:
         """Serves on an address, or on a socket that listens already."""
         loop = asyncio.get_running_loop()
-        max_header_bytes = int(self.limits.get("MaxHeaderBytes", DEFAULT_MAX_HEADER_BYTES))
+        max_header_bytes = self.limits.max_header_bytes or DEFAULT_MAX_HEADER_BYTES
         self._server = _Server(
             cast(Any, self._serve),
             request_factory=self._make_request,
@@ -143,7 +141,7 @@
             auto_decompress=False,
             access_log=None,
             logger=_ErrorCounter(self.counters, self._log),
-            keepalive_timeout=self.limits.get("IdleTimeoutMs", DEFAULT_IDLE_TIMEOUT_MS) / 1000,
+            keepalive_timeout=self.limits.idle_timeout_s,
             tcp_keepalive=False,
             max_line_size=max_header_bytes,
             max_field_size=max_header_bytes,
@@ -201,18 +199,15 @@
         task: asyncio.Task[None],
     ) -> BaseRequest:
         loop = asyncio.get_running_loop()
-        return BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=self._max_body_bytes())
-
-    def _max_body_bytes(self) -> int:
-        return int(self.limits.get("MaxBodyBytes", DEFAULT_MAX_BODY_BYTES))
+        return BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=self.limits.max_body_bytes)
 
     async def _sweep_connections(self, server: _Server) -> None:
         """Ends connections whose header section takes longer than HeaderTimeoutMs, and those that never send one."""
         loop = asyncio.get_running_loop()
         while True:
-            header_timeout_s = self.limits.get("HeaderTimeoutMs", DEFAULT_HEADER_TIMEOUT_MS) / 1000
+            header_timeout_s = self.limits.header_timeout_s
             await asyncio.sleep(header_timeout_s / SWEEPS_PER_HEADER_TIMEOUT)
-            idle_timeout_s = self.limits.get("IdleTimeoutMs", DEFAULT_IDLE_TIMEOUT_MS) / 1000
+            idle_timeout_s = self.limits.idle_timeout_s
             now = loop.time()
             for connection in server.connections:
                 self._sweep(cast(_ClientConnection, connection), now, header_timeout_s, idle_timeout_s)
@@ -258,7 +253,7 @@
     async def _handle(self, request: BaseRequest) -> Result | StreamResponse:
         if _expects_continue(request):
             await request.writer.write(_CONTINUE_RESPONSE)  # type: ignore[attr-defined] # a StreamWriter
-        max_header_bytes = self.limits.get("MaxHeaderBytes")
+        max_header_bytes = self.limits.max_header_bytes
         if max_header_bytes is not None and _header_bytes(request) > max_header_bytes:
             return _closing_error(HEADERS_TOO_LARGE_CODE)
         return await self._handler(request, await self._read_body(request))
@@ -266,7 +261,7 @@
     async def _read_body(self, request: BaseRequest) -> bytes:
         if not request.body_exists:
             return b""
-        max_bytes = self._max_body_bytes()
+        max_bytes = self.limits.max_body_bytes
         if request.content_length is not None and request.content_length > max_bytes:
             raise HTTPRequestEntityTooLarge(max_bytes, request.content_length)
         return await request.read()
--- a/archhatch/region_policy/client.py
+++ b/archhatch/region_policy/client.py
@@ -9,8 +9,7 @@
 
 import orjson
 
-from ..routing import Route, RoutingTable
-from ..routing.schemas import InvalidConfigError, check_config
+from ..routing import InvalidConfigError, Route, RoutingTable
 from ..runtime import Settings, SettingsError, read_settings
 from ..runtime.tool_commands import EXIT_FAILURE, EXIT_OK, EXIT_USAGE, ToolCommands, run_tool_command
 from .commands import policy_view
@@ -187,7 +186,7 @@
         routes = _read_routes(plan_path) if plan_path else None
         async with ControlPlane(settings) as control_plane:
             if routes is None:
-                routes = RoutingTable((await control_plane.call("GET", "/api/config")).check())
+                routes = _read_served_routes((await control_plane.call("GET", "/api/config")).check())
             current = await control_plane.call("GET", "/api/policy")
             if current.status == HTTP_OK:
                 regions = (await control_plane.call("GET", "/api/regions")).check()["RegionTable"]
@@ -207,11 +206,18 @@
 
 def _read_routes(path: str) -> RoutingTable:
     try:
-        return RoutingTable(check_config(orjson.loads(_read_text(path))))
+        return RoutingTable.from_document(orjson.loads(_read_text(path)))
     except (orjson.JSONDecodeError, InvalidConfigError) as error:
         raise CommandFailedError(f"{path}: {error}") from error
 
 
+def _read_served_routes(document: object) -> RoutingTable:
+    try:
+        return RoutingTable.from_document(document)
+    except InvalidConfigError as error:
+        raise CommandFailedError(f"the configuration in force cannot be read: {error}") from error
+
+
 def _view(text: str | None, path: str | None, zones: dict, region_rows: list[dict]) -> dict:
     """Returns policy and regions as the feed carries them, from a policy's text and the rows of a region table."""
     if text is None:
--- a/archhatch/region_policy/reader.py
+++ b/archhatch/region_policy/reader.py
@@ -9,7 +9,7 @@
 
 from marshmallow import Schema, ValidationError, fields, validate
 
-from ..routing.schemas import ROUTE_CLASSES
+from ..routing import RouteClass
 from .errors import PolicyError, find_line, format_path
 from .rule_checks import ANY_CLASS, Fault, find_faults, matches_of
 
@@ -54,7 +54,7 @@
     routes = _texts()
     host = _text()
     prefix = fields.String(validate=validate.Regexp(r"/(.*/)?\Z", error="must begin and end with a slash"))
-    klass = fields.String(data_key="class", validate=validate.OneOf([*ROUTE_CLASSES, ANY_CLASS]))
+    klass = fields.String(data_key="class", validate=validate.OneOf([*RouteClass, ANY_CLASS]))
     home = _text()
     regions = _texts()
     like = _text()
--- a/archhatch/region_policy/region_monitor.py
+++ b/archhatch/region_policy/region_monitor.py
@@ -6,7 +6,7 @@
 import random
 from typing import TYPE_CHECKING, Any, Protocol
 
-from ..routing import RoutingTable
+from ..routing import ConfigurationFollower, RoutingTable
 from .placement import Placement
 from .watch import Advice, RegionWatch
 
@@ -40,6 +40,7 @@
     log: Any
     registry: ReplicaRegistry
     state_board: StateBoard
+    configuration: ConfigurationFollower
     heartbeat_interval_s: float
     quiet_s: float
     started: float
@@ -66,7 +67,6 @@
     Attributes:
         watch: Decides which regions to declare out or in.
         placement: The policy and the agreed facts on regions.
-        routes: The configuration in force, or None before the first look.
         answered_at: When a node last had an answer of a service from a zone, by (service, zone).
     """
 
@@ -86,7 +86,6 @@
             return_s=settings.seconds("ContactMs", RETURN_CONTACT_TIMES),
         )
         self.placement = Placement()
-        self.routes: RoutingTable | None = None
         self.answered_at: dict[tuple[str, str], float] = {}
         self._last_look: float | None = None
 
@@ -127,7 +126,10 @@
             self._last_look = None
             return
         self._restart_watch_after_gap(now)
-        routes = self._update_routes(value["plan"])
+        node.configuration.update(value["plan"])
+        routes = node.configuration.table
+        if routes is None:
+            return
         self.placement.update(value)
         policy = self.placement.policy
         if policy is None:
@@ -146,12 +148,6 @@
         if self.watch.since is None or self.watch.since < node.started:
             self.watch.restart(node.started)
 
-    def _update_routes(self, config: dict) -> RoutingTable:
-        """Returns the routes of a configuration; builds them anew only for a new revision."""
-        if self.routes is None or self.routes.revision != config["Revision"]:
-            self.routes = RoutingTable(config)
-        return self.routes
-
     async def _declare(self, advice: list[Advice], known_zones: dict) -> None:
         """Runs the commands of one look.
 
--- a/archhatch/routing/__init__.py
+++ b/archhatch/routing/__init__.py
@@ -1,15 +1,20 @@
-"""The operator's configuration: used to find a request's route.
+"""The operator's configuration: reads it, and finds a request's route in it.
 
-Reading, checking and changing one (`.schemas`, `.patch`) is the control plane's and the tools' work; they import it
-from there, so that nodes which only use a configuration do not load a schema library.
+Changing one (`.patch`) is the control plane's work, which imports it from there.
 """
 
+from .configuration import Configuration, InvalidConfigError, read_configuration
+from .follower import ConfigurationFollower
 from .routes import JOB_CLASSES, Route, RouteClass
 from .routing_table import RoutingTable
 
 __all__ = [
     "JOB_CLASSES",
+    "Configuration",
+    "ConfigurationFollower",
+    "InvalidConfigError",
     "Route",
     "RouteClass",
     "RoutingTable",
+    "read_configuration",
 ]
--- a/archhatch/routing/patch.py
+++ b/archhatch/routing/patch.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from typing import Any
 
-from .schemas import InvalidConfigError
+from .configuration import InvalidConfigError
 
 NAMED_TABLES = ("RouteTable", "ServiceTable", "TenantTable")  # lists of entries that have a Name
 CHANGE_FIELDS = ("Upsert", "Withdraw", "Revision")
--- a/archhatch/routing/routes.py
+++ b/archhatch/routing/routes.py
@@ -4,14 +4,17 @@
 
 import enum
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, cast
 
 from .weighted_sequence import WeightedSequence
 
-DEFAULT_TIMEOUT_MS = 60000
-DEFAULT_LATENCY_TARGET_MS = 1000
-DEFAULT_RESULT_DUE_MS = 60000
-DEFAULT_MAX_QUEUE_S = 3600
+if TYPE_CHECKING:
+    from .configuration import RouteEntry
+
+DEFAULT_TIMEOUT_MS = 60000.0
+DEFAULT_LATENCY_TARGET_MS = 1000.0
+DEFAULT_RESULT_DUE_MS = 60000.0
+DEFAULT_MAX_QUEUE_S = 3600.0
 DEFAULT_MAX_ATTEMPTS = 1
 DEFAULT_PRIORITY = 5
 
@@ -74,24 +77,23 @@
         return self.service_sequence.next()
 
     @classmethod
-    def from_document(cls, document: dict[str, Any]) -> Route:
-        """Reads an entry of a RouteTable that was checked (`schemas.check_config`)."""
-        parts = document.get("TrafficSplit") or []
-        split = tuple((part["Service"], float(part["Weight"])) for part in parts if part["Weight"] > 0)
+    def from_entry(cls, entry: RouteEntry) -> Route:
+        """Makes a route of an entry of a RouteTable."""
+        split = tuple((part.service, part.weight) for part in entry.traffic_split if part.weight > 0)
         return cls(
-            name=document["Name"],
-            host=document["HostName"].lower(),
-            prefix=document["PathPrefix"],
-            kind=document["RouteClass"],
-            timeout_s=document.get("TimeoutMs", DEFAULT_TIMEOUT_MS) / 1000,
-            latency_target_s=document.get("TargetLatencyMs", DEFAULT_LATENCY_TARGET_MS) / 1000,
-            result_due_s=document.get("ResultDueMs", DEFAULT_RESULT_DUE_MS) / 1000,
-            max_queue_s=float(document.get("MaxQueueS", DEFAULT_MAX_QUEUE_S)),
-            max_attempts=int(document.get("MaxAttempts", DEFAULT_MAX_ATTEMPTS)),
-            priority=int(document.get("Priority", DEFAULT_PRIORITY)),
-            is_resumable=bool(document.get("Resumable", False)),
-            is_single_version=bool(document.get("SingleVersion", False)),
-            traffic_split=split or ((document["Service"], 1.0),),
-            allows_anonymous=bool(document.get("NoAuth", False)),
+            name=entry.name,
+            host=entry.host.lower(),
+            prefix=entry.path_prefix,
+            kind=entry.route_class,
+            timeout_s=entry.timeout_ms / 1000,
+            latency_target_s=entry.latency_target_ms / 1000,
+            result_due_s=entry.result_due_ms / 1000,
+            max_queue_s=entry.max_queue_s,
+            max_attempts=entry.max_attempts,
+            priority=entry.priority,
+            is_resumable=entry.is_resumable,
+            is_single_version=entry.is_single_version,
+            traffic_split=split or ((cast(str, entry.service), 1.0),),
+            allows_anonymous=entry.allows_anonymous,
             service_sequence=WeightedSequence(split) if len(split) > 1 else None,
         )
--- a/archhatch/routing/routing_table.py
+++ b/archhatch/routing/routing_table.py
@@ -2,42 +2,46 @@
 
 from __future__ import annotations
 
-from typing import Any
-
+from .configuration import ClientLimits, Configuration, ServiceEntry, read_configuration
 from .routes import JOB_CLASSES, Route
 
 
 class RoutingTable:
     """Finds the route of a request, and the tenant of a key.
 
-    >>> table = RoutingTable({"Revision": 1, "RouteTable": [], "ServiceTable": []})
+    >>> table = RoutingTable.from_document({"Revision": 1, "RouteTable": [], "ServiceTable": []})
     >>> table.find_route("a", "/b") is None, table.routes(), table.live_services(), table.service_by_model()
     (True, [], set(), {})
 
     Attributes:
-        document: The configuration as the operator gave it.
-        revision: Its revision; a newer configuration has a higher one.
-        limits: Its Limits, by their names in the configuration.
+        revision: The configuration's revision; a newer one has a higher one.
+        limits: What the configuration lets clients send.
         services: The entries of its ServiceTable by name.
         has_tenants: Whether requests need an API key.
     """
 
-    def __init__(self, document: dict[str, Any]) -> None:
-        """Reads a configuration that was checked (`schemas.check_config`)."""
-        self.document = document
-        self.revision: int = document["Revision"]
-        self.limits: dict[str, Any] = document.get("Limits") or {}
-        self.services: dict[str, dict[str, Any]] = {service["Name"]: service for service in document["ServiceTable"]}
-        tenants = document.get("TenantTable") or []
-        self.has_tenants = bool(tenants)
-        self._tenant_by_key = {key: tenant["Name"] for tenant in tenants for key in tenant["ApiKeys"]}
+    def __init__(self, configuration: Configuration) -> None:
+        self.revision = configuration.revision
+        self.limits: ClientLimits = configuration.limits
+        self.services: dict[str, ServiceEntry] = {service.name: service for service in configuration.services}
+        self.has_tenants = bool(configuration.tenants)
+        self._tenant_by_key = {key: tenant.name for tenant in configuration.tenants for key in tenant.api_keys}
         self._routes_by_host: dict[str, list[Route]] = {}
-        for entry in document["RouteTable"]:
-            route = Route.from_document(entry)
+        for entry in configuration.routes:
+            route = Route.from_entry(entry)
             self._routes_by_host.setdefault(route.host, []).append(route)
         for routes in self._routes_by_host.values():
             routes.sort(key=lambda route: -len(route.prefix))
 
+    @classmethod
+    def from_document(cls, document: object) -> RoutingTable:
+        """Reads a configuration and makes its table.
+
+        Raises:
+            InvalidConfigError: It is not valid.
+        """
+        return cls(read_configuration(document))
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route of a host and path: the longest prefix wins."""
         host = host.lower()
@@ -53,7 +57,7 @@
         """Returns the name of the tenant that holds a key; costs one look-up, however many tenants there are.
 
         >>> tables = {"RouteTable": [], "ServiceTable": [], "TenantTable": [{"Name": "t", "ApiKeys": ["k"]}]}
-        >>> table = RoutingTable({"Revision": 1, **tables})
+        >>> table = RoutingTable.from_document({"Revision": 1, **tables})
         >>> table.tenant_of_key("k"), table.tenant_of_key("")
         ('t', None)
         """
@@ -76,8 +80,4 @@
 
     def service_by_model(self) -> dict[str, str]:
         """Returns the service that serves each model."""
-        return {
-            model["Name"]: name
-            for name, service in self.services.items()
-            for model in (service.get("Engine") or {}).get("ModelList") or []
-        }
+        return {model.name: name for name, service in self.services.items() for model in service.models()}
--- a/archhatch/runtime/message.py
+++ b/archhatch/runtime/message.py
@@ -25,6 +25,40 @@
     """A document that a message cannot be read from; names the key that is missing or unusable."""
 
 
+class MissingFieldError(InvalidMessageError):
+    """A document without a key that its message requires.
+
+    Attributes:
+        field: The key.
+    """
+
+    def __init__(self, message_name: str, field: str) -> None:
+        super().__init__(f"{message_name}: {field}: required")
+        self.field = field
+
+
+class InvalidFieldError(InvalidMessageError):
+    """A field of a document with a value that it may not have.
+
+    Attributes:
+        why: What is wrong; never holds the value, which may be a secret.
+        field: The path of the field in the document, such as "RouteTable[0].TimeoutMs"; empty for the document itself.
+
+    >>> str(InvalidFieldError("must be text", "Name").within("[0]").within("RouteTable"))
+    'RouteTable[0].Name: must be text'
+    """
+
+    def __init__(self, why: str, field: str = "") -> None:
+        super().__init__(f"{field}: {why}" if field else why)
+        self.why = why
+        self.field = field
+
+    def within(self, outer: str) -> InvalidFieldError:
+        """Returns the same error as seen from the document that holds this one under a key or an index."""
+        separator = "" if not self.field or self.field.startswith("[") else "."
+        return InvalidFieldError(self.why, f"{outer}{separator}{self.field}")
+
+
 def wire(  # noqa: PLR0913 - each option is a keyword of its own
     key: str,
     *,
@@ -96,16 +130,21 @@
 
         Raises:
             InvalidMessageError: A required key is missing, or the document is no object.
+            InvalidFieldError: A field's reader (`runtime.schema`) refused its value.
         """
         if not isinstance(document, dict):
             raise InvalidMessageError(f"{cls.__name__}: not an object: {type(document).__name__}")
         values = {}
-        for name, key, default, _, _, decode in cls._fields():
-            if key in document:
-                value = document[key]
-                values[name] = value if decode is None else decode(value)
-            elif default is dataclasses.MISSING:
-                raise InvalidMessageError(f"{cls.__name__}: {key}: required")
+        key = ""
+        try:
+            for name, key, default, _, _, decode in cls._fields():  # noqa: B007 - the handler below names the key
+                if key in document:
+                    value = document[key]
+                    values[name] = value if decode is None else decode(value)
+                elif default is dataclasses.MISSING:
+                    raise MissingFieldError(cls.__name__, key)
+        except InvalidFieldError as error:
+            raise error.within(key) from None
         return cls(**values)
 
     def to_document(self) -> dict:
--- a/archhatch/store/join.py
+++ b/archhatch/store/join.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import random
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol, cast
 
-from ..routing import RoutingTable
+from ..routing import ConfigurationFollower, RoutingTable
 from ..wal import LogError
 from .messages import LeaseTerm
 from .result_codes import DONE
@@ -41,6 +41,7 @@
     heartbeat_interval_s: float
     config_watcher: ConfigWatcher
     placement: Placement
+    configuration: ConfigurationFollower
     plan: RoutingTable | None
     live_services: set
     ready: bool
@@ -89,10 +90,10 @@
         store = self.store
         if store.placement.update(register):
             store.log.info("placement policy changed, policy={}", store.placement)
-        plan = register.get("plan")
-        if plan is not None and (store.plan is None or plan["Revision"] > store.plan.revision):
-            store.plan = RoutingTable(plan)
-            store.live_services = store.plan.live_services()
+        if store.configuration.update(register.get("plan")):
+            table = cast(RoutingTable, store.configuration.table)
+            store.plan = table
+            store.live_services = table.live_services()
 
     async def join(self) -> None:
         """Learns all terms that were granted before this store was a member; only then takes records."""
--- a/archhatch/store/node.py
+++ b/archhatch/store/node.py
@@ -16,7 +16,7 @@
 from ..platform_client import PlatformClient
 from ..rollout_controller import Engines, LeadershipTerm, WeightOrders
 from ..rollout_controller.record_fetch import FetchRequest, fetch_records
-from ..routing import RoutingTable
+from ..routing import ConfigurationFollower, RoutingTable
 from ..rpc import CallError, CallRefusedError, ConnectionPool, Handlers, Server
 from ..runtime import Clock, Counters, Settings, StateBoard, TaskGroup
 from ..share_group import PartitionLeader, Worker
@@ -63,6 +63,7 @@
         incarnation: Names this process among those that the store's disk had.
         heartbeat_interval_s: Between two heartbeats.
         quiet_s: A store that was not heard for so long passes for gone.
+        configuration: Follows the configuration in force.
         plan: The configuration, once the control nodes gave one.
         leaderships: The newest term that this store led or leads of each run.
         live_services: The services with routes of live requests.
@@ -96,6 +97,7 @@
         rest_s = settings.seconds("ContactMs", REPLICA_REST_CONTACT_FRACTION)
         self.load_balancer = LoadBalancer(settings.zone, settings.node_name, rest_s=rest_s, busy_share=SUBSET_WIDENING)
         self.placement = self.load_balancer.placement
+        self.configuration = ConfigurationFollower(log, self.counters)
         self.plan: RoutingTable | None = None
         self.leaderships: dict[str, LeadershipTerm] = {}
         self.live_services: set = set()
--- a/tests/control/test_config_commands.py
+++ b/tests/control/test_config_commands.py
@@ -101,17 +101,22 @@
 
 
 @pytest.mark.parametrize(
-    "bad",
-    [{}, {"doc": None, "match": 0}, {"doc": {"Revision": "x"}, "match": 0}, {"doc": {"Revision": 1}, "match": None}],
+    "bad, code",
+    [
+        ({}, 2001),
+        ({"doc": None, "match": 0}, 2001),
+        ({"doc": {"Revision": "x"}, "match": 0}, 2002),
+        ({"doc": {"Revision": 1}, "match": None}, 2001),
+    ],
 )
-def test_a_malformed_command_spoils_no_other_of_its_batch(run, bad):
+def test_a_malformed_command_spoils_no_other_of_its_batch(run, bad, code):
     async def go():
         proposer, acceptor = lone_proposer()
         good = {"doc": copy.deepcopy(GOOD), "match": 0}
         outs = await asyncio.gather(
             proposer.execute("plan.put", bad), proposer.execute("plan.put", good), proposer.execute("nothing.such", {})
         )
-        assert [code for code, _ in outs] == [2001, 1000, 2009]
+        assert [got for got, _ in outs] == [code, 1000, 2009]
         assert acceptor.state["val"]["plan"] == GOOD
 
     run(go())
--- a/tests/data_plane/test_at_most_once.py
+++ b/tests/data_plane/test_at_most_once.py
@@ -69,7 +69,7 @@
 
     def __init__(self, kind, first, second, **route):
         self.first, self.second = first, second
-        self.plan = RoutingTable(
+        self.plan = RoutingTable.from_document(
             {
                 "Revision": 1,
                 "ServiceTable": [{"Name": "s"}],
--- a/tests/data_plane/test_hedging.py
+++ b/tests/data_plane/test_hedging.py
@@ -53,7 +53,7 @@
 
 
 def setup(answers, kind="idempotent", sends=3, replicas=6):
-    plan = RoutingTable(
+    plan = RoutingTable.from_document(
         {
             "Revision": 1,
             "ServiceTable": [{"Name": "s"}],
--- a/tests/data_plane/test_store_proxies.py
+++ b/tests/data_plane/test_store_proxies.py
@@ -185,7 +185,7 @@
         assert load_balancer.replicas[iid].in_flight == 1
         return answers.pop(0)
 
-    plan = RoutingTable({"Revision": 1, "RouteTable": [row], "ServiceTable": [{"Name": "s"}]})
+    plan = RoutingTable.from_document({"Revision": 1, "RouteTable": [row], "ServiceTable": [{"Name": "s"}]})
     state_board = types.SimpleNamespace(notify=lambda name: None)
     upstream_client = types.SimpleNamespace(send=send)
     st = types.SimpleNamespace(
--- a/tests/diagnostics/test_importer.py
+++ b/tests/diagnostics/test_importer.py
@@ -6,6 +6,7 @@
 from tests.support.fakes import ROOT
 
 from archhatch.routing import RoutingTable
+from archhatch.routing.configuration import ClientLimits
 from archhatch.diagnostics.importer import Importer, ConfigImportError
 
 GOOD = """
@@ -39,8 +40,8 @@
 def test_import(tmp_path):
     path = write(tmp_path, GOOD)
     doc, notes = Importer(path).read(4)
-    plan = RoutingTable(doc)
-    assert doc["Revision"] == 4 and plan.limits == {"MaxBodyBytes": 2 << 20} and len(doc["RouteTable"]) == 4
+    plan = RoutingTable.from_document(doc)
+    assert doc["Revision"] == 4 and plan.limits == ClientLimits(max_body_bytes=2 << 20) and len(doc["RouteTable"]) == 4
     route = plan.find_route("b.example", "/q/1")
     assert (route.kind, route.timeout_s, route.max_attempts, route.traffic_split) == (
         "idempotent",
--- a/tests/http_server/test_server.py
+++ b/tests/http_server/test_server.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from archhatch.http_server import HttpServer
+from archhatch.http_server import HttpLimits, HttpServer
 from archhatch.runtime import Counters, Result, open_logs
 
 
@@ -29,7 +29,7 @@
 @pytest.mark.parametrize("raws", [(b"POST /x HT",), (HEAD,), (HEAD, b"A: b\r\n")])
 def test_a_head_that_does_not_end_is_ended(run, raws):
     async def go():
-        win = await window({"HeaderTimeoutMs": 40, "IdleTimeoutMs": 60000})
+        win = await window(HttpLimits(header_timeout_s=0.04, idle_timeout_s=60))
         rd, wr = await talk(win, *raws)
         assert (await rd.read()).startswith(b"HTTP/1.1 408 ") and win.counters.counts["http.slow_header"] == 1
         wr.close()
@@ -40,7 +40,7 @@
 
 def test_a_connection_that_says_nothing_is_ended(run):
     async def go():
-        win = await window({"HeaderTimeoutMs": 40, "IdleTimeoutMs": 80})
+        win = await window(HttpLimits(header_timeout_s=0.04, idle_timeout_s=0.08))
         rd, wr = await talk(win)
         assert await rd.read() == b""
         wr.close()
@@ -58,7 +58,7 @@
             await gate.wait()
             return Result(200, body)
 
-        win = await window({"HeaderTimeoutMs": 10, "IdleTimeoutMs": 60000}, slow)
+        win = await window(HttpLimits(header_timeout_s=0.01, idle_timeout_s=60), slow)
         rd, wr = await talk(win, HEAD + b"\r\nok")
         await began.wait()
         other, wr2 = await talk(win, b"POST")
@@ -75,26 +75,26 @@
 @pytest.mark.parametrize(
     "limits, raw, status",
     [
-        ({"MaxBodyBytes": 5}, b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nabcdef", b"413"),
+        (HttpLimits(max_body_bytes=5), b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nabcdef", b"413"),
         (
-            {"MaxBodyBytes": 5},
+            HttpLimits(max_body_bytes=5),
             b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nabcdef\r\n0\r\n\r\n",
             b"413",
         ),
         (
-            {"MaxBodyBytes": 6},
+            HttpLimits(max_body_bytes=6),
             b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nabcdef\r\n0\r\n\r\n",
             b"200",
         ),
-        ({"MaxHeaderBytes": 60}, b"GET /x HTTP/1.1\r\nHost: h\r\nA: " + b"a" * 50 + b"\r\n\r\n", b"431"),
-        ({}, b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n", b"400"),
-        ({}, b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", b"400"),
+        (HttpLimits(max_header_bytes=60), b"GET /x HTTP/1.1\r\nHost: h\r\nA: " + b"a" * 50 + b"\r\n\r\n", b"431"),
+        (HttpLimits(), b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n", b"400"),
+        (HttpLimits(), b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", b"400"),
         (
-            {},
+            HttpLimits(),
             b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
             b"400",
         ),
-        ({}, b"GET /x HTTP/9\r\n\r\n", b"400"),
+        (HttpLimits(), b"GET /x HTTP/9\r\n\r\n", b"400"),
     ],
 )
 def test_limits_and_malformed_heads(run, limits, raw, status):
--- a/tests/region_policy/test_region_monitor.py
+++ b/tests/region_policy/test_region_monitor.py
@@ -7,7 +7,8 @@
 from archhatch.membership import ReplicaRegistry
 from archhatch.region_policy.commands import commands
 from archhatch.region_policy.region_monitor import RegionMonitor
-from archhatch.runtime import StateBoard
+from archhatch.routing import ConfigurationFollower
+from archhatch.runtime import Counters, StateBoard
 from archhatch.runtime.settings import check_settings
 
 BOOT = check_settings(
@@ -43,6 +44,7 @@
         self.clock = HandClock()
         self.registry = ReplicaRegistry()
         self.state_board = StateBoard()
+        self.configuration = ConfigurationFollower(self.log, Counters())
         self.started = 0.0
         self.has_contact = True
         self.is_owner = True
--- a/tests/rollout_controller/test_scoring.py
+++ b/tests/rollout_controller/test_scoring.py
@@ -11,7 +11,7 @@
 from archhatch.rollout_controller.load_limit import LoadLimit
 from archhatch.rollout_controller.scoring import Scoring
 
-PLAN = RoutingTable(
+PLAN = RoutingTable.from_document(
     {
         "Revision": 1,
         "ServiceTable": [{"Name": "s"}],
--- a/tests/rollout_controller/test_weight_orders.py
+++ b/tests/rollout_controller/test_weight_orders.py
@@ -113,7 +113,7 @@
         replica_pause_s=lambda: 0.02,
         named=lambda: {m: named for m in models},
         models_of=lambda run: list(models),
-        plan=RoutingTable({"Revision": 1, "RouteTable": [], "ServiceTable": []}),
+        plan=RoutingTable.from_document({"Revision": 1, "RouteTable": [], "ServiceTable": []}),
         leader=SimpleNamespace(lacks_replicas=lambda leadership, model: False),
         task_group=None,
     )
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from archhatch.routing import RoutingTable
+from archhatch.control.config_commands import commands
+from archhatch.routing import InvalidConfigError, RoutingTable, read_configuration
 from archhatch.routing.patch import merge
-from archhatch.routing.schemas import InvalidConfigError, check_config
 
 ROUTE = {
     "Name": "r1",
@@ -52,20 +52,22 @@
 
 
 def test_good_plan_is_kept_as_it_came():
-    assert check_config(copy.deepcopy(GOOD)) == GOOD
+    value = {}
+    assert commands.run(value, "plan.put", {"doc": copy.deepcopy(GOOD), "match": 0})[0] == 1000
+    assert value["plan"] == GOOD
 
 
 @pytest.mark.parametrize("why", sorted(BAD))
 def test_invalid_plans(why):
     with pytest.raises(InvalidConfigError):
-        check_config(changed(BAD[why]))
+        read_configuration(changed(BAD[why]))
 
 
 def test_a_refusal_lists_the_errors_of_tenants_before_those_of_routes():
     doc = changed(lambda d: d["RouteTable"][0].update(Service="nope"))
     doc["TenantTable"] = [{"Name": "t", "ApiKeys": ["a"]}, {"Name": "t", "ApiKeys": ["b"]}]
     with pytest.raises(InvalidConfigError) as refused:
-        check_config(doc)
+        read_configuration(doc)
     text = str(refused.value)
     assert text.index("tenant t stands twice") < text.index("unknown service nope")
 
@@ -73,7 +75,7 @@
 @pytest.mark.parametrize("doc", [None, 5, [], "x"])
 def test_no_plan_at_all(doc):
     with pytest.raises(InvalidConfigError):
-        check_config(doc)
+        read_configuration(doc)
 
 
 @pytest.mark.parametrize(
@@ -90,7 +92,7 @@
     ],
 )
 def test_longest_prefix(host, path, name):
-    route = RoutingTable(GOOD).find_route(host, path)
+    route = RoutingTable.from_document(GOOD).find_route(host, path)
     assert (route.name if route else None) == name
 
 
@@ -100,7 +102,7 @@
             TrafficSplit=[{"Service": "s1", "Weight": 90}, {"Service": "s2", "Weight": 10}]
         )
     )
-    route = RoutingTable(doc).find_route("h.example", "/a/x")
+    route = RoutingTable.from_document(doc).find_route("h.example", "/a/x")
     got = [route.choose_service() for _ in range(2000)]
     assert 195 <= got.count("s2") <= 205 and set(got) == {"s1", "s2"}
 
--- a/tests/share_group/test_acknowledgements.py
+++ b/tests/share_group/test_acknowledgements.py
@@ -12,7 +12,7 @@
 from archhatch.runtime import StateBoard, Counters
 from archhatch.rollout_controller import Engines
 
-PLAN = RoutingTable(
+PLAN = RoutingTable.from_document(
     {
         "Revision": 1,
         "ServiceTable": [{"Name": "s"}],
--- a/tests/share_group/test_moved_routes.py
+++ b/tests/share_group/test_moved_routes.py
@@ -30,7 +30,7 @@
         {"Name": name, "Engine": {"SlotCount": SLOTS, "ModelList": [{"Name": m} for m in models.get(name, ())]}}
         for name in ("old", "new", "other")
     ]
-    return RoutingTable({"Revision": 1, "RouteTable": rows, "ServiceTable": services})
+    return RoutingTable.from_document({"Revision": 1, "RouteTable": rows, "ServiceTable": services})
 
 
 def leader(plan):
--- a/tests/share_group/test_run_times.py
+++ b/tests/share_group/test_run_times.py
@@ -49,7 +49,7 @@
     )
     for engine in engines.of_service("s"):
         engine.running_items["m"] = 2
-    plan = RoutingTable({"Revision": 1, "RouteTable": [ROW], "ServiceTable": [{"Name": "s"}]})
+    plan = RoutingTable.from_document({"Revision": 1, "RouteTable": [ROW], "ServiceTable": [{"Name": "s"}]})
     store = SimpleNamespace(clock=clock, engines=engines, plan=plan, state_board=StateBoard(), quiet_s=1.0)
     batch_job = SimpleNamespace(
         model="m", is_ended=False, min_revision=2, accepted_at=clock.now() - age, host="h", path="/l/x"
--- a/tests/system/test_fuzz_external_input.py
+++ b/tests/system/test_fuzz_external_input.py
@@ -11,8 +11,7 @@
 from archhatch.jobs import InvalidJobError, check_job, read_job
 from archhatch.control.api_requests import InvalidRequestError, decode
 from archhatch.control.config_commands import commands
-from archhatch.routing import RoutingTable
-from archhatch.routing.schemas import InvalidConfigError, check_config
+from archhatch.routing import InvalidConfigError, RoutingTable, read_configuration
 from archhatch.runtime.numbers import read_count, read_decimal
 
 SHORT = settings(max_examples=60, deadline=None, derandomize=True)
@@ -94,7 +93,7 @@
     tenants = [{"Name": "t", "ApiKeys": ["k1", "k2"], "Priority": 1}]
     doc = mutated({**plan(), "TenantTable": tenants}, data.draw, data.draw(strategies.integers(1, 3)))
     try:
-        ready = RoutingTable(check_config(doc))
+        ready = RoutingTable.from_document(doc)
     except InvalidConfigError as e:
         assert "k1" not in str(e) and "k2" not in str(e)
         return
@@ -115,7 +114,7 @@
     code, _, changed, after = commands.run_isolated(value, "plan.patch", args)
     assert code in (1000, 2001, 2002) and changed is (code == 1000)
     assert after["plan"]["Revision"] == (2 if changed else 1)
-    check_config(after["plan"])
+    read_configuration(after["plan"])
 
 
 METHODS = strategies.sampled_from(["GET", "PUT", "POST", "PATCH", "DELETE", "BREW"])
