Configurations: a malformed PATCH is refused as one, by the name of its field

Seen: a PATCH whose entry has a Name that is no text, whose Withdraw names Limits, or whose rows are no objects got 2001 (malformed command, with the text of a TypeError or AttributeError) in place of 2002, or passed merge and was refused without the field's path. Cause: merge read the change by hand and trusted names and Limits. Nothing was put in force before either: the register refuses a failing command alone.

--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -121,20 +121,31 @@
 
 
 @pytest.mark.parametrize(
-    "change",
+    "change, field",
     [
-        {},
-        {"Revision": 4, "Odd": 1},
-        {"Revision": 4, "Upsert": []},
-        {"Revision": 4, "Upsert": {"RouteTable": [5]}},
-        {"Revision": 4, "Upsert": {"Odd": []}},
-        {"Revision": 4, "Withdraw": {"RouteTable": [5]}},
-        {"Revision": 4, "Withdraw": {"RouteTable": "r1"}},
+        ({}, "Revision"),
+        ({"Revision": "4"}, "Revision"),
+        ({"Revision": 4, "Odd": 1}, "Odd"),
+        ({"Revision": 4, "Upsert": []}, "Upsert"),
+        ({"Revision": 4, "Upsert": {"RouteTable": [5]}}, "Upsert.RouteTable[0]"),
+        ({"Revision": 4, "Upsert": {"RouteTable": [{}]}}, "Upsert.RouteTable[0].Name"),
+        ({"Revision": 4, "Upsert": {"RouteTable": [{"Name": []}]}}, "Upsert.RouteTable[0].Name"),
+        ({"Revision": 4, "Upsert": {"ServiceTable": [{"Name": 5}]}}, "Upsert.ServiceTable[0].Name"),
+        ({"Revision": 4, "Upsert": {"TenantTable": {}}}, "Upsert.TenantTable"),
+        ({"Revision": 4, "Upsert": {"Limits": []}}, "Upsert.Limits"),
+        ({"Revision": 4, "Upsert": {"Odd": []}}, "Upsert.Odd"),
+        ({"Revision": 4, "Withdraw": []}, "Withdraw"),
+        ({"Revision": 4, "Withdraw": {"RouteTable": [5]}}, "Withdraw.RouteTable[0]"),
+        ({"Revision": 4, "Withdraw": {"RouteTable": ["r1", {}]}}, "Withdraw.RouteTable[1]"),
+        ({"Revision": 4, "Withdraw": {"RouteTable": "r1"}}, "Withdraw.RouteTable"),
+        ({"Revision": 4, "Withdraw": {"Limits": {"MaxBodyBytes": 1}}}, "Withdraw.Limits"),
     ],
 )
-def test_bad_changes(change):
-    with pytest.raises(InvalidConfigError):
+def test_bad_changes_are_refused_as_configurations_by_the_name_of_the_field(change, field):
+    """Guards against refusals as malformed commands, without a field: names that are no text, a Withdraw of Limits."""
+    with pytest.raises(InvalidConfigError) as refused:
         merge(GOOD, change)
+    assert str(refused.value).startswith(field + ": ")
 
 
 @pytest.mark.parametrize("weights", [(90, 10), (50, 50), (1, 1, 1), (97, 2, 1)])
