Configurations: a document that is nested too deeply is refused in place of 500

Seen (trial over control nodes in one process): a PUT with a field that the reader passes over, nested 252 levels deep, got 500 at each control node in turn, so the operator had no clear answer in 5 s; 200 to 250 levels were acknowledged. Cause: what orjson reads (1,024 levels) it doesn't write (254), and messages and records put a few levels around a document. Change: more than 32 levels are refused with 2002 and the outermost field's name, in the API and in the register's command. What is stored already is still read.

tests/control/test_config_commands.py: 3 of the 4 new cases failed before.

--- a/archhatch/control/api_requests.py
+++ b/archhatch/control/api_requests.py
@@ -14,7 +14,7 @@
 from ..exceptions import ArchhatchError
 from ..membership import ReplicaEntry
 from ..routing import InvalidConfigError
-from ..routing.configuration import MAX_REVISION, read_revision
+from ..routing.configuration import MAX_REVISION, check_depth, read_revision
 from . import result_codes
 
 MAX_REASON_CHARS = 200  # of an operator's reason that are kept
@@ -312,6 +312,7 @@
     document = _read_object(body, InvalidConfigRequestError)
     expected_revision = _read_if_match(headers)
     try:
+        check_depth(document)
         read_revision(document)
     except InvalidConfigError as error:
         raise InvalidConfigRequestError(str(error)) from None
--- a/archhatch/control/config_commands.py
+++ b/archhatch/control/config_commands.py
@@ -23,7 +23,7 @@
 from ..consensus import Commands
 from ..routing.patch import merge
 from ..routing import InvalidConfigError, read_configuration
-from ..routing.configuration import read_revision
+from ..routing.configuration import check_depth, read_revision
 from ..runtime.message import Message, wire
 from .register_values import RegisterValue, config_revision
 from .result_codes import DONE, INVALID_CONFIG, NO_CONFIG, REVISION_NOT_HIGHER, UNCERTAIN, VERSION_MISMATCH
@@ -63,6 +63,7 @@
     current = config_revision(value)
     answer = {"Revision": current}
     try:
+        check_depth(change.document)
         revision = read_revision(change.document)
     except InvalidConfigError as error:
         return INVALID_CONFIG, str(error), False
--- a/archhatch/routing/configuration.py
+++ b/archhatch/routing/configuration.py
@@ -11,8 +11,10 @@
 from ..exceptions import ArchhatchError
 from ..runtime.message import InvalidFieldError, Message, wire
 from ..runtime.schema import (
+    MAX_DEPTH,
     boolean,
     integer,
+    is_too_deep,
     list_of,
     nullable,
     number,
@@ -196,6 +198,17 @@
         raise InvalidConfigError(str(error.within("Revision"))) from None
 
 
+def check_depth(document: dict) -> None:
+    """Checks that a configuration, or a change to one, is not nested deeper than records and messages can carry it.
+
+    Raises:
+        InvalidConfigError: It is; the message names the outermost field.
+    """
+    for name, value in document.items():
+        if is_too_deep(value):
+            raise InvalidConfigError(f"{name}: is nested more than {MAX_DEPTH} levels deep")
+
+
 def read_configuration(document: object) -> Configuration:
     """Reads a configuration.
 
--- a/tests/control/test_config_commands.py
+++ b/tests/control/test_config_commands.py
@@ -3,6 +3,7 @@
 import asyncio
 import copy
 
+import orjson
 import pytest
 from tests.support.fakes import MemBook
 from tests.routing.test_routing import GOOD, changed
@@ -150,3 +151,23 @@
         assert (await second)[0] == 1000 and acceptor.state["val"]["plan"] == GOOD
 
     run(go())
+
+
+def nested(levels):
+    document = {}
+    for _ in range(levels):
+        document = {"x": document}
+    return document
+
+
+@pytest.mark.parametrize("levels, code", [(20, 1000), (40, 2002), (300, 2002), (900, 2002)])
+def test_a_change_that_no_record_can_carry_is_refused_by_its_field(levels, code):
+    """Guards against a 500 at each control node in turn: what is read may be too deep to be written again."""
+    document = {**GOOD, "Revision": 1, "Extra": nested(levels)}
+    body = b'{"Revision":1,"Extra":' + b'{"x":' * levels + b"{}" + b"}" * levels + b"}"
+    try:
+        decoded = decode("PATCH", "/api/config", {"If-Match": "0"}, body)
+        assert code == 1000 and orjson.dumps(decoded.document)
+    except InvalidRequestError as refused:
+        assert refused.code == code and refused.why.startswith("Extra: is nested")
+    assert commands.run({}, "plan.put", {"doc": document, "match": 0})[0] == code
