Consensus: an owner whose vote is newer than what it knows settles its register again

Cause: it had voted for the holder's last grants without learning that they were chosen. Its proposer still held a number from its own earlier time, so GroupMaintenance saw nothing unsettled, and reconfigure({}) believed that number without asking. The lease watch, which counts from chosen states, never saw the grant. Change: a newer vote than the chosen state that is known is unsettled; reconfigure({}) confirms a held number first and prepares again if another went above it. The control nodes' registers settle by the same call.

--- a/archhatch/consensus/proposer.py
+++ b/archhatch/consensus/proposer.py
@@ -254,13 +254,15 @@
         A joining voter receives the whole state, synced, before the change begins, so that it never votes without it.
 
         Args:
-            voters: The new group: id -> address. If it is empty, a change that was begun is finished, and the state is
-                committed.
+            voters: The new group: id -> address. If it is empty, a change that was begun is finished, and the newest
+                state is committed and published, also if another proposer had it accepted.
 
         Returns:
             Whether the group is the one asked for, and its state committed.
         """
         async with self._round_lock:
+            if self.is_committed and not voters:
+                await self._confirm()  # another proposer may have gone above the held number
             if not await self._ensure_prepared():
                 return False
             if self._require_state().previous_voters and not await self._end_group_change():
--- a/archhatch/singleton_roles/group_maintenance.py
+++ b/archhatch/singleton_roles/group_maintenance.py
@@ -75,10 +75,12 @@
         base = self._registers.base(namespace)
         if base is None:
             return
-        is_known = namespace in self._registers.known
-        voters = self._planner.next_voters(base) if is_known and self._has_settled() else None
+        known = self._registers.known.get(namespace)
+        # A newer state than the chosen one that is known here may be chosen as well, by a proposer that is gone.
+        is_behind = known is None or known["stamp"] < base["stamp"]
+        voters = self._planner.next_voters(base) if not is_behind and self._has_settled() else None
         is_unsettled = base["prev"] or proposer.prepared_number is None or not proposer.is_committed
-        if voters or not is_known or is_unsettled:
+        if voters or is_behind or is_unsettled:
             if voters:
                 self._node.log.info("ledger {}: group changes, voters={}", namespace, sorted(voters))
             await proposer.reconfigure(voters or {})
--- a/tests/consensus/test_proposer.py
+++ b/tests/consensus/test_proposer.py
@@ -153,6 +153,21 @@
     run(go())
 
 
+def test_settling_learns_what_another_proposer_has_chosen_since(run):
+    """Guards against a proposer that counts as leading by its old number, and settles nothing."""
+
+    async def go():
+        group = RegisterGroup("abc")
+        await group.do("a", "put", v=1)
+        assert await group.do("b", "put", v=2, match=1) == (1000, 2)
+        group.cut = {"b"}
+        assert group.nodes["a"]["known"]["val"] == {"v": 1}
+        assert await group.nodes["a"]["proposer"].reconfigure({})
+        assert group.nodes["a"]["known"]["val"] == {"v": 2}
+
+    run(go())
+
+
 def test_repeated_command_is_taken_once(run):
     async def go():
         group = RegisterGroup("abc")
