Share groups: texts that were given back go to the next leader when a run is handed on

Cause: a released text is in the leader's memory alone until the entry is acquired again; a transfer of the lease lost it. The new key of the record is optional and passed over by older versions; without texts nothing is written.

tests/share_group/test_share_group.py::test_released_texts_outlive_a_leader_that_hands_its_run_on failed before.

--- a/archhatch/share_group/hosts.py
+++ b/archhatch/share_group/hosts.py
@@ -112,6 +112,10 @@
     def evacuation(self) -> Any:  # noqa: ANN401 - only `leads_elsewhere(run)` is used; tests offer just that
         """Holds `leads_elsewhere(run)`: whether a run is about to be led from another region."""
 
+    @property
+    def task_group(self) -> TaskGroup:
+        """Runs background tasks."""
+
     @property
     def load_balancer(self) -> LoadBalancer:
         """Holds `last_answer_at`: when a service last answered from a zone."""
--- a/archhatch/share_group/leader.py
+++ b/archhatch/share_group/leader.py
@@ -103,6 +103,25 @@
             for run in list(self.runs.values()):
                 await self._write(run, _records_of(run))
 
+    async def prepare_handover(self, name: str) -> None:
+        """Has the next leader of a run find the texts that this one alone has; until `end_handover` none are added.
+
+        Not for longer than quiet_s: a leader may be handing on because its disk is slow.
+        """
+        run = self.runs.get(name)
+        if run is None:
+            return
+        run.is_handing_over = True
+        records = [run.journals[partition].handover_record(window) for partition, window in run.windows.items()]
+        written = self.host.task_group.spawn("handover", self._write, run, [row for row in records if row is not None])
+        await asyncio.wait({written}, timeout=self.host.quiet_s)
+
+    def end_handover(self, name: str) -> None:
+        """Serves a run again that no other store took over."""
+        run = self.runs.get(name)
+        if run is not None:
+            run.is_handing_over = False
+
     async def _write(self, run: LedPartitions, records: list[Record]) -> None:
         for record in records:
             try:
--- a/archhatch/share_group/led_partitions.py
+++ b/archhatch/share_group/led_partitions.py
@@ -108,6 +108,7 @@
         drivers_key: The workers and zones that the cache was made from.
         times: The durations of the items' streams.
         services: The services to whose replicas the routes of the open batch jobs lead now.
+        is_handing_over: Whether another store is about to lead: workers keep what they have for it.
     """
 
     def __init__(self, leadership: Leadership, now: float, lock_s: float, max_locks: int) -> None:
@@ -124,6 +125,7 @@
         self.drivers_key: tuple[tuple[str, str], ...] = ()
         self.times = RunTimes()
         self.services: set[str] = {leadership.run}
+        self.is_handing_over = False
 
     def restore(self, counters: Counters) -> None:
         """Builds the windows from the records that the stores reported at takeover."""
--- a/archhatch/share_group/led_runs.py
+++ b/archhatch/share_group/led_runs.py
@@ -110,12 +110,12 @@
             The run's state.
 
         Raises:
-            NotLeaderError: This node does not lead the run, or is leaving.
+            NotLeaderError: This node does not lead the run, is leaving, or hands the run over.
             LeaderEpochError: It leads it under another epoch.
         """
         self._sync_if_new(name)
         run = self.runs.get(name)
-        if run is None or run.leadership.state != LEADERSHIP_HELD or self.host.leaving:
+        if run is None or run.leadership.state != LEADERSHIP_HELD or self.host.leaving or run.is_handing_over:
             raise NotLeaderError
         if run.leadership.term != leader_epoch:
             self.host.counters.add("share.other_epoch")
--- a/archhatch/share_group/window.py
+++ b/archhatch/share_group/window.py
@@ -9,6 +9,7 @@
 from transitions import Machine
 
 from ..exceptions import ArchhatchError
+from ..runtime.message import Message, wire
 
 if TYPE_CHECKING:
     from ..jobs import BatchJob
@@ -63,6 +64,25 @@
     """A transition that the entry's state, its holder or the limit of locks forbids; it has no effect."""
 
 
+@dataclass(frozen=True, slots=True)
+class EntryProgress(Message):
+    """What released runs made of an entry, as a record keeps it.
+
+    Attributes:
+        offset: The entry's offset.
+        texts: The events that the runs made.
+        last_event_id: The last of these events.
+        versions: The model versions that made them.
+        failures: Answers of 500 so far.
+    """
+
+    offset: int = wire("at", decode=int)
+    texts: list[str] = wire("texts")
+    last_event_id: str = wire("last")
+    versions: list[int] = wire("versions")
+    failures: int = wire("failures", default=0)
+
+
 @dataclass(slots=True, eq=False)
 class ShareEntry:
     """One item of an open batch job, at its offset in the share partition.
@@ -109,6 +129,17 @@
         self.last_event_id = ""
         self.versions = set()
 
+    def progress(self) -> EntryProgress:
+        """Returns what released runs made of the item."""
+        return EntryProgress(self.offset, self.texts, self.last_event_id, sorted(self.versions), self.failures)
+
+    def adopt(self, progress: EntryProgress) -> None:
+        """Takes over what runs under an earlier leader made of the item."""
+        self.texts = list(progress.texts)
+        self.last_event_id = progress.last_event_id
+        self.versions = set(progress.versions)
+        self.failures = progress.failures
+
     def take_slot(self, engine: Engine) -> None:
         """Notes that the entry takes a slot of an engine."""
         model = self.batch_job.model
@@ -158,6 +189,7 @@
         entries: Entries that are not final.
         locked: The acquired ones of them.
         restored_counts: Delivery counts read from disk, until their entries are appended.
+        restored_progress: Texts read from disk by offset, until their entries are appended.
         unsaved: State and delivery count of the offsets that changed since the last record on disk.
     """
 
@@ -172,6 +204,7 @@
         self.entries: dict[int, ShareEntry] = {}
         self.locked: dict[int, ShareEntry] = {}
         self.restored_counts: dict[int, int] = {}
+        self.restored_progress: dict[int, EntryProgress] = {}
         self.unsaved: dict[int, tuple[int, int]] = {}
 
     def _move(self, entry: ShareEntry, trigger: str) -> None:
@@ -201,6 +234,9 @@
             offset = self.next_offset
         entry = self.entries[offset] = ShareEntry(offset, batch_job, item, rank)
         entry.delivery_count = self.restored_counts.pop(offset, 0)
+        progress = self.restored_progress.pop(offset, None)
+        if progress is not None:
+            entry.adopt(progress)
         self.next_offset = max(self.next_offset, offset + 1)
         return entry
 
@@ -208,6 +244,7 @@
         """Passes over an offset whose entry became final under an earlier leader."""
         self.next_offset = max(self.next_offset, offset + 1)
         self.restored_counts.pop(offset, None)
+        self.restored_progress.pop(offset, None)
         self._advance_start()
 
     def free_locks(self) -> int:
--- a/archhatch/share_group/window_journal.py
+++ b/archhatch/share_group/window_journal.py
@@ -11,12 +11,13 @@
 from ..jobs import Record
 from ..runtime import encode_kept
 from ..runtime.message import Message, wire
-from .window import EntryState, SharePartition
+from .window import EntryProgress, EntryState, SharePartition
 
 if TYPE_CHECKING:
     from ..runtime import Counters
 
 UPDATES_PER_SNAPSHOT = 32  # bounds the records that a new leader reads; a snapshot costs as much as a few updates
+MAX_PROGRESS_BYTES = 1 << 20  # of texts in a snapshot: every store keeps it, and reports it to the next leader
 SNAPSHOT_KIND = "S"
 UPDATE_KIND = "U"
 
@@ -29,11 +30,20 @@
         start_offset: The window's start offset.
         next_offset: The offset of the next entry.
         batches: KIP-932's state batches: first offset, last offset, state, delivery count.
+        progress: What was made of entries that are to be run again, in the snapshot that a leader hands on; beside
+            KIP-932, whose records have no such part.
     """
 
     start_offset: int = wire("start", decode=int)
     next_offset: int = wire("next", decode=int)
     batches: list[list[int]] = wire("batches")
+    progress: list[EntryProgress] = wire(
+        "progress",
+        default_factory=list,
+        optional=True,
+        encode=lambda rows: [row.to_document() for row in rows],
+        decode=lambda rows: [EntryProgress.from_document(row) for row in rows],
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,7 +140,13 @@
         self.snapshot_epoch = 0
         self.update_number = 0
 
-    def _record(self, kind: str, window: SharePartition, states: dict[int, tuple[int, int]]) -> Record:
+    def _record(
+        self,
+        kind: str,
+        window: SharePartition,
+        states: dict[int, tuple[int, int]],
+        progress: Iterable[EntryProgress] = (),
+    ) -> Record:
         head = WindowRecordHead(
             kind=kind,
             job_id=f"window|{self.partition}",
@@ -140,7 +156,7 @@
             snapshot_epoch=self.snapshot_epoch,
             update_number=self.update_number,
         )
-        state = WindowState(window.start_offset, window.next_offset, state_batches(states))
+        state = WindowState(window.start_offset, window.next_offset, state_batches(states), list(progress))
         return Record(head.to_document(), encode_kept(state.to_document()))
 
     def next_record(self, window: SharePartition) -> Record | None:
@@ -148,20 +164,39 @@
         if not window.unsaved and self.snapshot_epoch:
             return None
         if not self.snapshot_epoch or self.update_number >= UPDATES_PER_SNAPSHOT:
-            self.snapshot_epoch += 1
-            self.update_number = 0
-            window.unsaved = {}
-            states = {
-                offset: (int(EntryState.AVAILABLE), entry.delivery_count)
-                for offset, entry in window.entries.items()
-                if entry.delivery_count
-            }
-            return self._record(SNAPSHOT_KIND, window, states)
+            return self._snapshot(window)
         self.update_number += 1
         states = window.unsaved
         window.unsaved = {}
         return self._record(UPDATE_KIND, window, states)
 
+    def handover_record(self, window: SharePartition) -> Record | None:
+        """Returns a snapshot with what was made of the entries that nobody runs; None if nothing was made of any.
+
+        Workers that run an entry have its text themselves and present it to the next leader. The texts that were made
+        most of come first, up to MAX_PROGRESS_BYTES.
+        """
+        idle = [entry for entry in window.entries.values() if entry.state is EntryState.AVAILABLE and entry.texts]
+        kept: list[EntryProgress] = []
+        size = 0
+        for entry in sorted(idle, key=lambda entry: -len(entry.texts)):
+            size += sum(len(text.encode()) for text in entry.texts)
+            if size > MAX_PROGRESS_BYTES:
+                break
+            kept.append(entry.progress())
+        return self._snapshot(window, kept) if kept else None
+
+    def _snapshot(self, window: SharePartition, progress: Iterable[EntryProgress] = ()) -> Record:
+        self.snapshot_epoch += 1
+        self.update_number = 0
+        window.unsaved = {}
+        states = {
+            offset: (int(EntryState.AVAILABLE), entry.delivery_count)
+            for offset, entry in window.entries.items()
+            if entry.delivery_count
+        }
+        return self._record(SNAPSHOT_KIND, window, states, progress)
+
     def restore(self, window: SharePartition, found: Iterable[tuple[dict, bytes]], counters: Counters) -> None:
         """Loads the newest snapshot and its updates up to the first gap or damaged record.
 
@@ -188,6 +223,7 @@
             for first, last, _, delivery_count in batches:
                 for offset in range(first, last + 1):
                     window.restored_counts[offset] = delivery_count
+            window.restored_progress.update({made.offset: made for made in state.progress})
         window.end_offset = window.start_offset
         window.restored_counts = {
             offset: count for offset, count in window.restored_counts.items() if offset >= window.start_offset
--- a/archhatch/store/lease_watch.py
+++ b/archhatch/store/lease_watch.py
@@ -290,7 +290,11 @@
         if successor_id is None:
             return False
         incarnation = store.membership.incarnation_of(successor_id)
-        if incarnation is None or not await self.claim(run, term, successor_id, incarnation):
+        if incarnation is None:
+            return False
+        await store.leader.prepare_handover(run)
+        if not await self.claim(run, term, successor_id, incarnation):
+            store.leader.end_handover(run)
             return False
         store.counters.add("lease.transferred")
         leadership = store.leaderships.get(run)
--- a/tests/share_group/test_share_group.py
+++ b/tests/share_group/test_share_group.py
@@ -301,6 +301,53 @@
     run(go())
 
 
+def test_released_texts_outlive_a_leader_that_hands_its_run_on(run, tmp_path):
+    """Guards against items that begin anew after a planned change of the leader: texts were in its memory."""
+
+    async def go():
+        w = await world(tmp_path)
+        try:
+            lead = await stand_still(w, "lot1")
+            led = lead.leader.runs["llm"]
+            lead.leader._fetch_handler.acquisition.acquire_batch = lambda *_args: []
+            for entry in led.windows["m"].locked.values():
+                led.cancel(entry, CancelReason.RECALL)
+            lead.leader.notify_workers()
+            await w.until(lead.state_board, "nothing", lambda: not led.windows["m"].locked)
+            assert all(len(entry.texts) == 2 for entry in led.windows["m"].entries.values())
+            assert await lead.lease_watch.transfer("llm", led.leadership.term)
+            await w.until(w.edge.state_board, "nothing", lambda: holder(w) not in (None, lead))
+            go_on(w)
+            whole(await w.read_all("lot1"), 4)
+            assert sorted(first for r in w.replicas[:2] for _, first, _ in r.runs) == [1, 1, 1, 1, 3, 3, 3, 3]
+        finally:
+            go_on(w)
+            await w.end()
+
+    run(go())
+
+
+def test_a_handover_that_fails_goes_on_being_served(run, tmp_path):
+    async def go():
+        w = await world(tmp_path)
+        try:
+            lead = await stand_still(w, "lot1")
+
+            async def refused(*_args):
+                return False
+
+            lead.lease_watch.claim = refused
+            assert not await lead.lease_watch.transfer("llm", lead.leader.runs["llm"].leadership.term)
+            go_on(w)
+            whole(await w.read_all("lot1"), 4)
+            assert holder(w) is lead
+        finally:
+            go_on(w)
+            await w.end()
+
+    run(go())
+
+
 def test_a_lot_that_is_ended_stops_at_the_workers(run, tmp_path):
     async def go():
         w = await world(tmp_path)
--- a/tests/share_group/test_window_journal.py
+++ b/tests/share_group/test_window_journal.py
@@ -6,7 +6,7 @@
 from archhatch.jobs import Record, RecordStore
 from archhatch.runtime import Counters
 from archhatch.share_group import WindowJournal
-from archhatch.share_group.window_journal import UPDATES_PER_SNAPSHOT, state_batches
+from archhatch.share_group.window_journal import MAX_PROGRESS_BYTES, UPDATES_PER_SNAPSHOT, state_batches
 
 
 @pytest.mark.parametrize(
@@ -45,6 +45,23 @@
         assert {o: c for o, c in w.restored_counts.items() if o in old.entries} == {o: 1 for o in old.entries}
 
 
+def test_a_handover_keeps_the_texts_of_entries_that_nobody_runs():
+    w, es = window(4)
+    j = WindowJournal("run", "m")
+    assert j.handover_record(w) is None
+    for e in es[:3]:
+        e.texts, e.last_event_id, e.versions, e.failures = ["a", "b"], "2", {3}, 1
+    w.acquire(es[1], "w", 0.0)  # its worker has the text
+    es[2].texts = ["x" * MAX_PROGRESS_BYTES]
+    record = j.handover_record(w)
+    es[0].drop_text()
+    again, _ = restored([record])
+    entries = [again.append(None, None, 0, offset) for offset in range(4)]
+    assert [entry.texts for entry in entries] == [["a", "b"], [], [], []]
+    assert (entries[0].last_event_id, entries[0].versions, entries[0].failures) == ("2", {3}, 1)
+    assert not again.restored_progress
+
+
 DAMAGE = [  # which records are spoilt or missing, how many updates are still applied, what is counted
     (lambda rs: rs, 6, None),
     (lambda rs: rs[:-1], 5, None),
--- a/tests/support/lease_rig.py
+++ b/tests/support/lease_rig.py
@@ -34,6 +34,10 @@
         await super().append(*raws)
 
 
+async def prepare_handover(_run):
+    """Stands in for a leader without texts."""
+
+
 class Store(Node):
     """A store with its lease watch; what the registers hold it knows at once."""
 
@@ -44,7 +48,7 @@
         self.incarnation, self.frozen = f"life of {sid}", False
         self.plan, self.leader = (
             SimpleNamespace(service_by_model=lambda: {"m": "s"}),
-            SimpleNamespace(sync=lambda: None),
+            SimpleNamespace(sync=lambda: None, prepare_handover=prepare_handover, end_handover=lambda _run: None),
         )
         self.replicator.takes, self.replicator.watch = self.membership.takes, self.disk.watch
         self.placement, self.evacuation = Placement(), EvacuationSupport(self)
