Takeover: an ended job is fetched from whichever store has it, not from the first heard alone

Seen: readers of an ended job get 503 for the rest of a term if the first store that had it is gone before it was fetched there. Cause: one store without an answer ended the try, and each further try asked the same stores. Change: such a store is passed over (takeover.fetch_failed), and the members are asked anew between two tries. A job with an end is taken up only together with it.

--- a/archhatch/rollout_controller/takeover.py
+++ b/archhatch/rollout_controller/takeover.py
@@ -39,9 +39,10 @@
     end: Record | None
     results: dict[int, Record] = field(default_factory=dict)
 
-    def is_whole(self, result_count: int) -> bool:
-        """Returns whether the job and all its results are here."""
-        return self.job is not None and all(position in self.results for position in range(result_count))
+    def is_whole(self, result_count: int, has_end: bool) -> bool:
+        """Returns whether the job, all its results and, if it has one, its end are here."""
+        has_all_results = all(position in self.results for position in range(result_count))
+        return self.job is not None and has_all_results and (self.end is not None or not has_end)
 
 
 class Takeover:
@@ -69,18 +70,8 @@
         Raises:
             DeposedError: A store knows a higher term.
         """
-        host = self.host
         leadership = self.leadership
-        # from here on no older holder's request ends the membership of a store that this gather counts on
-        code, document = await host.config_watcher.run_command(
-            "plan", "run.begin", {"run": leadership.run, "term": leadership.term}
-        )
-        if code == DEPOSED_CODE:
-            raise DeposedError(leadership.run)
-        if code != DONE_CODE or host.id not in document["stores"]:
-            return False
-        self._addresses = {sid: host.addr_of(member) for sid, member in document["stores"].items()}
-        reports = await self._ask_all(document["stores"])
+        reports = await self._read_reports()
         if reports is None:
             return False
         self.wait_out_orders(reports.values())
@@ -92,6 +83,25 @@
         open_jobs = {job_id: held for job_id, held in held_by.items() if job_id not in leadership.pending_jobs}
         return await self._adopt_all(open_jobs)
 
+    async def _read_reports(self) -> dict[str, RunReport] | None:
+        """Asks the stores that are members now; returns their reports, None if it is to be tried again.
+
+        Raises:
+            DeposedError: A store, or the control plane, knows a higher term.
+        """
+        host = self.host
+        leadership = self.leadership
+        # from here on no older holder's request ends the membership of a store that this gather counts on
+        code, document = await host.config_watcher.run_command(
+            "plan", "run.begin", {"run": leadership.run, "term": leadership.term}
+        )
+        if code == DEPOSED_CODE:
+            raise DeposedError(leadership.run)
+        if code != DONE_CODE or host.id not in document["stores"]:
+            return None
+        self._addresses = {sid: host.addr_of(member) for sid, member in document["stores"].items()}
+        return await self._ask_all(document["stores"])
+
     async def _ask_all(self, members: dict[str, dict]) -> dict[str, RunReport] | None:
         """Asks the stores for the run, and has them promise to take nothing from older terms.
 
@@ -161,11 +171,22 @@
     # -- taking up jobs
 
     async def adopt_ended_jobs(self) -> None:
-        """Takes up ended jobs, once the open ones are served: nobody waits for their results."""
+        """Takes up ended jobs, once the open ones are served.
+
+        What is not to be had at the stores that were heard first is looked for at those that are there by now.
+
+        Raises:
+            DeposedError: A higher term is known.
+        """
         leadership = self.leadership
         while leadership.pending_jobs and leadership.is_holding():
-            if not await self._adopt_all(leadership.pending_jobs):
-                await asyncio.sleep(self.host.heartbeat_interval_s)
+            if await self._adopt_all(leadership.pending_jobs):
+                continue
+            await asyncio.sleep(self.host.heartbeat_interval_s)
+            reports = await self._read_reports()
+            if reports is not None:
+                held_by = _held_by_job(reports)
+                leadership.pending_jobs = {job_id: held_by.get(job_id, {}) for job_id in leadership.pending_jobs}
 
     async def _adopt_all(self, held_by: dict[str, dict[str, HeldJob]]) -> bool:
         """Takes up jobs; returns whether that went well for all of them."""
@@ -207,7 +228,10 @@
         return True
 
     async def _collect(self, job_id: str, held: dict[str, HeldJob], chosen: list[tuple[int, str]]) -> Copies | None:
-        """The records of a job, fetched from other stores where they are not here; None if some are not to be had."""
+        """The records of a job, fetched from other stores where they are not here; None if some are not to be had.
+
+        A store that does not answer is passed over: another may have the same records.
+        """
         stored = self.host.record_store.batch_jobs.get(job_id)
         copies = Copies(None, None)
         if stored is not None:
@@ -217,12 +241,13 @@
                 if record is not None and record.head["term"] == term:
                     copies.results[position] = record
         for sid, job in held.items():
-            if sid != self.host.id and not await self._fetch(sid, job_id, job, chosen, copies):
-                return None
-        return copies if copies.is_whole(len(chosen)) else None
+            if sid != self.host.id:
+                await self._fetch(sid, job_id, job, chosen, copies)
+        has_end = any(job.has_end for job in held.values())
+        return copies if copies.is_whole(len(chosen), has_end) else None
 
-    async def _fetch(self, sid: str, job_id: str, held: HeldJob, chosen: list[tuple[int, str]], copies: Copies) -> bool:
-        """Fetches a store's copies of what is still lacking; False if it does not answer."""
+    async def _fetch(self, sid: str, job_id: str, held: HeldJob, chosen: list[tuple[int, str]], copies: Copies) -> None:
+        """Fetches a store's copies of what is still lacking, as far as it answers."""
         there = {(position, term) for position, term, _ in held.results}
         wanted = [
             position
@@ -232,14 +257,14 @@
         lacks_job = copies.job is None and held.has_job
         lacks_end = copies.end is None and held.has_end
         if not wanted and not lacks_job and not lacks_end:
-            return True
+            return
         records = await self.host.fetch_records(sid, self._addresses[sid], job_id, wanted, lacks_job)
         if records is None:
-            return False
+            self.host.counters.add("takeover.fetch_failed")
+            return
         self.leadership.record_progress()
         for record in records:
             _take_copy(record, chosen, copies)
-        return True
 
     def _rebuild(
         self, job_id: str, held: dict[str, HeldJob], chosen: list[tuple[int, str]], copies: Copies
--- a/tests/rollout_controller/test_leadership_term.py
+++ b/tests/rollout_controller/test_leadership_term.py
@@ -72,6 +72,42 @@
     run(go())
 
 
+class ChangingStore(FakeStore):
+    """A store some of whose neighbours are silent once the open jobs are taken up, and others are back."""
+
+    def __init__(self, clock, silent_first, silent_then):
+        super().__init__(clock)
+        self.silent, self._silent_then = silent_first, silent_then
+
+    def take_turn(self):
+        self.silent = self._silent_then
+
+
+@pytest.mark.parametrize(
+    "silent_first, silent_then, has_all_but_end",
+    [
+        (set(), {"b"}, False),  # the first that has it is gone before it was fetched there
+        ({"c"}, {"b"}, False),  # ... and the other was not heard in time for the takeover
+        ({"c"}, {"b"}, True),  # a job whose end was heard of must not be taken up as an open one
+    ],
+)
+def test_an_ended_job_is_found_at_whichever_store_has_it(run, clock, silent_first, silent_then, has_all_but_end):
+    """Guards against 503 for an ended job's readers for the rest of the term, though a store has its records."""
+
+    async def go():
+        store = ChangingStore(clock, silent_first, silent_then)
+        end = Record({"k": "E", "lot": "l", "run": "s", "by": 1})
+        for n in ("b", "c"):
+            await store.record_stores[n].append([job_record(), result_record(0, 1, "i1"), end])
+        await store.record_store.append([job_record(), result_record(0, 1, "i1")] * has_all_but_end)
+        leadership = LeadershipTerm(store, "s", 2)
+        leadership.host.log = type("Log", (), {"info": lambda *_args: store.take_turn()})()
+        await leadership.begin()
+        assert leadership.batch_jobs["l"].is_ended and leadership.batch_jobs["l"].listed_count == 1
+
+    run(go())
+
+
 def test_higher_term_ends_it(run, clock):
     async def go():
         store = FakeStore(clock)
--- a/tests/support/leadership_rig.py
+++ b/tests/support/leadership_rig.py
@@ -66,5 +66,7 @@
         return None if sid in self.silent else await self.record_stores[sid].prepare(doc["run"], doc["term"])
 
     async def fetch_records(self, sid, address, job_id, poss, batch_job):
+        if sid in self.silent:
+            return None
         records = self.record_stores[sid].fetch(job_id, poss, batch_job)
         return [Record(orjson.loads(orjson.dumps(r.head)), r.body) for r in records]
