Stores: admission counts memory, and bodies of jobs beyond a bound lie on disk

Seen: a store with 330 MB that leads many large open jobs goes over its memory and is killed, and so is its successor. Cause: admission looked at the disk alone; every copy of a body was in memory, at the leader twice. Change: a job is refused while open jobs would take more than a quarter of MemoryMb (job.no_memory); bodies are held once a process, up to 12% of MemoryMb in memory, beyond it in unnamed files in the data folder, which count as disk; a takeover fetches three bodies at a time.

--- a/archhatch/jobs/__init__.py
+++ b/archhatch/jobs/__init__.py
@@ -1,6 +1,7 @@
 """Batch jobs and their results, as stores keep them."""
 
 from .batch_job import BatchJob, Item, check_job, read_job
+from .body_cache import BodyCache
 from .errors import DeposedError, InvalidJobError
 from .quorum import Quorum, active_members
 from .record import Record, pack, unpack
@@ -9,6 +10,7 @@
 
 __all__ = [
     "BatchJob",
+    "BodyCache",
     "DeposedError",
     "InvalidJobError",
     "Item",
--- a/archhatch/jobs/batch_job.py
+++ b/archhatch/jobs/batch_job.py
@@ -10,6 +10,7 @@
 
 import orjson
 
+from .body_cache import Body
 from .errors import InvalidJobError
 from .record import Record
 
@@ -18,6 +19,7 @@
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,256}", re.ASCII)  # a token (RFC 9110)
 _HEADER_VALUE = re.compile(r"[\x20-\x7e\x80-\uffff\t]*")
 
+ITEM_OVERHEAD_BYTES = 1500  # of memory that an item takes beside its part of the body, its share entry included
 PAGE_BYTES = 300_000  # of results that one answer holds: each is copied a few times on its way
 
 
@@ -225,6 +227,10 @@
     tenant: str | None = None
     base_offset: int = 0
 
+    def memory_bytes(self) -> int:
+        """Returns about how much memory the job's items take while it is open; 0 once they are released."""
+        return len(self.records[0].body) + ITEM_OVERHEAD_BYTES * len(self.items) if self.items and self.records else 0
+
     def release_items(self) -> None:
         """Drops the items of an ended job: nobody asks for their bodies, and they are most of its memory."""
         self.items = {}
@@ -244,12 +250,12 @@
         for record in self.results[after : self.listed_count]:
             if rows and size + len(record.body) > most:
                 break
-            rows.append(record.body)
+            rows.append(bytes(record.body))
             size += len(record.body) + 1
         return rows, after + len(rows)
 
 
-def read_job(head: dict, body: bytes, accepted_at: float) -> BatchJob:
+def read_job(head: dict, body: Body, accepted_at: float) -> BatchJob:
     """Returns the job of a record.
 
     Args:
@@ -260,7 +266,7 @@
     Raises:
         InvalidJobError: The document is wrong.
     """
-    parsed = parse_job(body, strict=False)
+    parsed = parse_job(bytes(body), strict=False)
     return BatchJob(
         head["lot"],
         head["run"],
--- a/archhatch/jobs/record.py
+++ b/archhatch/jobs/record.py
@@ -9,6 +9,8 @@
 
 import orjson
 
+from .body_cache import Body
+
 _LENGTH = struct.Struct(">I")  # big-endian, before each head and, in a batch, before each record
 
 
@@ -41,7 +43,7 @@
     """
 
     head: dict
-    body: bytes = b""
+    body: Body = b""
     held: set[str] = field(default_factory=set)
 
     @property
@@ -141,7 +143,7 @@
     b'x'
     """
     head = orjson.dumps(record.head)
-    return _LENGTH.pack(len(head)) + head + record.body
+    return _LENGTH.pack(len(head)) + head + bytes(record.body)
 
 
 def unpack(raw: bytes) -> Record:
--- a/archhatch/jobs/record_state.py
+++ b/archhatch/jobs/record_state.py
@@ -174,7 +174,7 @@
         times = self.order_times.get(run, {})
         return RunReport(
             jobs={job_id: _held(stored) for job_id, stored in self.batch_jobs.items() if stored.run == run},
-            windows=[[record.head, record.body.decode()] for record in self._window_records(run)],
+            windows=[[record.head, bytes(record.body).decode()] for record in self._window_records(run)],
             order_ages_s={instance_id: now - synced_at for instance_id, synced_at in intents.items()},
             order_times={instance_id: time for instance_id, time in times.items() if instance_id in intents},
             newest_time=self.newest_times.get(run),
--- a/archhatch/jobs/record_store.py
+++ b/archhatch/jobs/record_store.py
@@ -12,10 +12,13 @@
 from __future__ import annotations
 
 import asyncio
+import sys
+import tempfile
 from dataclasses import dataclass
 
 from ..runtime import Clock, Counters
 from ..wal import LogError, WriteAheadLog
+from .body_cache import BodyCache
 from .record import Kind, Record, identity_head, pack, promise_head
 from .record_state import RecordState
 
@@ -47,13 +50,28 @@
     >>> # store = RecordStore(log, clock, counters); store.load(log.load()); taken = await store.append(records)
     """
 
-    def __init__(self, wal: WriteAheadLog, clock: Clock, counters: Counters) -> None:
+    def __init__(self, wal: WriteAheadLog, clock: Clock, counters: Counters, bodies: BodyCache | None = None) -> None:
+        """Makes an empty store.
+
+        Args:
+            wal: The log that the records are written to.
+            clock: The steady clock.
+            counters: Counts what becomes of records.
+            bodies: Holds the bodies of jobs; all in memory if it is left out.
+        """
         super().__init__(clock)
         self.wal = wal
         self.counters = counters
+        self.bodies = bodies or BodyCache(tempfile.gettempdir(), sys.maxsize, counters)
         self._in_flight: dict[tuple | None, _Write] = {}
         wal.snapshot = self.snapshot
 
+    def apply(self, record: Record) -> None:
+        """Puts a record that is on the disk, and not superseded, in its place."""
+        if record.kind == Kind.JOB:
+            record.body = self.bodies.hold(record.head["lot"], record.body)
+        super().apply(record)
+
     # -- identity
 
     async def take_id(self, new: str) -> None:
@@ -204,7 +222,8 @@
         """Returns whether a job of so many bytes leaves the reserve, and room for a rewrite of all that is kept."""
         if not self.wal.limit_bytes:
             return True
-        return self.wal.free_bytes() - more >= self.wal.limit_bytes * RESERVE + self.size() + more
+        free = self.wal.free_bytes() - self.bodies.bytes_on_disk()
+        return free - more >= self.wal.limit_bytes * RESERVE + self.size() + more
 
     def wants_rewrite(self) -> bool:
         """Returns whether the log is much longer than what it must keep."""
--- a/archhatch/rollout_controller/leadership_term.py
+++ b/archhatch/rollout_controller/leadership_term.py
@@ -73,6 +73,7 @@
         self.may_order_from: dict[str, float] = {}
         self.next_offsets: dict[str, int] = {}
         self.window_records: list = []
+        self._accepting: dict[str, BatchJob] = {}  # jobs that are being copied, for those who wait for them
         self.began_at = host.clock.now()
         self.ended_at = float("inf")
         self._progress_at = self.began_at
@@ -214,7 +215,8 @@
         self.offered_jobs.add(job_id)
         if job_id in self.batch_jobs:
             return
-        record = Record(job_head(job_id, self.run, request["host"], request["path"]), body)
+        held_body = self.host.record_store.bodies.hold(job_id, body)
+        record = Record(job_head(job_id, self.run, request["host"], request["path"]), held_body)
         if request.get("tenant") is not None:
             record.head["tenant"] = request["tenant"]
         batch_job = None
@@ -223,7 +225,17 @@
             batch_job.base_offset = self._allot_offsets(batch_job.model, batch_job.total)
             record.head["base"] = batch_job.base_offset
             batch_job.records.append(record)
-        await self.copier.copy([record], batch_job)
+            self._accepting[job_id] = batch_job
+        try:
+            await self.copier.copy([record], batch_job)
+        finally:
+            if batch_job is not None:
+                self._accepting.pop(job_id, None)
+
+    def open_job_bytes(self) -> int:
+        """Returns about how much memory the open jobs take, those that are being copied among them."""
+        open_jobs = [batch_job for batch_job in self.batch_jobs.values() if not batch_job.is_ended]
+        return sum(batch_job.memory_bytes() for batch_job in [*open_jobs, *self._accepting.values()])
 
     def _allot_offsets(self, partition: str, count: int) -> int:
         """Sets offsets of a partition aside for a job's items; returns the first."""
--- a/archhatch/rollout_controller/takeover.py
+++ b/archhatch/rollout_controller/takeover.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from contextlib import nullcontext
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -19,6 +20,7 @@
 if TYPE_CHECKING:
     from .leadership_term import LeadershipTerm
 
+CONCURRENT_BODY_FETCHES = 3  # bodies of jobs that are fetched side by side: bounds the memory that a takeover needs
 CONCURRENT_ADOPTIONS = 8  # jobs taken up side by side: copies share calls and syncs, but fetches must not time out
 ORDER_VALIDITY = 1 / 6  # of LeaseMs: how long after its intent was recorded an order may be sent
 DONE_CODE = 1000  # the result code of a command that was carried out
@@ -57,6 +59,7 @@
         self.leadership = leadership
         self.host: LeadershipHost = leadership.host
         self._addresses: dict[str, str] = {}  # the stores that were asked
+        self._body_fetches = asyncio.Semaphore(CONCURRENT_BODY_FETCHES)
         self._answered: set[str] = set()  # the stores that have answered in any round
 
     # -- reading
@@ -258,7 +261,10 @@
         lacks_end = copies.end is None and held.has_end
         if not wanted and not lacks_job and not lacks_end:
             return
-        records = await self.host.fetch_records(sid, self._addresses[sid], job_id, wanted, lacks_job)
+        async with self._body_fetches if lacks_job else nullcontext():
+            records = await self.host.fetch_records(sid, self._addresses[sid], job_id, wanted, lacks_job)
+            if records is not None:
+                self._hold_bodies(job_id, records)
         if records is None:
             self.host.counters.add("takeover.fetch_failed")
             return
@@ -266,6 +272,11 @@
         for record in records:
             _take_copy(record, chosen, copies)
 
+    def _hold_bodies(self, job_id: str, records: list[Record]) -> None:
+        for record in records:
+            if record.kind == Kind.JOB:
+                record.body = self.host.record_store.bodies.hold(job_id, record.body)
+
     def _rebuild(
         self, job_id: str, held: dict[str, HeldJob], chosen: list[tuple[int, str]], copies: Copies
     ) -> BatchJob:
--- a/archhatch/store/membership.py
+++ b/archhatch/store/membership.py
@@ -11,6 +11,7 @@
 from ..membership import NodeCard, PeerSet
 from ..rpc import CallError
 from .heartbeat import HeartbeatStatus
+from .memory_budget import MemoryBudget, open_job_bytes
 from .result_codes import DONE, OTHER_INCARNATION
 
 if TYPE_CHECKING:
@@ -18,7 +19,7 @@
     from ..jobs import Quorum, RecordStore
     from ..rollout_controller import LeadershipTerm
     from ..rpc import ConnectionPool
-    from ..runtime import Clock, Counters, StateBoard, TaskGroup
+    from ..runtime import Clock, Counters, Settings, StateBoard, TaskGroup
     from ..share_group import PartitionLeader
     from .disk import DiskState
 
@@ -30,6 +31,7 @@
 class MembershipHost(Protocol):
     """What the membership uses of its store."""
 
+    settings: Settings
     clock: Clock
     counters: Counters
     task_group: TaskGroup
@@ -118,13 +120,17 @@
         return status is None or status.accepts_records
 
     def can_admit(self, job_id: str, size: int) -> bool:
-        """Returns whether a new job may be taken: enough stores in touch have the room for its copies.
+        """Returns whether a new job may be taken: it fits in memory, and enough stores have the room for its copies.
 
         Args:
             job_id: The job.
             size: Its bytes.
         """
         store = self.store
+        budget = MemoryBudget(store.settings.memory_mb)
+        if not budget.admits(open_job_bytes(store.leaderships.values()), size):
+            store.counters.add("job.no_memory")
+            return False
         members = active_members(store.members())
         with_room = [store_id for store_id in members if store_id != store.id and self._has_room(store_id)]
         if store.disk.takes and store.record_store.can_admit(job_id, size):
--- a/tests/store/test_membership.py
+++ b/tests/store/test_membership.py
@@ -20,3 +20,20 @@
             assert await site.serves(lead)
 
     run(go())
+
+
+def test_a_job_is_refused_if_the_open_ones_would_not_leave_it_memory(run, clock):
+    """Guards against a leader, and then its successor, killed for its memory: admission looked at disks alone."""
+
+    async def go():
+        site = Leases(clock)
+        lead, _ = await site.until_held()
+        assert await site.serves(lead)
+        assert lead.leaderships["s"].open_job_bytes() > 0
+        mb = lead.settings.memory_mb
+        assert lead.membership.can_admit("new", mb * 100_000) and not lead.membership.can_admit("new", mb * 120_000)
+        lead.leaderships["s"].open_job_bytes = lambda: mb * 250_000
+        assert not lead.membership.can_admit("new", 100)
+        assert lead.counters.counts["job.no_memory"] == 2
+
+    run(go())
