HTTP server: a configuration's limits hold for a server that already listens

Seen (by a review): with MaxHeaderBytes above 16384 an edge answers 400 to a header of 20 kB. Cause: the parser and the idle timers got their limits when the server opened, before the first configuration.

--- a/archhatch/data_plane/edge.py
+++ b/archhatch/data_plane/edge.py
@@ -265,7 +265,7 @@
     defaults = HttpLimits()
     header_ms, idle_ms = limits.header_timeout_ms, limits.idle_timeout_ms
     return HttpLimits(
-        max_header_bytes=limits.max_header_bytes,
+        max_header_bytes=defaults.max_header_bytes if limits.max_header_bytes is None else limits.max_header_bytes,
         max_body_bytes=defaults.max_body_bytes if limits.max_body_bytes is None else limits.max_body_bytes,
         header_timeout_s=defaults.header_timeout_s if header_ms is None else header_ms / MS_PER_S,
         idle_timeout_s=defaults.idle_timeout_s if idle_ms is None else idle_ms / MS_PER_S,
--- a/archhatch/http_server/server.py
+++ b/archhatch/http_server/server.py
@@ -20,14 +20,13 @@
 from aiohttp.web_response import Response, StreamResponse
 from aiohttp.web_server import Server
 from ..runtime import Counters, Result, error_result
-from .limits import HttpLimits
+from .limits import PARSER_HEADER_BYTES, HttpLimits
 
 if TYPE_CHECKING:
     from loguru import Logger
 
 Handler = Callable[[BaseRequest, bytes], Awaitable[Result | StreamResponse]]
 
-DEFAULT_MAX_HEADER_BYTES = 16384
 SWEEPS_PER_HEADER_TIMEOUT = 4  # how often connections are looked at
 HEADER_LINE_OVERHEAD = 4  # ": " and the end of the line
 LISTEN_BACKLOG = 1024
@@ -42,6 +41,9 @@
 TIME_UP_CODE = 4002
 
 _HEADER_TIMEOUT_RESPONSE = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+_HEADERS_TOO_LARGE_RESPONSE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -54,13 +56,14 @@
         awaits_request: Whether no request of it is being handled.
     """
 
-    __slots__ = ("opened_at", "header_started_at", "awaits_request")
+    __slots__ = ("opened_at", "header_started_at", "awaits_request", "_header_bytes")
 
     def __init__(self, *args: Any, **options: Any) -> None:  # noqa: ANN401 - those of aiohttp's RequestHandler
         super().__init__(*args, **options)
         self.opened_at: float | None = asyncio.get_running_loop().time()
         self.header_started_at: float | None = None
         self.awaits_request = True
+        self._header_bytes = 0  # of the header section that is on its way
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Takes a connection; one that was accepted just before the server closed is left unread."""
@@ -82,11 +85,30 @@
         """Takes bytes from the socket."""
         if self.awaits_request and self.header_started_at is None:
             self.header_started_at = asyncio.get_running_loop().time()
+            self._header_bytes = 0
         super().data_received(data)
+        if self.awaits_request and not self._messages:
+            self._check_unfinished_header(len(data))
+
+    def _check_unfinished_header(self, received: int) -> None:
+        """Ends a connection whose header section is too long before it is complete."""
+        self._header_bytes += received
+        transport = self.transport
+        if self._header_bytes > cast(_Server, self._manager).max_header_bytes and transport is not None:
+            cast(asyncio.Transport, transport).write(_HEADERS_TOO_LARGE_RESPONSE)
+            transport.close()
 
 
 class _Server(Server):
     is_closed = False  # whether connections are not read any more
+    max_header_bytes = HttpLimits().max_header_bytes
+
+    def apply_limits(self, limits: HttpLimits) -> None:
+        """Puts limits in force for the connections that are open and for later ones."""
+        self.max_header_bytes = limits.max_header_bytes
+        self._kwargs["keepalive_timeout"] = limits.idle_timeout_s
+        for connection in self.connections:
+            connection._keepalive_timeout = limits.idle_timeout_s  # noqa: SLF001 - aiohttp has no public way
 
     def __call__(self) -> _ClientConnection:
         """Returns the protocol for a new connection."""
@@ -99,7 +121,7 @@
     Attributes:
         is_draining: Whether connections are closed after their present request.
         in_flight: How many requests are being handled.
-        limits: What it takes from clients; read anew for each request.
+        limits: What it takes from clients; a change holds for the connections that are open as well.
     """
 
     def __init__(
@@ -121,7 +143,7 @@
         """
         self._handler, self._log, self.counters = handler, log, counters
         self._cancel_on_disconnect = cancel_on_disconnect
-        self.limits = HttpLimits() if limits is None else limits
+        self._limits = HttpLimits() if limits is None else limits
         self.is_draining = False
         self.in_flight = 0
         self._server: _Server | None = None
@@ -130,10 +152,20 @@
         self._handlers: set[asyncio.Task[Any]] = set()
         self._is_time_up = False
 
+    @property
+    def limits(self) -> HttpLimits:
+        """What it takes from clients."""
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: HttpLimits) -> None:
+        self._limits = limits
+        if self._server is not None:
+            self._server.apply_limits(limits)
+
     async def open(self, address: str, sock: socket.socket | None = None) -> None:
         """Serves on an address, or on a socket that listens already."""
         loop = asyncio.get_running_loop()
-        max_header_bytes = self.limits.max_header_bytes or DEFAULT_MAX_HEADER_BYTES
         self._server = _Server(
             cast(Any, self._serve),
             request_factory=self._make_request,
@@ -143,10 +175,11 @@
             logger=_ErrorCounter(self.counters, self._log),
             keepalive_timeout=self.limits.idle_timeout_s,
             tcp_keepalive=False,
-            max_line_size=max_header_bytes,
-            max_field_size=max_header_bytes,
+            max_line_size=PARSER_HEADER_BYTES,
+            max_field_size=PARSER_HEADER_BYTES,
             lingering_time=LINGERING_S,
         )
+        self._server.max_header_bytes = self.limits.max_header_bytes
         self._sweeper = loop.create_task(self._sweep_connections(self._server))
         if sock is not None:
             self._listener = await loop.create_server(self._server, backlog=LISTEN_BACKLOG, sock=sock)
@@ -253,8 +286,7 @@
     async def _handle(self, request: BaseRequest) -> Result | StreamResponse:
         if _expects_continue(request):
             await request.writer.write(_CONTINUE_RESPONSE)  # type: ignore[attr-defined] # a StreamWriter
-        max_header_bytes = self.limits.max_header_bytes
-        if max_header_bytes is not None and _header_bytes(request) > max_header_bytes:
+        if _header_bytes(request) > self.limits.max_header_bytes:
             return _closing_error(HEADERS_TOO_LARGE_CODE)
         return await self._handler(request, await self._read_body(request))
 
--- a/tests/http_server/test_server.py
+++ b/tests/http_server/test_server.py
@@ -72,6 +72,38 @@
     run(go())
 
 
+@pytest.mark.parametrize(
+    "max_header_bytes, field_bytes, is_finished, body_bytes, status",
+    [
+        (40_000, 20_000, True, 0, b"200"),
+        (16_384, 20_000, True, 0, b"431"),
+        (60, 70, True, 0, b"431"),
+        (16_384, 20_000, False, 0, b"431"),  # it is not read to its end
+        (40_000, 20_000, True, 50_000, b"200"),
+    ],
+)
+def test_limits_hold_for_a_server_that_listens_and_connections_that_are_open(
+    run, max_header_bytes, field_bytes, is_finished, body_bytes, status
+):
+    """Guards against a MaxHeaderBytes above the default that is never in force."""
+
+    async def go():
+        win = await window()
+        rd, wr = await talk(win, b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+        assert (await rd.readline()).split()[1] == b"200"
+        while (await rd.readline()) != b"\r\n":
+            pass
+        win.limits = HttpLimits(max_header_bytes=max_header_bytes, idle_timeout_s=7.0)
+        assert [connection.keepalive_timeout for connection in win._server.connections] == [7.0]
+        wr.write(b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\nA: " % body_bytes + b"a" * field_bytes)
+        wr.write(b"\r\n\r\n" + b"b" * body_bytes if is_finished else b"")
+        assert (await rd.readline()).split()[1] == status
+        wr.close()
+        await win.close(0)
+
+    run(go())
+
+
 @pytest.mark.parametrize(
     "limits, raw, status",
     [
