Upstream: a target reaches the replica as it came, with an empty query or a "#"

Seen (by a review): `/x?` reached the replica as `/x`; by our test `/x#y` did as well. Cause: the HTTP client writes the target of a URL object, which drops both. Change: VerbatimRequest writes the target that the request came with, where the URL's differs.

--- a/archhatch/upstream/client.py
+++ b/archhatch/upstream/client.py
@@ -16,6 +16,7 @@
 from .attempt_result import AttemptResult, Execution, classify_response, has_body_framing, is_response_to
 from .connection_pool import CONNECTION_USE, ConnectionUse, Delivery, NotSentError, PooledConnector
 from .headers import DEADLINE_MS_HEADER, EXPECTED_INSTANCE_HEADER, end_to_end_headers
+from .verbatim_request import VerbatimRequest
 
 KEEP_ALIVE_S = 30  # idle connections are closed after so long
 READ_BUFFER_BYTES = 1 << 18
@@ -67,6 +68,7 @@
             skip_auto_headers=_HEADERS_WITHOUT_DEFAULT,
             timeout=aiohttp.ClientTimeout(total=None),
             read_bufsize=READ_BUFFER_BYTES,
+            request_class=VerbatimRequest,
         )
         # aiohttp would repeat some failed requests unseen, which could run one twice
         self.session._retry_connection = False
@@ -119,7 +121,7 @@
             remaining_s = max(MIN_TIMEOUT_S, deadline - self.now())
             if timeout_s > 0:
                 outgoing[DEADLINE_MS_HEADER] = str(max(1, int(remaining_s * 1000)))
-            use, response = ConnectionUse(delivery, may_send=may_send), None
+            use, response = ConnectionUse(delivery, may_send=may_send, target=target), None
             CONNECTION_USE.set(use)
             try:
                 async with self.session.request(
--- a/archhatch/upstream/connection_pool.py
+++ b/archhatch/upstream/connection_pool.py
@@ -48,12 +48,14 @@
         idle_s: How long the connection had idled; None for a new one.
         acquired_at: When the request got its connection.
         may_send: Asked when the connection is there, right before the request is written.
+        target: The request target, as it is to be written; None for that of the URL.
     """
 
     delivery: Delivery = Delivery.UNSPECIFIED
     idle_s: float | None = None
     acquired_at: float = 0.0
     may_send: Callable[[], bool] | None = None
+    target: str | None = None
 
 
 # aiohttp passes no argument of ours to its connector: a request's use goes there by its context.
--- a/tests/upstream/test_connection_pool.py
+++ b/tests/upstream/test_connection_pool.py
@@ -223,3 +223,34 @@
         rep.srv.close()
 
     run(go())
+
+
+class TargetReader:
+    """A replica that is a bare socket, and keeps the targets of its requests."""
+
+    async def start(self):
+        self.targets = []
+        self.srv = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.srv.sockets[0].getsockname()[1]}"
+        return self
+
+    async def serve(self, rd, wr):
+        head = await rd.readuntil(b"\r\n\r\n")
+        self.targets.append(head.split(b" ")[1].decode())
+        wr.write(OK % (b"r", b"Connection: close\r\n"))
+        wr.close()
+
+
+@pytest.mark.parametrize("target", ["/x", "/x?", "/?", "//x/y?", "/x?#", "/x#y", "/x?a=%20&b#c?", "/a%2Fb;c?d=/../"])
+def test_a_target_reaches_the_replica_as_it_came(run, target):
+    """Guards against requests that run under another target: an empty query or a "#" was dropped."""
+
+    async def go():
+        replica, upstream_client = await TargetReader().start(), UpstreamClient()
+        headers = [("X-Archhatch-Request-Id", "r")]
+        answer = await upstream_client.send(replica.address, "i", "POST", target, headers, b"", "r", 5.0, ONCE)
+        await upstream_client.close()
+        replica.srv.close()
+        assert answer.execution is Execution.EXECUTED and replica.targets == [target]
+
+    run(go())
