--- a/archhatch/data_plane/dispatcher.py
+++ b/archhatch/data_plane/dispatcher.py
@@ -64,7 +64,7 @@
             self._counters.add("front.no_configuration")
             return error_result(NO_CONFIGURATION_CODE, after_s=self._settings.seconds("ContactMs", RETRY_AFTER_SHARE))
         path = request.raw_path.split("?", 1)[0]
-        if path.startswith(JOB_PATHS):
+        if path.startswith(JOB_PATHS) and table.has_job_calls(request.headers.get("Host", ""), path):
             return await self._dispatch_to_job(request, table, path)
         return await self._dispatch_to_route(request, table, path, body)
 
--- a/archhatch/routing/routing_table.py
+++ b/archhatch/routing/routing_table.py
@@ -44,14 +44,25 @@
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route of a host and path: the longest prefix wins."""
+        return next((route for route in self._routes_of_host(host) if path.startswith(route.prefix)), None)
+
+    def _routes_of_host(self, host: str) -> list[Route]:
+        """Returns the routes of a host, with or without its port; the longest prefix first."""
         host = host.lower()
         routes = self._routes_by_host.get(host)
         if routes is None and ":" in host:
             routes = self._routes_by_host.get(host.rsplit(":", 1)[0])
-        for route in routes or ():
-            if path.startswith(route.prefix):
-                return route
-        return None
+        return routes or []
+
+    def has_job_calls(self, host: str, path: str) -> bool:
+        """Whether a path of the calls about jobs stands for such a call on a host.
+
+        It does where the host has a route of jobs, also if the prefix of another route covers it, and where no route
+        covers it: a job outlives its route. On other hosts it belongs to the route.
+        """
+        if any(route.kind in JOB_CLASSES for route in self._routes_of_host(host)):
+            return True
+        return self.find_route(host, path) is None
 
     def tenant_of_key(self, key: str) -> str | None:
         """Returns the name of the tenant that holds a key; costs one look-up, however many tenants there are.
@@ -65,8 +76,7 @@
 
     def allows_anonymous_jobs(self, host: str) -> bool:
         """Whether jobs of a host may be read without a key: one of its job routes needs none."""
-        routes = self._routes_by_host.get(host.lower().rsplit(":", 1)[0], ())
-        return any(route.allows_anonymous and route.kind in JOB_CLASSES for route in routes)
+        return any(route.allows_anonymous and route.kind in JOB_CLASSES for route in self._routes_of_host(host))
 
     def routes(self) -> list[Route]:
         """Returns all routes."""
--- a/tests/data_plane/test_dispatcher.py
+++ b/tests/data_plane/test_dispatcher.py
@@ -8,7 +8,7 @@
 from archhatch.data_plane.admission import Admitted
 from archhatch.data_plane.dispatcher import RequestDispatcher
 from archhatch.data_plane.shutdown_window import ShutdownWindow
-from archhatch.routing import RouteClass
+from archhatch.routing import RouteClass, RoutingTable
 from archhatch.runtime import Counters, Result, StateBoard
 
 ROUTE = SimpleNamespace(kind=RouteClass.NON_IDEMPOTENT, allows_anonymous=True, timeout_s=6.0)
@@ -54,3 +54,45 @@
         assert result.status == status and len(passed_on) == (status == 200)
 
     run(go())
+
+
+LIVE = {"HostName": "live", "RouteClass": "idempotent", "Service": "s"}
+HOSTS = {
+    "Revision": 1,
+    "ServiceTable": [{"Name": "s"}],
+    "RouteTable": [
+        {**LIVE, "Name": "all", "PathPrefix": "/"},
+        {**LIVE, "Name": "some", "HostName": "other", "PathPrefix": "/x/"},
+        {**LIVE, "Name": "jobs", "HostName": "trainers", "PathPrefix": "/roll/", "RouteClass": "rollout"},
+        {**LIVE, "Name": "beside", "HostName": "trainers", "PathPrefix": "/"},
+    ],
+}
+
+
+@pytest.mark.parametrize(
+    "host, path, is_job_call",
+    [
+        ("trainers", "/api/lots/a?StartAfter=0", True),
+        ("trainers:80", "/api/items/a", True),
+        ("trainers", "/api/other", False),
+        ("live", "/api/lots/a", False),  # a route's request like any other: its prefix covers it
+        ("live:80", "/api/items/a", False),
+        ("other", "/api/lots/a", True),  # a job whose route is gone is still read
+        ("nowhere", "/api/lots/a", True),
+    ],
+)
+def test_calls_about_jobs_are_taken_where_jobs_are_and_no_route_covers_them(run, clock, host, path, is_job_call):
+    """Guards against a service's own paths under /api/lots/ being answered by the edge."""
+
+    async def handle(*_):
+        return Result(204)
+
+    async def go():
+        it, passed_on = dispatcher(clock)
+        it._job_handlers = SimpleNamespace(handle=handle)
+        it.routing_table = RoutingTable.from_document(HOSTS)
+        request = SimpleNamespace(raw_path=path, headers={"Host": host}, method="GET")
+        assert (await it.dispatch(request, b"")).status == (204 if is_job_call else 200)
+        assert bool(passed_on) is not is_job_call
+
+    run(go())
