Heartbeats: read once, strictly, into a typed message that names a wrong field

Seen: a ModelList that is no list got 500 at each control node that a replica tried. Cause: heartbeats were read by hand, and that field was iterated unchecked. Change: ReplicaHeartbeat with a reader and bounds for each field; the registry's entry is made of it.

--- a/archhatch/control/admin_api.py
+++ b/archhatch/control/admin_api.py
@@ -118,7 +118,7 @@
 
     async def record_heartbeat(self, request: HeartbeatRequest) -> Result:
         """Records a heartbeat; `draining` is acknowledged once a majority of the control nodes knows of it."""
-        node, entry = self.node, request.entry
+        node, entry = self.node, request.heartbeat.to_entry(request.replica_id)
         version = node.registry.version
         node.registry.record_heartbeat(entry, node.clock.now())
         if node.registry.version != version:
--- a/archhatch/control/api_requests.py
+++ b/archhatch/control/api_requests.py
@@ -12,15 +12,14 @@
 
 from ..evacuation.plans import InvalidPlanError, read_plan
 from ..exceptions import ArchhatchError
-from ..membership import ReplicaEntry
+from ..membership.replica_heartbeat import ReplicaHeartbeat
 from ..routing import InvalidConfigError
 from ..routing.configuration import MAX_REVISION, check_depth, read_revision
+from ..runtime.message import InvalidFieldError
+from ..runtime.schema import read_message
 from . import result_codes
 
 MAX_REASON_CHARS = 200  # of an operator's reason that are kept
-DEFAULT_SLOTS = 1  # slots of a replica whose heartbeat names none
-FIRST_MODEL_REVISION = 1  # of a model whose heartbeat names none
-REPLICA_STATES = ("up", "draining")
 ANY_RULE = "*"  # in place of a rule's name: an operator's order holds for every rule
 
 
@@ -85,10 +84,12 @@
     """A replica's heartbeat.
 
     Attributes:
-        entry: The replica as the registry and the feed keep it; a dictionary, as it goes on to both unchanged.
+        replica_id: The replica.
+        heartbeat: What it says.
     """
 
-    entry: ReplicaEntry
+    replica_id: str
+    heartbeat: ReplicaHeartbeat
 
 
 @dataclass(frozen=True, slots=True)
@@ -246,48 +247,9 @@
 def _decode_heartbeat(replica_id: str, _headers: Mapping[str, str], body: bytes) -> HeartbeatRequest:
     document = _read_object(body, InvalidHeartbeatError)
     try:
-        sequence = document.get("Sequence", 0)
-        slots = document.get("SlotCount", DEFAULT_SLOTS)
-        state = document["OperState"]
-        address = document["Address"]
-        service = document["Service"]
-    except KeyError as error:
-        raise InvalidHeartbeatError(f"{error.args[0]} is missing") from error
-    is_address = isinstance(address, str) and ":" in address
-    if state not in REPLICA_STATES or not is_address or not isinstance(service, str):
-        raise InvalidHeartbeatError("OperState, Address or Service is wrong")
-    if not _is_count(sequence) or not _is_count(slots):
-        raise InvalidHeartbeatError("Sequence or SlotCount is wrong")
-    return HeartbeatRequest(
-        {
-            "id": replica_id,
-            "service": service,
-            "addr": address,
-            "zone": str(document.get("Zone", "")),
-            "slots": max(1, slots),
-            "state": state,
-            "seq": sequence,
-            "models": _read_models(document),
-            "rev": str(document.get("Revision", "")),
-        }
-    )
-
-
-def _is_count(number: object) -> bool:
-    return not isinstance(number, bool) and isinstance(number, int) and number >= 0
-
-
-def _read_models(document: dict) -> dict[str, int]:
-    """Reads the loaded models of a heartbeat: the revision by name."""
-    models = {}
-    for row in document.get("ModelList") or []:
-        if not isinstance(row, dict) or not isinstance(row.get("Name"), str):
-            raise InvalidHeartbeatError("ModelList is wrong")
-        revision = row.get("Revision", FIRST_MODEL_REVISION)
-        if not isinstance(revision, int):
-            raise InvalidHeartbeatError("ModelList is wrong")
-        models[row["Name"]] = revision
-    return models
+        return HeartbeatRequest(replica_id, read_message(ReplicaHeartbeat, document))
+    except InvalidFieldError as error:
+        raise InvalidHeartbeatError(str(error)) from None
 
 
 @decodes("DELETE", r"/api/instances/([^/]+)")
--- a/archhatch/runtime/message.py
+++ b/archhatch/runtime/message.py
@@ -98,6 +98,7 @@
 
     __slots__ = ()
     _wire_fields: ClassVar[dict[type, tuple]] = {}
+    _wire_readers: ClassVar[dict[type, tuple]] = {}
 
     @classmethod
     def _fields(cls) -> tuple:
@@ -118,6 +119,18 @@
             Message._wire_fields[cls] = fields
         return fields
 
+    @classmethod
+    def _readers(cls) -> tuple:
+        """(name, key, whether it is required, decode) of each field: what reading needs of them."""
+        readers = Message._wire_readers.get(cls)
+        if readers is None:
+            readers = tuple(
+                (name, key, default is dataclasses.MISSING, decode)
+                for name, key, default, _, _, decode in cls._fields()
+            )
+            Message._wire_readers[cls] = readers
+        return readers
+
     @classmethod
     def from_document(cls, document: dict) -> Self:
         """Reads a message; keys that it does not know are passed over.
@@ -137,11 +150,11 @@
         values = {}
         key = ""
         try:
-            for name, key, default, _, _, decode in cls._fields():  # noqa: B007 - the handler below names the key
+            for name, key, is_required, decode in cls._readers():  # noqa: B007 - the handler below names the key
                 if key in document:
                     value = document[key]
                     values[name] = value if decode is None else decode(value)
-                elif default is dataclasses.MISSING:
+                elif is_required:
                     raise MissingFieldError(cls.__name__, key)
         except InvalidFieldError as error:
             raise error.within(key) from None
--- a/archhatch/runtime/schema.py
+++ b/archhatch/runtime/schema.py
@@ -91,6 +91,8 @@
     """
 
     def read(value: object) -> int:
+        if type(value) is int and minimum <= value <= maximum:
+            return value  # the common case, without the questions below
         if isinstance(value, bool) or not isinstance(value, (int, float)) or not minimum <= value <= maximum:
             raise InvalidFieldError(f"must be a whole number from {minimum} to {maximum}")
         if value != int(value):
--- a/tests/control/test_admin_api.py
+++ b/tests/control/test_admin_api.py
@@ -6,6 +6,7 @@
 from tests.support.fakes import HandClock
 
 from archhatch.control import topics
+from archhatch.membership.replica_heartbeat import ReplicaHeartbeat
 from archhatch.control.admin_api import AdminApi
 from archhatch.control.api_requests import DeregisterRequest, HeartbeatRequest
 from archhatch.membership import PeerSet, ReplicaRegistry
@@ -25,17 +26,7 @@
 
 
 def heartbeat(state, sequence=1):
-    entry = {
-        "id": "r",
-        "service": "s",
-        "addr": "1:1",
-        "zone": "z",
-        "slots": 1,
-        "models": {},
-        "rev": "",
-        "seq": sequence,
-    }
-    return HeartbeatRequest({**entry, "state": state})
+    return HeartbeatRequest("r", ReplicaHeartbeat(service="s", address="1:1", state=state, sequence=sequence, zone="z"))
 
 
 @pytest.mark.parametrize("state", ["up", "draining"])
--- a/tests/control/test_api_requests.py
+++ b/tests/control/test_api_requests.py
@@ -41,7 +41,9 @@
 
 
 def test_beat_fields():
-    entry = decode("PUT", "/api/instances/i-1", {}, orjson.dumps(BEAT)).entry
+    request = decode("PUT", "/api/instances/i-1", {}, orjson.dumps(BEAT))
+    entry = request.heartbeat.to_entry(request.replica_id)
+    assert entry["id"] == "i-1"
     assert entry["models"] == {"m": 2} and entry["slots"] == 3 and entry["state"] == "up" and entry["seq"] == 4
     assert decode("DELETE", "/api/instances/i%2F1", {}, b"").replica_id == "i/1"
 
@@ -70,20 +72,39 @@
 
 
 @pytest.mark.parametrize(
-    "change",
+    "change, field",
     [
-        {"OperState": "odd"},
-        {"Address": "x"},
-        {"Address": 5},
-        {"Sequence": -1},
-        {"Sequence": "1"},
-        {"SlotCount": True},
-        {"ModelList": [5]},
-        {"ModelList": [{"Name": "m", "Revision": "2"}]},
-        {"Service": None},
+        ({"OperState": "odd"}, "OperState"),
+        ({"OperState": ["up"]}, "OperState"),
+        ({"OperState": "gone"}, "OperState"),
+        ({"Address": "x"}, "Address"),
+        ({"Address": 5}, "Address"),
+        ({"Address": "1.1.1.1:80/x"}, "Address"),
+        ({"Address": "1.1.1.1:80\r\n"}, "Address"),
+        ({"Sequence": -1}, "Sequence"),
+        ({"Sequence": "1"}, "Sequence"),
+        ({"Sequence": 2**60}, "Sequence"),
+        ({"SlotCount": True}, "SlotCount"),
+        ({"SlotCount": 1.5}, "SlotCount"),
+        ({"SlotCount": 10**9}, "SlotCount"),
+        ({"WarmupLeftMs": "soon"}, "WarmupLeftMs"),
+        ({"WarmupLeftMs": -1}, "WarmupLeftMs"),
+        ({"DepartureMs": True}, "DepartureMs"),
+        ({"Zone": 5}, "Zone"),
+        ({"Revision": []}, "Revision"),
+        ({"ModelList": 5}, "ModelList"),
+        ({"ModelList": True}, "ModelList"),
+        ({"ModelList": {}}, "ModelList"),
+        ({"ModelList": [5]}, "ModelList[0]"),
+        ({"ModelList": [{}]}, "ModelList[0].Name"),
+        ({"ModelList": [{"Name": "m", "Revision": "2"}]}, "ModelList[0].Revision"),
+        ({"ModelList": [{"Name": "m"}, {"Name": "n", "Revision": True}]}, "ModelList[1].Revision"),
+        ({"Service": None}, "Service"),
+        ({"Service": ""}, "Service"),
     ],
 )
-def test_malformed_beats(change):
-    with pytest.raises(InvalidRequestError) as e:
+def test_malformed_heartbeats_are_refused_by_the_name_of_the_field(change, field):
+    """Guards against a 500 at each control node in turn: a ModelList that is no list ended in a TypeError."""
+    with pytest.raises(InvalidRequestError) as refused:
         decode("PUT", "/api/instances/i", {}, orjson.dumps({**BEAT, **change}))
-    assert e.value.code == 2004
+    assert refused.value.code == 2004 and refused.value.why.startswith(field + ": ")
