Share groups: a malformed stream is a failed answer of its replica, and stops no worker

Seen (our test): an event that is not UTF-8, or a weight version of 30 digits, and a worker's acknowledgements of that run all stopped, so that the batch job did not end; ids of other digits ended the item's task. Cause: events were kept as they came, and one that JSON cannot hold failed each call that carries acknowledgements. Change: events, ids and versions are read strictly (item.malformed); a seal that is not ASCII is a failed reward call (score.malformed).

tests/share_group/test_malformed_streams.py: five of the six cases failed before.

--- a/archhatch/rollout_controller/scoring.py
+++ b/archhatch/rollout_controller/scoring.py
@@ -56,7 +56,10 @@
             replica, route = await self._slot_for(work, key)
             answer = await self._call(work, replica, route)
             if answer.is_success:
-                return next(value for name, value in answer.headers if name.lower() == REPLY_SEAL_HEADER.lower())
+                seal = next(value for name, value in answer.headers if name.lower() == REPLY_SEAL_HEADER.lower())
+                if seal.isascii():
+                    return seal
+                self.host.counters.add("score.malformed")  # no record can hold it
             self.host.counters.add(f"score.{answer.execution.value}.{answer.status}")
             if answer.execution is Execution.EXECUTED and answer.status == STATUS_FAILED:
                 work.score_fails += 1
--- a/archhatch/share_group/item_stream.py
+++ b/archhatch/share_group/item_stream.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from ..exceptions import ArchhatchError
+from ..runtime.numbers import read_count
 from ..upstream import (
     REQUEST_ID_HEADER,
     EXPECTED_REVISION_HEADER,
@@ -20,7 +21,7 @@
     declares_not_executed,
     Delivery,
 )
-from ..upstream.event_stream import EventReader, is_next_event
+from ..upstream.event_stream import Event, EventReader, is_next_event
 from ..upstream.headers import LAST_EVENT_ID_HEADER, URGENCY_LEVEL_HEADER, with_tenant
 from .acquired_entry import AcquiredEntry, WorkState
 from .hosts import WorkerHost
@@ -76,6 +77,8 @@
             entry.signal(SignalKind.VANISHED, replica_pause_s * VANISHED_EJECTION_GAPS)
             host.counters.add("item.timed_out")
         except (aiohttp.ClientError, OSError, ValueError) as error:
+            if isinstance(error, InvalidStreamError):
+                host.counters.add("item.malformed")
             entry.signal(SignalKind.FAULTED, replica_pause_s)
             host.counters.add("item.cut")
             host.log.debug(
@@ -183,8 +186,7 @@
         async for chunk in response.content.iter_any():
             time_limit.reschedule(loop_time() + replica_pause_s * MAX_EVENT_GAPS)
             for event in reader.feed(chunk):
-                if not is_next_event(entry.last_event_id, event.id):
-                    raise InvalidStreamError("an event comes again")
+                _check_event(event, entry.last_event_id)
                 if event.version:
                     current = newest_version(event.version, current)
                 entry.texts.append(event.data)
@@ -213,10 +215,43 @@
 
 
 def newest_version(header: str, default: int) -> int:
-    """Returns the last number in a header of versions, or the default if it has none.
+    """Returns the last number in a header of versions, or the default if it is empty.
 
     >>> newest_version("6,7", 1), newest_version("", 3)
     (7, 3)
+
+    Raises:
+        InvalidStreamError: It lists something else than numbers.
     """
-    versions = [int(part) for part in header.replace(" ", "").split(",") if part.isdigit()]
-    return versions[-1] if versions else default
+    if not header.strip():
+        return default
+    version = default
+    for part in header.split(","):
+        number = read_count(part.strip())
+        if number is None:
+            raise InvalidStreamError("the weight versions are no numbers")
+        version = number
+    return version
+
+
+def _check_event(event: Event, last_event_id: str) -> None:
+    """Checks that an event can be kept, handed on and followed by the next.
+
+    Raises:
+        InvalidStreamError: It cannot.
+    """
+    if not is_next_event(last_event_id, event.id):
+        raise InvalidStreamError("an event comes again, or its id is no number")
+    if not event.id.isascii() or not event.id.isprintable():
+        raise InvalidStreamError("the id of an event is not ASCII")
+    if not event.data.isascii() and not _is_unicode(event.data):
+        raise InvalidStreamError("the data of an event is not UTF-8")
+
+
+def _is_unicode(text: str) -> bool:
+    """Whether text that was decoded leniently has no byte in it that was not UTF-8."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- a/archhatch/upstream/event_stream.py
+++ b/archhatch/upstream/event_stream.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from ..runtime.numbers import read_count
+
 _EVENT_END = b"\n\n"
 _WEIGHT_VERSIONS_FIELD = "x-archhatch-weight-versions"
 
@@ -76,9 +78,12 @@
 
     >>> is_next_event("3", "4"), is_next_event("3", "3"), is_next_event(None, "1"), is_next_event("3", "")
     (True, False, True, False)
+    >>> is_next_event("3", "x"), is_next_event("x", "y")
+    (False, True)
     """
     if not last_id:
         return True
-    if last_id.isdigit() and event_id.isdigit():
-        return int(event_id) > int(last_id)
+    last_number, number = read_count(last_id), read_count(event_id)
+    if last_number is not None:
+        return number is not None and number > last_number
     return event_id not in ("", last_id)
