HTTP server: the rest of a refused body is no header section

Change: a connection waits for a request only from the end of the one before, its body among it.

tests/http_server/test_server.py::test_the_rest_of_a_refused_body_is_no_header failed before.

--- a/archhatch/http_server/server.py
+++ b/archhatch/http_server/server.py
@@ -86,8 +86,11 @@
         if self.awaits_request and self.header_started_at is None:
             self.header_started_at = asyncio.get_running_loop().time()
             self._header_bytes = 0
+        requests_before = self._request_count
         super().data_received(data)
-        if self.awaits_request and not self._messages:
+        if self._request_count > requests_before:
+            self.awaits_request = False
+        elif self.awaits_request:
             self._check_unfinished_header(len(data))
 
     def _check_unfinished_header(self, received: int) -> None:
@@ -281,7 +284,8 @@
         finally:
             self.in_flight -= 1
             self._handlers.discard(task)
-            connection.awaits_request = True
+            # not while the rest of a refused body is on its way, or a further request has been read
+            connection.awaits_request = request.content.is_eof() and not connection.has_queued_requests()
 
     async def _handle(self, request: BaseRequest) -> Result | StreamResponse:
         if _expects_continue(request):
--- a/tests/http_server/test_server.py
+++ b/tests/http_server/test_server.py
@@ -72,6 +72,22 @@
     run(go())
 
 
+def test_the_rest_of_a_refused_body_is_no_header(run):
+    """Guards against a 431 in place of the 413, and a header's time limit for a body that nobody reads."""
+
+    async def go():
+        win = await window(HttpLimits(max_body_bytes=5, max_header_bytes=100))
+        head = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n"
+        rd, wr = await talk(win, head, *[b"b" * 1000] * 60)
+        assert (await rd.readline()).split()[1] == b"413"
+        wr.write(b"b" * 1000)
+        assert b"431" not in await rd.read()
+        wr.close()
+        await win.close(0)
+
+    run(go())
+
+
 @pytest.mark.parametrize(
     "max_header_bytes, field_bytes, is_finished, body_bytes, status",
     [
