Weight orders: a report that cannot be read changes nothing, and is counted

Cause: the rows of a report were taken up one by one before a malformed one was met, and text or a boolean passed as a number. Change: ReplicaReport is read by the strict readers; a malformed one counts as no report (report.malformed, one line in the log), what was known stays. A replica's load header with other than three counts up to a million is passed over.

tests/rollout_controller/test_weight_orders.py: eleven malformed reports.

--- a/archhatch/rollout_controller/host.py
+++ b/archhatch/rollout_controller/host.py
@@ -70,6 +70,7 @@
     """
 
     settings: Settings
+    log: Any
     clock: Clock
     counters: Counters
     state_board: StateBoard
--- a/archhatch/rollout_controller/replica_orders.py
+++ b/archhatch/rollout_controller/replica_orders.py
@@ -10,13 +10,15 @@
 import enum
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, cast
 
 import aiohttp
 import orjson
 
 from ..exceptions import ArchhatchError
-from ..runtime.message import Message, wire
+from ..membership.replica_heartbeat import MAX_SEQUENCE, read_models
+from ..runtime.message import InvalidFieldError, InvalidMessageError, Message, wire
+from ..runtime.schema import boolean, nullable, whole_number
 from ..upstream import REPLY_SEAL_HEADER, REQUEST_ID_HEADER, Delivery, NotSentError, declares_not_executed
 from .engines import Engine
 from .host import WeightOrderHost
@@ -60,23 +62,28 @@
     expected_count: int | None = wire("ExpectedCount", default=None, optional=True)
 
 
+def _read_revisions(value: object) -> dict[str, int]:
+    """Reads the rows of a report's ModelList, each of which names its revision."""
+    revisions = read_models(value)
+    for index, row in enumerate(cast(list, value or ())):
+        if "Revision" not in row:
+            raise InvalidFieldError("is missing", f"[{index}].Revision")
+    return revisions
+
+
 @dataclass(frozen=True, slots=True)
 class ReplicaReport(Message):
     """What a replica reports of itself.
 
     Attributes:
         order_count: How many orders it took.
-        models: Rows with Name and Revision. They are read one by one: a bad row leaves those before it.
+        revisions: The version of each model that it has, by model.
         is_loading: Whether it is carrying out an order.
     """
 
-    order_count: int = wire("Sequence", decode=int)
-    models: list[dict] = wire("ModelList", default_factory=list, decode=lambda rows: rows or [])
-    is_loading: bool = wire("Utilization", default=False, decode=bool)
-
-    def revisions(self) -> dict[str, int]:
-        """Returns the versions by model."""
-        return {row["Name"]: int(row["Revision"]) for row in self.models}
+    order_count: int = wire("Sequence", decode=whole_number(0, MAX_SEQUENCE))
+    revisions: dict[str, int] = wire("ModelList", default_factory=dict, decode=_read_revisions)
+    is_loading: bool = wire("Utilization", default=False, decode=nullable(boolean, default=False))
 
 
 class SendGate:
@@ -228,7 +235,11 @@
                 if response.status != STATUS_HAS_IT:
                     return None
             return self.apply_report(engine, ReplicaReport.from_document(orjson.loads(body)), asked_at)
-        except (TimeoutError, aiohttp.ClientError, OSError, ValueError, KeyError, TypeError):
+        except (InvalidMessageError, orjson.JSONDecodeError) as error:
+            host.counters.add("report.malformed")
+            host.log.info("report of replica {} cannot be read: {}", engine.instance_id, error)
+            return None
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError):
             return None
 
     def apply_report(self, engine: Engine, report: ReplicaReport, asked_at: float) -> ReplicaReport | None:
@@ -237,8 +248,8 @@
         if known is not None and report.order_count < known:
             self.host.counters.add("report.old")
             return None
-        for row in report.models:
-            engine.record_revision(row["Name"], int(row["Revision"]))
+        for model, revision in report.revisions.items():
+            engine.record_revision(model, revision)
         if not report.is_loading:
             engine.count = report.order_count
             if engine.unresolved_order_at is not None and self._resolves(engine, report, known, asked_at):
@@ -256,5 +267,5 @@
         """Learns what an engine really holds: what it reports counts, also where it is lower than was believed."""
         report = await self.read_report(engine)
         if report is not None and not report.is_loading:
-            engine.revisions = report.revisions()
+            engine.revisions = dict(report.revisions)
         self.host.state_board.notify("work")
--- a/archhatch/upstream/load_balancer.py
+++ b/archhatch/upstream/load_balancer.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 from ..health import ReplicaHealth
 from ..region_policy import Placement
 from ..routing import Route
+from ..runtime.numbers import read_count
 from .attempt_result import FIRST_SERVER_ERROR_STATUS, AttemptResult, Execution
 from .headers import INSTANCE_LOAD_HEADER
 from .replica_cost import REPORTED_LOAD_TTL_S, RESTING_COST, ReplicaCost
@@ -27,6 +28,8 @@
 LATENCY_SAMPLE_WEIGHT = 0.2  # of a latency in a replica's moving mean
 FULL_STATUSES = (429, 503)
 
+LOAD_FIELDS = 3  # running, waiting, slots
+MAX_REPORTED_LOAD = 1_000_000  # requests: more is no report
 _INSTANCE_LOAD_LOWER = INSTANCE_LOAD_HEADER.lower()
 
 
@@ -289,10 +292,10 @@
 
     def record_load(self, replica: ReplicaEndpoint, header: str, now: float) -> None:
         """Records a replica's report of its load, "running,waiting,slots"; one that cannot be read is passed over."""
-        try:
-            running, waiting, slots = (int(part) for part in header.split(","))
-        except ValueError:
+        counts = [read_count(part.strip()) for part in header.split(",")]
+        if len(counts) != LOAD_FIELDS or None in counts or max(cast(list[int], counts)) > MAX_REPORTED_LOAD:
             return
+        running, waiting, slots = cast(list[int], counts)
         replica.reported_load = max(0.0, running + waiting - replica.in_flight)
         replica.reported_load_at = now
         replica.slots = max(1, slots)
--- a/tests/rollout_controller/test_weight_orders.py
+++ b/tests/rollout_controller/test_weight_orders.py
@@ -301,3 +301,40 @@
     )
     with pytest.raises(MachineError):
         model.gathered()
+
+
+MALFORMED_REPORTS = [
+    b"5",
+    b"{",
+    b"{}",
+    b'{"Sequence":"1"}',
+    b'{"Sequence":true}',
+    b'{"Sequence":-1}',
+    b'{"Sequence":9,"Utilization":"no"}',
+    b'{"Sequence":9,"ModelList":5}',
+    b'{"Sequence":9,"ModelList":[{"Name":"m","Revision":5},{"Name":"n","Revision":"2"}]}',
+    b'{"Sequence":9,"ModelList":[{"Name":"m"}]}',
+    b'{"Sequence":9,"ModelList":[{"Name":"m","Revision":1e99}]}',
+]
+
+
+@pytest.mark.parametrize("body", MALFORMED_REPORTS)
+def test_a_report_that_cannot_be_read_changes_nothing(run, clock, body):
+    """Guards against half a report being taken up: the rows before a malformed one, or numbers that are none."""
+
+    class Report(Resp):
+        async def read(self):
+            return body
+
+    class ReportingReplica(FakeReplica):
+        def request(self, *_args, **_kwargs):
+            return Report(200, {})
+
+    async def go():
+        store, _, orders = setup(clock, ReportingReplica())
+        engine = store.engines.all["e0"]
+        known = (dict(engine.revisions), engine.count)
+        assert await orders.client.read_report(engine) is None
+        assert (engine.revisions, engine.count) == known and store.counters.counts["report.malformed"] == 1
+
+    run(go())
