Feed, pings and takeover: an answer that cannot be read counts as none of its sender alone

Cause: an answer of another node was read key by key, so that a malformed one ended the task that reads (the feed's, a ping's, the beginning of a term), after part of it had been taken up. Change: the feed's answer has a reader for each field, and shards are applied before anything else; it counts as no answer (config.malformed_answer), and the next control node is asked. Pings and reports at a takeover are read as before, but what that ends in is caught where they are read: ping.malformed, takeover.malformed_report, one line in the log each, and the sender counts as silent.

--- a/archhatch/control/peers.py
+++ b/archhatch/control/peers.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
 from ..membership import without_marks
+from ..runtime.message import MALFORMED_ERRORS
 from . import topics
 from .messages import CommitNotice, Ping
 
@@ -18,7 +19,7 @@
     from ..membership.agreed_time import AgreedTime
     from ..membership.replica_entry import HeartbeatSummary
     from ..region_policy.region_monitor import RegionMonitor
-    from ..runtime import Clock, Settings, StateBoard, TaskGroup
+    from ..runtime import Clock, Counters, Settings, StateBoard, TaskGroup
     from .agreement import Registers
     from .contact import MajorityContact
 
@@ -67,6 +68,7 @@
     quiet_s: float
     settings: Settings
     clock: Clock
+    counters: Counters
     log: Any
     task_group: TaskGroup
     state_board: StateBoard
@@ -334,10 +336,16 @@
         if document is None:
             self.reports.pop(address, None)
             return False
-        answer = Ping.from_document(document)
-        node.contact.record_answer(answer.card["id"], sent_at, answer.accepted_versions)
-        self._note_time(answer, sent_at)
-        self.merge_ping(answer)
+        try:
+            answer = Ping.from_document(document)
+            node.contact.record_answer(answer.card["id"], sent_at, answer.accepted_versions)
+            self._note_time(answer, sent_at)
+            self.merge_ping(answer)
+        except MALFORMED_ERRORS as error:
+            node.counters.add("ping.malformed")
+            node.log.warning("answer to a ping cannot be read: address={} error={!r}", address, error)
+            self.reports.pop(address, None)
+            return False
         node.check_serving()
         last = self.reports.get(address)
         has_restarted = last is not None and last.incarnation != answer.incarnation
--- a/archhatch/membership/config_watcher.py
+++ b/archhatch/membership/config_watcher.py
@@ -8,10 +8,12 @@
 import asyncio
 import random
 from collections import deque
+from collections.abc import Sequence
 from typing import Any, Protocol
 
 from ..rpc import CallError, ConnectionPool, is_misdirected
 from ..runtime import Clock, Counters, Settings, StateBoard
+from ..runtime.message import InvalidFieldError, InvalidMessageError
 from .config_sources import ConfigSources, Verdict
 from .delta import apply_all
 from .feed_messages import FeedAnswer, FeedQuery, ShardUpdate
@@ -149,7 +151,12 @@
             # This node was suspended: the answer waited for it, and may be outdated by now.
             self.counters.add("config.answer_outdated")
             return True
-        if self.accept_answer(address, document, newest_before) is Verdict.CURRENT:
+        try:
+            verdict = self.accept_answer(address, document, newest_before)
+        except InvalidMessageError:
+            self.counters.add("config.malformed_answer")  # as if the source had not answered: the next one is asked
+            return False
+        if verdict is Verdict.CURRENT:
             self.confirmed_at = max(self.confirmed_at, asked_at)
         return True
 
@@ -211,15 +218,15 @@
 
     def apply_answer(self, answer: FeedAnswer) -> None:
         """Applies an answer and announces what changed on the state board, as "work", "roll" and "parts"."""
+        has_new_shards = False  # shards first: a change that cannot be applied leaves the rest as it was
+        for shard, update in answer.shards.items():
+            has_new_shards = self._apply_shard(shard, update) or has_new_shards
         self.applied_at = self.clock.now()
         if answer.wall_time is not None:
             self._wall_offsets_s.append(answer.wall_time - self.applied_at)
         self.incarnation = answer.incarnation
         self.registry_version = answer.registry_version
-        self._update_addresses(answer.addresses)
-        has_new_shards = False
-        for shard, update in answer.shards.items():
-            has_new_shards = self._apply_shard(shard, update) or has_new_shards
+        self._update_addresses(list(answer.addresses))
         if answer.live_totals != self.live_totals:
             self.live_totals = answer.live_totals
             self.state_board.notify("work")
@@ -238,7 +245,7 @@
         self.addresses = list(dict.fromkeys(addresses + ([source] if source not in addresses else [])))
         self.source_index = self.addresses.index(source)
 
-    def _apply_replicas(self, entries: list[ReplicaEntry]) -> list[ReplicaEntry]:
+    def _apply_replicas(self, entries: Sequence[ReplicaEntry]) -> list[ReplicaEntry]:
         """Takes over entries, and returns those that changed something.
 
         What a replica said is never replaced by something older, as a lagging node sends it, and a replica never comes
@@ -271,7 +278,7 @@
         if update.changes is None:
             value = update.value
         elif update.base == held_version:
-            value = apply_all(self.shards[shard], update.changes)
+            value = self._apply_changes(shard, update.changes)
         else:
             # The changes are for another version; the next query names the one that this node has.
             self.counters.add("config.other_base")
@@ -280,6 +287,17 @@
         self.shards[shard] = value
         return True
 
+    def _apply_changes(self, shard: str, changes: Sequence[dict]) -> Any:  # noqa: ANN401 - any JSON
+        """Returns a shard's value after changes.
+
+        Raises:
+            InvalidFieldError: They are no changes of the value that is held.
+        """
+        try:
+            return apply_all(self.shards[shard], changes)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise InvalidFieldError(f"are no changes of the value that is held: {error!r}", f"parts.{shard}") from error
+
     def take_changed_replicas(self) -> list[ReplicaEntry]:
         """Returns the entries that came since the last call."""
         changed = self._changed_replicas
--- a/archhatch/membership/feed_messages.py
+++ b/archhatch/membership/feed_messages.py
@@ -5,12 +5,25 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
 from ..runtime.message import Message, wire
+from ..runtime.schema import any_object, integer, list_of, mapping_of, nullable, number, object_of, text
 from .peer_set import NodeCard
-from .replica_entry import ReplicaEntry
+from .replica_entry import ReplicaEntry, read_entry
+
+MAX_VERSION = 2**63 - 1
+MAX_LIVE_REQUESTS = 1e12
+MAX_WALL_TIME_S = 1e11  # since 1970: some thousand years
+
+_version = integer(0, MAX_VERSION)
+_read_objects = list_of(any_object)
+
+
+def _read_changes(value: object) -> list[dict] | None:
+    return None if value is None else list(_read_objects(value))
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,14 +62,10 @@
         changes: The changes, the oldest first (see delta); None if the whole value is sent.
     """
 
-    version: int = wire("stamp")
+    version: int = wire("stamp", decode=_version)
     value: Any = wire("val", default=None)
-    base: int | None = wire("base", default=None)
-    changes: list[dict] | None = wire("changes", default=None)
-
-
-def _read_shards(shards: dict[str, dict]) -> dict[str, ShardUpdate]:
-    return {shard: ShardUpdate.from_document(update) for shard, update in shards.items()}
+    base: int | None = wire("base", default=None, decode=nullable(_version, None))
+    changes: list[dict] | None = wire("changes", default=None, decode=_read_changes)
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,12 +84,12 @@
         wall_time: The agreed time of day; None if the control node has none.
     """
 
-    shards: dict[str, ShardUpdate] = wire("parts", decode=_read_shards)
-    replicas: list[ReplicaEntry] = wire("roll")
-    incarnation: str = wire("life")
-    registry_version: int = wire("turn")
-    addresses: list[str] = wire("cores")
-    live_totals: dict[str, float] = wire("busy")
-    node_id: str = wire("id", default="")
-    newest_versions: dict[str, int] | None = wire("newest", default=None)
-    wall_time: float | None = wire("time", default=None)
+    shards: dict[str, ShardUpdate] = wire("parts", decode=mapping_of(object_of(ShardUpdate)))
+    replicas: Sequence[ReplicaEntry] = wire("roll", decode=list_of(read_entry))
+    incarnation: str = wire("life", decode=text())
+    registry_version: int = wire("turn", decode=_version)
+    addresses: Sequence[str] = wire("cores", decode=list_of(text(min_length=1)))
+    live_totals: dict[str, float] = wire("busy", decode=mapping_of(number(0, MAX_LIVE_REQUESTS)))
+    node_id: str = wire("id", default="", decode=text())
+    newest_versions: dict[str, int] | None = wire("newest", default=None, decode=nullable(mapping_of(_version), None))
+    wall_time: float | None = wire("time", default=None, decode=nullable(number(0, MAX_WALL_TIME_S), None))
--- a/archhatch/membership/replica_entry.py
+++ b/archhatch/membership/replica_entry.py
@@ -9,7 +9,9 @@
 
 import enum
 from collections.abc import Mapping
-from typing import Any, NotRequired, TypedDict, final
+from typing import Any, NotRequired, TypedDict, cast, final
+
+from ..runtime.message import InvalidFieldError
 
 
 class ReplicaState(enum.StrEnum):
@@ -27,6 +29,9 @@
 GONE = ReplicaState.GONE.value
 
 
+STATES = frozenset({UP, DRAINING, GONE})
+ENTRY_TEXTS = ("id", "state", "addr", "service", "zone")
+ENTRY_COUNTS = ("seq", "slots")
 MARKS = ("silent", "superseded")  # keys that a control node sets by what it has heard itself; not passed on to others
 
 
@@ -79,6 +84,28 @@
     age: float
 
 
+def read_entry(value: object) -> ReplicaEntry:
+    """Reads an entry that another node sent; it stays the dictionary that came.
+
+    Raises:
+        InvalidFieldError: It is no entry; names the key.
+    """
+    if not isinstance(value, dict):
+        raise InvalidFieldError("must be an object")
+    for key in ENTRY_TEXTS:
+        if not isinstance(value.get(key), str):
+            raise InvalidFieldError("must be text", key)
+    if value["state"] not in STATES:
+        raise InvalidFieldError("is no state of a replica", "state")
+    for key in ENTRY_COUNTS:
+        if type(value.get(key)) is not int:
+            raise InvalidFieldError("must be an integer", key)
+    models = value.get("models")
+    if not isinstance(models, dict) or not all(type(revision) is int for revision in models.values()):
+        raise InvalidFieldError("must be revisions by model", "models")
+    return cast(ReplicaEntry, value)
+
+
 def marks_of(entry: ReplicaEntry) -> tuple[bool, bool]:
     """Returns whether an entry is marked as silent, and whether as superseded.
 
--- a/archhatch/rollout_controller/takeover.py
+++ b/archhatch/rollout_controller/takeover.py
@@ -15,6 +15,7 @@
 from ..jobs import BatchJob, DeposedError, Record, read_job
 from ..jobs.record import Kind
 from ..jobs.run_report import HeldJob, RunReport
+from ..runtime.message import MALFORMED_ERRORS, InvalidMessageError
 from .host import LeadershipHost
 
 if TYPE_CHECKING:
@@ -142,9 +143,16 @@
     def _take_report(self, sid: str, answer: dict | None, reports: dict[str, RunReport]) -> None:
         if answer is None:
             return
-        if not answer["ok"]:
+        if isinstance(answer, dict) and answer.get("ok") is False:
             raise DeposedError(self.leadership.run)
-        reports[sid] = RunReport.from_document(answer)
+        try:
+            if answer["ok"] is not True:
+                raise InvalidMessageError("RunReport: ok: must be true or false")
+            reports[sid] = RunReport.from_document(answer)
+        except MALFORMED_ERRORS as error:  # as if the store had not answered
+            self.host.counters.add("takeover.malformed_report")
+            self.host.log.warning("run {}: report of store {} cannot be read: {!r}", self.leadership.run, sid, error)
+            return
         if sid not in self._answered:
             self._answered.add(sid)
             self.leadership.record_progress()
--- a/archhatch/runtime/message.py
+++ b/archhatch/runtime/message.py
@@ -25,6 +25,10 @@
     """A document that a message cannot be read from; names the key that is missing or unusable."""
 
 
+# What a document from another node that does not have the form of its message may end in, where it is read by its keys.
+MALFORMED_ERRORS = (InvalidMessageError, KeyError, TypeError, ValueError, AttributeError, IndexError)
+
+
 class MissingFieldError(InvalidMessageError):
     """A document without a key that its message requires.
 
--- a/archhatch/runtime/schema.py
+++ b/archhatch/runtime/schema.py
@@ -121,6 +121,13 @@
     return value
 
 
+def any_object(value: object) -> dict:
+    """Reads an object, whatever is in it."""
+    if not isinstance(value, dict):
+        raise InvalidFieldError("must be an object")
+    return value
+
+
 def list_of(reader: Reader[Value]) -> Reader[tuple[Value, ...]]:
     """Reads a list, each of its values by the same reader.
 
@@ -144,6 +151,28 @@
     return read
 
 
+def mapping_of(reader: Reader[Value]) -> Reader[dict[str, Value]]:
+    """Reads an object whose keys are data, each of its values by the same reader.
+
+    >>> mapping_of(integer(0, 9))({"a": 1})
+    {'a': 1}
+    """
+
+    def read(value: object) -> dict[str, Value]:
+        if not isinstance(value, dict):
+            raise InvalidFieldError("must be an object")
+        key = ""
+        values = {}
+        try:
+            for key, item in value.items():  # noqa: B007 - the handler below names the key
+                values[key] = reader(item)
+        except InvalidFieldError as error:
+            raise error.within(key) from None
+        return values
+
+    return read
+
+
 def object_of(message_class: type[MessageType]) -> Reader[MessageType]:
     """Reads an object as a message."""
 
--- a/tests/membership/test_config_watcher.py
+++ b/tests/membership/test_config_watcher.py
@@ -40,7 +40,8 @@
 
 
 def entry(state, seq, **kwargs):
-    return {"id": "r", "state": state, "seq": seq, "addr": "x:1", **kwargs}
+    spoken = {"addr": "x:1", "service": "s", "zone": "z", "slots": 1, "models": {}}
+    return {"id": "r", "state": state, "seq": seq, **spoken, **kwargs}
 
 
 @pytest.mark.parametrize(
@@ -81,6 +82,47 @@
     assert len(r.addresses) == 3
 
 
+MALFORMED = [
+    lambda a: 5,
+    lambda a: {},
+    lambda a: {**a, "parts": []},
+    lambda a: {**a, "parts": {"plan": {"stamp": "3", "val": {}}}},
+    lambda a: {**a, "parts": {"plan": {"stamp": 3, "base": 2, "changes": {}}}},
+    lambda a: {**a, "parts": {"plan": {"stamp": 3, "base": 2, "changes": [{"in": 5, "drop": []}]}}},
+    lambda a: {**a, "roll": [{**entry("up", 1), "models": []}]},
+    lambda a: {**a, "roll": [{**entry("up", 1), "slots": "4"}]},
+    lambda a: {**a, "roll": [entry("odd", 1)]},
+    lambda a: {**a, "roll": {}},
+    lambda a: {**a, "cores": "1.1.1.1:7"},
+    lambda a: {**a, "busy": {"s": "many"}},
+    lambda a: {**a, "busy": []},
+    lambda a: {**a, "turn": True},
+    lambda a: {**a, "newest": {"plan": -1}},
+    lambda a: {**a, "time": "now"},
+]
+
+
+@pytest.mark.parametrize("malform", MALFORMED)
+def test_a_malformed_answer_is_none_and_the_next_source_is_asked(run, clock, malform):
+    """Guards against a feed that stands still, or takes up half an answer, because of one control node."""
+
+    async def go():
+        watcher, _, _ = reading({"a": 2, "b": 2})
+        assert await watcher.ask_once()
+        held = (dict(watcher.shards), dict(watcher.versions), dict(watcher.replicas), list(watcher.addresses))
+        good = feed_answer(shards={}, turn=2)
+
+        async def malformed(*_args, **_kwargs):
+            return 1000, malform(good), b""
+
+        watcher.call = malformed
+        assert not await watcher.ask_once()
+        assert held == (watcher.shards, watcher.versions, watcher.replicas, watcher.addresses)
+        assert watcher.counters.counts["config.malformed_answer"] == 1
+
+    run(go())
+
+
 def test_entries_are_taken_once():
     r = reader()
     r.apply_answer(FeedAnswer.from_document(feed_answer(registry=[entry("up", 1)])))
--- a/tests/rollout_controller/test_leadership_term.py
+++ b/tests/rollout_controller/test_leadership_term.py
@@ -108,6 +108,28 @@
     run(go())
 
 
+@pytest.mark.parametrize("answer", [5, [], {}, {"ok": "yes"}, {"ok": True, "lots": 5}, {"ok": True, "lots": {"l": []}}])
+def test_a_store_whose_report_cannot_be_read_counts_as_silent(run, clock, answer):
+    """Guards against a run that nobody leads, as one store's report ends each term that begins."""
+
+    async def go():
+        store = FakeStore(clock)
+        for n in ("me", "b"):
+            await store.record_stores[n].append([job_record()])
+        call_store = store.call_store
+
+        async def call(sid, *args):
+            return answer if sid == "c" else await call_store(sid, *args)
+
+        store.call_store = call
+        leadership = LeadershipTerm(store, "s", 2)
+        await leadership.begin()
+        assert "l" in leadership.batch_jobs and leadership.state == "holding"
+        assert store.counters.counts["takeover.malformed_report"] == 1
+
+    run(go())
+
+
 def test_higher_term_ends_it(run, clock):
     async def go():
         store = FakeStore(clock)
