Duties: one entry that fails is passed over, counted and logged, and the others are served

Cause: a duty over a list of services, models, runs, windows or jobs ended its turn at the first entry that raised, and met the same entry first at the next. Change: EntryGuard bears the failure of one entry in weight orders, autoscaler, lease watch, usage and evacuations; a reward call that cannot be assigned ends alone; an acknowledgement that cannot be encoded is given up, and its lock runs out. Not covered: the region monitor and outlier detection.

--- a/archhatch/autoscaler/controller.py
+++ b/archhatch/autoscaler/controller.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from ..runtime import EntryGuard
 from ..platform_client import PlatformClient
 from ..singleton_roles.effect import protect
 from ..singleton_roles.errors import EffectFailedError, RoleCallError
@@ -73,6 +74,7 @@
         self.lease = StandingLease(node, NAMESPACE)
         self.platform = platform
         self._node = node
+        self._guard = EntryGuard("autoscaler", node.log, node.counters, node.clock)
         self._scalers: dict[str, ServiceScaler] = {}
         self._ordering: dict[str, asyncio.Task] = {}  # by service and zone
 
@@ -100,9 +102,10 @@
             if order.is_running:
                 self._start_order(subject, order.number, order.record["intent"])
         for name, service in self._node.plan.services.items():
-            limits = ScaleLimits.of(service)
-            if limits is not None:
-                self._check_service(name, limits, latest)
+            with self._guard.entry(name):
+                limits = ScaleLimits.of(service)
+                if limits is not None:
+                    self._check_service(name, limits, latest)
 
     def _check_service(self, service: str, limits: ScaleLimits, latest: dict[str, StoredOrder]) -> None:
         counts = self._ordered_counts(service, latest)
--- a/archhatch/evacuation/controller.py
+++ b/archhatch/evacuation/controller.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Protocol
 
+from ..runtime import EntryGuard
 from ..control.register_values import task_leases_of
 from ..control.result_codes import DONE
 from .commands import LEASE_NAME
@@ -27,7 +28,7 @@
 from .readiness import Readiness, ReadinessHost
 
 if TYPE_CHECKING:
-    from ..runtime import Clock, StateBoard
+    from ..runtime import Clock, Counters, StateBoard
 
 GAP_PATIENCE = 1.0  # of ContactMs: capacity that is lacking for so long is taken to be lacking for good
 AGE_STEP_S = 10.0  # of a record's age that a change of holders may lose
@@ -46,6 +47,8 @@
     id: str
     incarnation: str
     clock: Clock
+    counters: Counters
+    log: Any
     state_board: StateBoard
 
     def has_majority_contact(self) -> bool:
@@ -99,6 +102,7 @@
         self._node = node
         self._shard = shard
         self.readiness = Readiness(node, shard)
+        self._guard = EntryGuard("evacuation", node.log, node.counters, node.clock)
         self._notices = NoticeSender(node, self._record_notice)
         self.term: int | None = None
         # (evacuation, state, place) -> when this holder first saw it there
@@ -131,11 +135,12 @@
             return
         clock = self._node.clock
         for name, record in list(self.readiness.open_records().items()):
-            key = (name, record["state"], record["placed"])
-            self._since.setdefault(key, clock.now())
-            await self._record_age(name, record)
-            in_state_s = clock.now() - self._since[key]
-            await self._drive(_Situation(self, name, record, self._age_s(name, record), in_state_s))
+            with self._guard.entry(name):
+                key = (name, record["state"], record["placed"])
+                self._since.setdefault(key, clock.now())
+                await self._record_age(name, record)
+                in_state_s = clock.now() - self._since[key]
+                await self._drive(_Situation(self, name, record, self._age_s(name, record), in_state_s))
 
     async def _acquire_lease(self) -> bool:
         """Takes the lease, unless this process has it; returns whether it has it now."""
--- a/archhatch/rollout_controller/scoring.py
+++ b/archhatch/rollout_controller/scoring.py
@@ -100,7 +100,12 @@
             call = heapq.heappop(self.waiting)
             if call.slot.done():
                 continue  # its job has ended
-            assigned = self._assign(call, full_services)
+            try:
+                assigned = self._assign(call, full_services)
+            except Exception as error:  # noqa: BLE001 - it ends the one call; the others that wait get their slots
+                self.host.counters.add("score.not_assignable")
+                call.slot.set_exception(error)
+                continue
             if not assigned:
                 passed_over.append(call)
         for call in passed_over:
--- a/archhatch/rollout_controller/weight_orders.py
+++ b/archhatch/rollout_controller/weight_orders.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Any, NamedTuple
 
+from ..runtime import EntryGuard
 from ..health import EJECTED
 from ..jobs import BatchJob, DeposedError
 from .engines import Engine
@@ -48,6 +49,7 @@
         self.limit = LoadConcurrencyLimit(host.settings.seconds("LeaseMs", INITIAL_LOAD))
         self.loading_count = 0
         self.to_verify: set[str] = set()
+        self._guard = EntryGuard("weight_orders", host.log, host.counters, host.clock)
 
     def verify_replica(self, engine: Engine) -> None:
         """Has an engine's report read, because it turned a version away that it should have."""
@@ -90,20 +92,34 @@
         now = host.clock.now()
         named = host.named()
         for leadership in host.leaderships.values():
-            for model in host.models_of(leadership.run):
-                revision = named.get(model, FIRST_REVISION)
-                if not leadership.may_order():
-                    continue
-                engines = [engine for engine in host.engines.of_service(leadership.run) if not engine.draining]
-                if not self._needs_another(leadership, model, engines, revision):
-                    continue
-                urgent = is_urgent(self._batch_jobs(), engines, model, revision)
-                for engine in engines:
-                    if not self._may_load(leadership, engine, model, revision, now):
-                        continue
-                    rank = rank_of(engine, model, urgent)
-                    if best is None or rank < best.rank:
-                        best = _Load(rank, leadership, model, engine, revision)
+            for model in self._models_of(leadership):
+                with self._guard.entry(f"{leadership.run}/{model}"):
+                    load = self._next_load_of(leadership, model, named.get(model, FIRST_REVISION), now)
+                    if load is not None and (best is None or load.rank < best.rank):
+                        best = load
+        return best
+
+    def _models_of(self, leadership: Any) -> list[str]:  # noqa: ANN401 - a leadership term or a stand-in
+        with self._guard.entry(leadership.run):
+            return self.host.models_of(leadership.run)
+        return []
+
+    def _next_load_of(self, leadership: Any, model: str, revision: int, now: float) -> _Load | None:  # noqa: ANN401 - as above
+        """The load of a model's version that is due next, among the engines of its run."""
+        host = self.host
+        if not leadership.may_order():
+            return None
+        engines = [engine for engine in host.engines.of_service(leadership.run) if not engine.draining]
+        if not self._needs_another(leadership, model, engines, revision):
+            return None
+        urgent = is_urgent(self._batch_jobs(), engines, model, revision)
+        best: _Load | None = None
+        for engine in engines:
+            if not self._may_load(leadership, engine, model, revision, now):
+                continue
+            rank = rank_of(engine, model, urgent)
+            if best is None or rank < best.rank:
+                best = _Load(rank, leadership, model, engine, revision)
         return best
 
     def _batch_jobs(self) -> list[BatchJob]:
--- a/archhatch/runtime/__init__.py
+++ b/archhatch/runtime/__init__.py
@@ -3,6 +3,7 @@
 from .clock import Clock
 from .counters import Counters
 from .document_encoding import encode_kept
+from .entry_guard import EntryGuard
 from .logs import open_logs
 from .result_codes import CODES, Result, error_result, json_result
 from .settings import Settings, SettingsError, read_settings
@@ -13,6 +14,7 @@
     "CODES",
     "Clock",
     "Counters",
+    "EntryGuard",
     "Result",
     "Settings",
     "SettingsError",
--- a/archhatch/share_group/acknowledgement_sender.py
+++ b/archhatch/share_group/acknowledgement_sender.py
@@ -45,7 +45,7 @@
         while True:
             await session.acknowledgements_ready.wait()
             session.acknowledgements_ready.clear()
-            waiting = _waiting(session)[:MAX_ROWS]
+            waiting, encoded = self._encode(session, _waiting(session)[:MAX_ROWS])
             leader = self.client.leader_of(run)
             if not waiting:
                 continue
@@ -53,7 +53,7 @@
                 # the next poll has the new leader acquire them first
                 await self._retry_after(session, REATTACH_HEARTBEATS)
                 continue
-            committed = await self._send(run, session, leader, waiting)
+            committed = await self._send(run, session, leader, encoded)
             if committed is None:
                 self.host.counters.add("share.uncommitted")
                 await self._retry_after(session, RETRY_HEARTBEATS)
@@ -66,12 +66,29 @@
         await asyncio.sleep(self.host.heartbeat_interval_s * heartbeats)
         session.acknowledgements_ready.set()
 
+    def _encode(
+        self, session: LeaderSession, waiting: list[SentAcknowledgement]
+    ) -> tuple[list[SentAcknowledgement], list[bytes]]:
+        """Encodes acknowledgements, each by itself; an entry whose one cannot be is given up, and its lock runs out."""
+        sent: list[SentAcknowledgement] = []
+        encoded: list[bytes] = []
+        for entry, acknowledgement in waiting:
+            try:
+                encoded.append(orjson.dumps(acknowledgement.to_document()))
+            except (TypeError, ValueError) as error:
+                self.host.counters.add("share.acknowledgement_unencodable")
+                self.host.log.warning("item {}: given up, error={!r}", entry.record.item_id, error)
+                session.drop(entry)
+            else:
+                sent.append((entry, acknowledgement))
+        return sent, encoded
+
     async def _send(
-        self, run: str, session: LeaderSession, leader: LeaderAddress, waiting: list[SentAcknowledgement]
+        self, run: str, session: LeaderSession, leader: LeaderAddress, encoded: list[bytes]
     ) -> list[bool] | None:
-        """Sends acknowledgements; returns of each whether it counts, or None without a good answer."""
+        """Sends encoded acknowledgements; returns of each whether it counts, or None without a good answer."""
         request = AcknowledgeRequest(self.host.id, run, session.leader_epoch)
-        body = orjson.dumps([acknowledgement.to_document() for _, acknowledgement in waiting])
+        body = b"[" + b",".join(encoded) + b"]"
         try:
             code, answer, _ = await self.client.call(
                 leader, ACKNOWLEDGE_VERB, request.to_document(), body, self.host.quiet_s * TIMEOUT_QUIETS
--- a/archhatch/store/lease_watch.py
+++ b/archhatch/store/lease_watch.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any, Protocol
 
+from ..runtime import EntryGuard
 from ..membership import rank
 from .holder_loss import HolderLossHost, HolderLossTracker
 from .lease import (
@@ -80,6 +81,7 @@
 
     def __init__(self, store: LeaseWatchHost) -> None:
         self.store = store
+        self._guard = EntryGuard("lease_watch", store.log, store.counters, store.clock)
         self._is_slow = False  # whether this node's timers are far later than the others'
         self._holder_loss = HolderLossTracker(store)
         self._tasks: dict[str, asyncio.Task] = {}
@@ -105,12 +107,15 @@
         for leadership in store.leaderships.values():
             leadership.record_progress_if_confirmed()
         for run in sorted(set(store.plan.service_by_model().values()) | set(register.get("runs", {}))):
-            document = leases.get(run)
-            lease = RunLease.from_document(document) if document else None
-            action = self.decide(run, lease)
-            task = self._tasks.get(run)
-            if action is not LeaseAction.WAIT and (task is None or task.done()):
-                self._tasks[run] = store.task_group.spawn("lease", self._carry_out, action, run, lease)
+            with self._guard.entry(run):
+                self._check_lease(run, leases.get(run))
+
+    def _check_lease(self, run: str, document: dict | None) -> None:
+        lease = RunLease.from_document(document) if document else None
+        action = self.decide(run, lease)
+        task = self._tasks.get(run)
+        if action is not LeaseAction.WAIT and (task is None or task.done()):
+            self._tasks[run] = self.store.task_group.spawn("lease", self._carry_out, action, run, lease)
 
     # -- deciding
 
--- a/archhatch/usage/reporter.py
+++ b/archhatch/usage/reporter.py
@@ -9,6 +9,7 @@
 import asyncio
 from typing import Any, Protocol
 
+from ..runtime import EntryGuard
 from ..platform_client import PlatformClient
 from ..singleton_roles.effect import protect
 from ..singleton_roles.errors import EffectFailedError, RoleCallError
@@ -51,6 +52,7 @@
         self.window_s: float = settings.seconds("ReportWindowS")
         self.delay_s: float = settings.seconds("UsageDelayS")
         self._node = node
+        self._guard = EntryGuard("usage", node.log, node.counters, node.clock)
         self._reporting: dict[str, asyncio.Task] = {}  # by the window's key
 
     @property
@@ -86,17 +88,20 @@
             return
         roles = self._node.ledger.roles(NAMESPACE)
         for key in self._begun_windows(roles) + self._due_windows(roles, now):
-            task = self._reporting.get(key)
-            if task is None or task.done():
-                self._reporting[key] = self._node.task_group.spawn("usage", self._report, key)
+            with self._guard.entry(key):
+                task = self._reporting.get(key)
+                if task is None or task.done():
+                    self._reporting[key] = self._node.task_group.spawn("usage", self._report, key)
         self._reporting = {key: task for key, task in self._reporting.items() if not task.done()}
 
     def _begun_windows(self, roles: dict[str, dict]) -> list[str]:
         """The keys of windows whose report was begun and not finished, the oldest first."""
-        running = [
-            key for key, role in roles.items() if is_effect_key(key) and role["state"] == RoleState.RUNNING.value
-        ]
-        return sorted(running, key=lambda key: RoleKey.parse(key).number)
+        running: dict[int, str] = {}
+        for key, role in roles.items():
+            with self._guard.entry(key):
+                if is_effect_key(key) and role["state"] == RoleState.RUNNING.value:
+                    running[RoleKey.parse(key).number] = key
+        return [running[number] for number in sorted(running)]
 
     def _due_windows(self, roles: dict[str, dict], now: float) -> list[str]:
         """The keys of windows with usage that ended long enough ago, and whose report was not begun."""
