Edge: paths with dot segments are refused with 400, in requests and in items

Cause: `/quote/../other/26` matches the route of `/quote/` and reached the replica as it stands; one that resolves the path serves what the route did not allow.

tests/data_plane/test_dispatcher.py: ten of the twelve new cases failed before.

--- a/archhatch/data_plane/dispatcher.py
+++ b/archhatch/data_plane/dispatcher.py
@@ -9,6 +9,7 @@
 
 from ..routing import JOB_CLASSES, Route, RouteClass, RoutingTable
 from ..runtime import Clock, Counters, Result, Settings, StateBoard, error_result
+from ..runtime.request_target import has_dot_segment
 from ..upstream import Headers
 from ..upstream.headers import with_tenant
 from .admission import Admission, Admitted
@@ -18,8 +19,10 @@
 from .request_terms import RequestTerms, read_terms
 from .shutdown_window import ShutdownWindow
 
+INVALID_TARGET_CODE = 2001
 NO_ROUTE_CODE = 2006
 METHOD_NOT_ALLOWED_CODE = 2010
+DOT_SEGMENT_REASON = "the path has a dot segment"
 NO_CONFIGURATION_CODE = 3001
 SHUTTING_DOWN_CODE = 3012
 
@@ -64,6 +67,9 @@
             self._counters.add("front.no_configuration")
             return error_result(NO_CONFIGURATION_CODE, after_s=self._settings.seconds("ContactMs", RETRY_AFTER_SHARE))
         path = request.raw_path.split("?", 1)[0]
+        if has_dot_segment(path):
+            self._counters.add("front.dot_segment")
+            return error_result(INVALID_TARGET_CODE, DOT_SEGMENT_REASON)
         if path.startswith(JOB_PATHS) and table.has_job_calls(request.headers.get("Host", ""), path):
             return await self._dispatch_to_job(request, table, path)
         return await self._dispatch_to_route(request, table, path, body)
--- a/archhatch/jobs/batch_job.py
+++ b/archhatch/jobs/batch_job.py
@@ -10,6 +10,7 @@
 
 import orjson
 
+from ..runtime.request_target import has_dot_segment
 from .body_cache import Body
 from .errors import InvalidJobError
 from .record import Record
@@ -168,6 +169,7 @@
     """Refuses what could not go out as an HTTP request, or would go out as another one than it seems."""
     _need(bool(_HEADER_VALUE.fullmatch(item_id)), f"{where}: InstanceId is wrong")
     _need(bool(_PATH.fullmatch(path)), f"{where}: Path is wrong")
+    _need(not has_dot_segment(path), f"{where}: Path has a dot segment")
     for name, value in heads.items():
         good = _HEADER_NAME.fullmatch(name) and isinstance(value, str) and _HEADER_VALUE.fullmatch(value)
         _need(bool(good), f"{where}: HeaderMap is wrong")
--- a/tests/data_plane/test_dispatcher.py
+++ b/tests/data_plane/test_dispatcher.py
@@ -2,12 +2,15 @@
 
 from types import SimpleNamespace
 
+import orjson
 import pytest
 from tests.support.fakes import HandClock
+from tests.support.standins import batch_job
 
 from archhatch.data_plane.admission import Admitted
 from archhatch.data_plane.dispatcher import RequestDispatcher
 from archhatch.data_plane.shutdown_window import ShutdownWindow
+from archhatch.jobs import InvalidJobError, check_job
 from archhatch.routing import RouteClass, RoutingTable
 from archhatch.runtime import Counters, Result, StateBoard
 
@@ -96,3 +99,39 @@
         assert bool(passed_on) is not is_job_call
 
     run(go())
+
+
+@pytest.mark.parametrize(
+    "target, status",
+    [
+        ("/quote/../other/26", 400),
+        ("/quote/%2e%2E/other", 400),
+        ("/quote/.%2e/other?x", 400),
+        ("/quote/..%2fother", 400),
+        ("/quote/..\\other", 400),
+        ("/quote/..", 400),
+        ("/quote/./x", 400),
+        ("/api/lots/../x", 400),
+        ("/quote/a%2Fb//c?x=/../", 200),
+        ("/quote/.../..a", 200),
+    ],
+)
+def test_dot_segments_are_refused_before_a_route_is_chosen(run, clock, target, status):
+    """Guards against a replica that resolves them, and serves what the request's route did not allow."""
+
+    async def go():
+        it, passed_on = dispatcher(clock)
+        it.routing_table = RoutingTable.from_document(HOSTS)
+        request = SimpleNamespace(raw_path=target, headers={"Host": "live"}, method="GET")
+        assert (await it.dispatch(request, b"")).status == status and len(passed_on) == (status == 200)
+
+    run(go())
+
+
+@pytest.mark.parametrize("field", ["Path", "ScorerUrl"])
+def test_items_with_dot_segments_are_refused(field):
+    job = batch_job(groups=1)
+    item = job["Entries"][1]
+    (item if field == "Path" else item["ScorerUrl"])["Path"] = "/roll/../q/1"
+    with pytest.raises(InvalidJobError, match=r"Entries\[1\].*dot segment"):
+        check_job("l", orjson.dumps(job))
