Logs: malformed requests are one bounded line each, values make no lines of their own, JSON on request

Seen: at an edge each malformed request wrote a traceback of ten lines at level error (25 of 25), and a name with line breaks from a configuration made lines of its own.

--- a/archhatch/cli/programs.py
+++ b/archhatch/cli/programs.py
@@ -105,7 +105,7 @@
 
 
 def _run(settings: Settings, make_program: Callable[[Settings, Logger], Program]) -> int:
-    log = open_logs(settings.node_name, LOG_LEVEL.value)
+    log = open_logs(settings.node_name, LOG_LEVEL.value, settings.log_format)
     try:
         asyncio.run(_run_until_signal(make_program(settings, log), log))
     except OSError as error:
--- a/archhatch/http_server/server.py
+++ b/archhatch/http_server/server.py
@@ -8,11 +8,13 @@
 
 import asyncio
 import socket
+import sys
+import time
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any, cast
 
 from aiohttp.abc import AbstractStreamWriter
-from aiohttp.http import HttpVersion11, RawRequestMessage
+from aiohttp.http import HttpProcessingError, HttpVersion11, RawRequestMessage
 from aiohttp.streams import StreamReader
 from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
 from aiohttp.web_protocol import RequestHandler
@@ -20,6 +22,7 @@
 from aiohttp.web_response import Response, StreamResponse
 from aiohttp.web_server import Server
 from ..runtime import Counters, Result, error_result
+from ..runtime.logs import LineLimit
 from .limits import PARSER_HEADER_BYTES, HttpLimits
 
 if TYPE_CHECKING:
@@ -28,6 +31,8 @@
 Handler = Callable[[BaseRequest, bytes], Awaitable[Result | StreamResponse]]
 
 SWEEPS_PER_HEADER_TIMEOUT = 4  # how often connections are looked at
+MAX_MALFORMED_LINES_PER_S = 5  # log lines on requests that cannot be read
+MAX_MESSAGE_CHARS = 200  # of what the parser says
 HEADER_LINE_OVERHEAD = 4  # ": " and the end of the line
 LISTEN_BACKLOG = 1024
 LINGERING_S = 1.0  # how long the rest of a body is read after an early answer
@@ -339,9 +344,19 @@
 
     def __init__(self, counters: Counters, log: Logger) -> None:
         self.counters, self._log = counters, log
+        self._line_limit = LineLimit(MAX_MALFORMED_LINES_PER_S)
 
-    def debug(self, *_args: object, **_options: object) -> None:
-        """Drops what is of no interest."""
+    def _note_malformed(self, error: HttpProcessingError) -> None:
+        """Counts a request that cannot be read by its reason; clients must not fill the log."""
+        reason = type(error).__name__
+        self.counters.add(f"http.malformed.{reason}")
+        if self._line_limit.admits(time.monotonic()):
+            self._log.info("http: malformed request, reason={} message={!r}", reason, error.message[:MAX_MESSAGE_CHARS])
+
+    def debug(self, *_args: object, exc_info: object = None, **_options: object) -> None:
+        """Notes a request that cannot be read; drops the rest."""
+        if isinstance(exc_info, HttpProcessingError):
+            self._note_malformed(exc_info)
 
     info = debug
 
@@ -352,6 +367,10 @@
     warning = error
 
     def exception(self, message: str, *args: object, exc_info: Any = None, **_options: object) -> None:  # noqa: ANN401 - as in logging
-        """Counts and logs a fault of a handler."""
+        """Counts and logs a fault of a handler, or a request that cannot be read."""
+        error = exc_info if isinstance(exc_info, BaseException) else sys.exc_info()[1]
+        if isinstance(error, HttpProcessingError):
+            self._note_malformed(error)
+            return
         self.counters.add("http.fault")
         self._log.opt(exception=exc_info or True).error("http: {}", message % args if args else message)
--- a/archhatch/routing/configuration.py
+++ b/archhatch/routing/configuration.py
@@ -37,7 +37,9 @@
 # A tenant's name and a key each go into a header as they are.
 TENANT_NAME = r"[\x21-\x7e]{1,128}"
 TENANT_KEY = r"[\x21-\x7e]{1,512}"
-PATH_PREFIX = r"/|/.*/"
+# Names stand in log lines, headers and counters.
+PRINTABLE = r"[^\x00-\x1f\x7f-\x9f\u2028\u2029]"
+PATH_PREFIX = rf"/|/{PRINTABLE}*/"
 
 MAX_REVISION = 2**53 - 1  # the largest integer that every JSON reader keeps exactly
 MAX_DURATION_S = 366 * 86400
@@ -50,8 +52,10 @@
 MAX_HEADER_BYTES = 1 << 20
 MAX_BODY_BYTES = 1 << 40
 
-_name = text(min_length=1)
+_name = text(min_length=1, pattern=f"{PRINTABLE}+", why="must not have control characters")
+_text = text(pattern=f"{PRINTABLE}*", why="must not have control characters")
 _revision = integer(1, MAX_REVISION)
+_path_prefix = text(pattern=PATH_PREFIX, why="must begin and end with /, without control characters")
 _duration_ms = number(0, MAX_DURATION_MS)
 _duration_s = number(0, MAX_DURATION_S)
 _count = whole_number(0, MAX_COUNT)
@@ -76,7 +80,7 @@
 
     name: str = wire("Name", decode=_name)
     host: str = wire("HostName", decode=_name)
-    path_prefix: str = wire("PathPrefix", decode=text(pattern=f"(?s:{PATH_PREFIX})", why="must begin and end with /"))
+    path_prefix: str = wire("PathPrefix", decode=_path_prefix)
     route_class: str = wire("RouteClass", decode=one_of([route_class.value for route_class in RouteClass]))
     timeout_ms: float = wire(
         "TimeoutMs", default=DEFAULT_TIMEOUT_MS, decode=number(0, MAX_DURATION_MS, excludes_minimum=True)
@@ -140,9 +144,9 @@
     """An entry of the ServiceTable."""
 
     name: str = wire("Name", decode=_name)
-    health_path: str = wire("HealthPath", default="", decode=text())
+    health_path: str = wire("HealthPath", default="", decode=_text)
     max_connections: int | None = wire("MaxConnections", default=None, decode=whole_number(1, MAX_COUNT))
-    protocol: str = wire("Protocol", default="", decode=text())
+    protocol: str = wire("Protocol", default="", decode=_text)
     uses_tls: bool = wire("TlsMode", default=False, decode=boolean)
     warmup_s: float = wire("WarmupS", default=0.0, decode=_duration_s)
     warmup_per_s: float = wire("WarmupPerS", default=0.0, decode=_quantity)
--- a/archhatch/runtime/settings.py
+++ b/archhatch/runtime/settings.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from ..exceptions import ArchhatchError
+from .logs import JSON_FORMAT, TEXT_FORMAT
 
 DEFAULT_PATH = "/etc/archhatch/settings.json"
 PATH_VARIABLE = "ARCHHATCH_CONFIG"  # environment variable that names another file
@@ -118,6 +119,7 @@
         share_locks: How many entries of a share group may be held at once.
         notice_key: The key that signs notices; empty without one.
         platform_api: The platform's interface for duties; None without one.
+        log_format: How log lines are written, TEXT_FORMAT or JSON_FORMAT.
     """
 
     node_name: str
@@ -143,6 +145,7 @@
     share_locks: int = DEFAULT_SHARE_LOCKS
     notice_key: bytes = field(default=b"", repr=False)
     platform_api: PlatformSettings | None = None
+    log_format: str = TEXT_FORMAT
 
     def seconds(self, name: str, ratio: float = 1.0) -> float:
         """Returns a duration among the bounds in seconds, times a ratio.
@@ -310,9 +313,17 @@
         share_locks=_positive(document, "ShareLocks", int, DEFAULT_SHARE_LOCKS),
         notice_key=_read_key(document, "NoticeKeyFile"),
         platform_api=_platform_api(document),
+        log_format=_log_format(document),
     )
 
 
+def _log_format(document: dict) -> str:
+    log_format = _optional(document, "LogFormat", str, TEXT_FORMAT)
+    if log_format not in (TEXT_FORMAT, JSON_FORMAT):
+        raise SettingsError("LogFormat", f"must be {TEXT_FORMAT} or {JSON_FORMAT}")
+    return log_format
+
+
 def read_settings(path: str | None = None) -> Settings:
     """Reads and checks a settings file.
 
--- a/tests/http_server/test_server.py
+++ b/tests/http_server/test_server.py
@@ -178,3 +178,24 @@
     )
     getattr(edge, sign)()
     assert edge.state == dest
+
+
+def test_malformed_requests_are_one_line_each_bounded_and_counted_by_reason(run, capfd):
+    """Guards against a log that a client can fill: each refusal wrote a traceback of ten lines at level error."""
+
+    async def go():
+        win = HttpServer(None, open_logs("edge-1", "INFO"), Counters())
+        await win.open("127.0.0.1:0")
+        malformed = [b"GET /x HTTP/9\r\n\r\n", b"GET /\r\nedge-9 E forged HTTP/1.1\r\n\r\n"]
+        for n in range(25):
+            rd, wr = await talk(win, malformed[n % 2])
+            assert (await rd.readline()).split()[1] == b"400"
+            wr.close()
+        await win.close(0)
+        assert sum(win.counters.counts.values()) == 25
+        assert all(name.startswith("http.malformed.") for name in win.counters.counts)
+
+    run(go())
+    lines = capfd.readouterr().err.splitlines()
+    assert lines and all(line.startswith("edge-1 I http: malformed request, reason=") for line in lines)
+    assert len(lines) <= 25  # LineLimit's own example shows the bound
--- a/tests/routing/test_configuration.py
+++ b/tests/routing/test_configuration.py
@@ -108,6 +108,27 @@
         read_configuration(with_value(("RouteTable", 0, "MaxAttempts"), 2.5))
 
 
+@pytest.mark.parametrize(
+    "path",
+    [
+        ("RouteTable", 0, "Name"),
+        ("RouteTable", 0, "HostName"),
+        ("RouteTable", 0, "PathPrefix"),
+        ("RouteTable", 0, "Service"),
+        ("ServiceTable", 0, "Name"),
+        ("ServiceTable", 0, "HealthPath"),
+        ("ServiceTable", 1, "Engine", "ModelList", 0, "Name"),
+    ],
+    ids=written,
+)
+@pytest.mark.parametrize("character", ["\n", "\r", "\0", "\x1b", "\u2028"])
+def test_names_with_control_characters_are_refused(path, character):
+    """Guards against names that forge log lines."""
+    with pytest.raises(InvalidConfigError, match="control characters") as refused:
+        read_configuration(with_value(path, f"/a{character}b/"))
+    assert str(refused.value).startswith(written(path) + ": ")
+
+
 def test_a_range_of_replicas_must_not_be_empty():
     with pytest.raises(InvalidConfigError, match="MinCount is above MaxCount"):
         read_configuration(with_value(("ServiceTable", 1, "Autoscale", "MaxCount"), 0))
