--- a/tests/system/test_fuzz_external_input.py
+++ b/tests/system/test_fuzz_external_input.py
@@ -11,8 +11,14 @@
 from archhatch.jobs import InvalidJobError, check_job, read_job
 from archhatch.control.api_requests import InvalidRequestError, decode
 from archhatch.control.config_commands import commands
+from archhatch.membership import ReplicaRegistry
+from archhatch.membership.replica_entry import read_entry
+from archhatch.rollout_controller import Engines
+from archhatch.rollout_controller.replica_orders import ReplicaReport
 from archhatch.routing import InvalidConfigError, RoutingTable, read_configuration
+from archhatch.runtime.message import InvalidMessageError
 from archhatch.runtime.numbers import read_count, read_decimal
+from archhatch.upstream import LoadBalancer
 
 SHORT = settings(max_examples=60, deadline=None, derandomize=True)
 ODD_TEXT = strategies.one_of(
@@ -117,6 +123,44 @@
     read_configuration(after["plan"])
 
 
+HEARTBEAT = {
+    **{"Service": "s", "Address": "1.1.1.1:1", "Zone": "z", "Revision": "v1", "SlotCount": 2, "OperState": "up"},
+    **{"WarmupLeftMs": 0, "DepartureMs": 0, "Sequence": 4},
+    "ModelList": [{"Name": "m", "Revision": 1, "AdapterList": []}, {"Name": "n", "Revision": 2}],
+}
+
+
+@SHORT
+@given(strategies.data())
+def test_a_heartbeat_is_refused_or_can_be_used_by_all_that_read_it(data):
+    """What is acknowledged goes through the registry and the feed into a balancer and the engines."""
+    doc = mutated(HEARTBEAT, data.draw, data.draw(strategies.integers(1, 3)))
+    try:
+        request = decode("PUT", "/api/instances/i", {}, orjson.dumps(doc))
+    except InvalidRequestError as e:
+        assert e.code == 2004 and e.why.split(":")[0].split("[")[0] in HEARTBEAT
+        return
+    registry, balancer, engines = ReplicaRegistry(), LoadBalancer("z"), Engines()
+    registry.record_heartbeat(request.heartbeat.to_entry(request.replica_id), 0.0)
+    fed = orjson.loads(orjson.dumps([read_entry(entry) for entry in registry.replicas.values()]))
+    balancer.apply_updates([read_entry(entry) for entry in fed])
+    engines.apply_entries(fed)
+    replica = balancer.replicas["i"]
+    assert replica.slots >= 1 and replica.is_draining == (request.heartbeat.state == "draining")
+    assert bool(engines.all) == bool(request.heartbeat.models)
+
+
+@SHORT
+@given(strategies.data())
+def test_a_report_is_refused_or_has_a_revision_of_each_model(data):
+    doc = mutated({"Sequence": 2, "Utilization": False, "ModelList": HEARTBEAT["ModelList"]}, data.draw, 2)
+    try:
+        report = ReplicaReport.from_document(doc)
+    except InvalidMessageError:
+        return
+    assert report.order_count >= 0 and orjson.dumps(report.revisions) and isinstance(report.is_loading, bool)
+
+
 METHODS = strategies.sampled_from(["GET", "PUT", "POST", "PATCH", "DELETE", "BREW"])
 PATHS = strategies.sampled_from(
     ["/api/config", "/api/instances/i", "/api/version-put", "/api/retire/n", "/api/policy", "/api/duties/a%2Fb%3A1"]
