Programs: a signal after the end in order does not change the exit status

Cause: as the event loop closes, its handlers are taken away, and a second SIGTERM kills the process in its last moments. Change: handlers that outlive the loop; the signals are ignored once the program has ended.

--- a/archhatch/cli/programs.py
+++ b/archhatch/cli/programs.py
@@ -13,7 +13,7 @@
 from absl import flags
 
 from ..runtime import Counters, Settings, SettingsError, open_logs, read_settings
-from ..early_signals import take_reload_signal
+from ..early_signals import ignore_signals, take_reload_signal
 from .common_flags import SETTINGS, load_settings, print_error
 from .registry import EXIT_FAILURE, EXIT_OK, EXIT_USAGE, command
 
@@ -64,9 +64,9 @@
     """
     loop = asyncio.get_running_loop()
     stop_requested, reload_requested = asyncio.Event(), asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
-    loop.add_signal_handler(signal.SIGINT, stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
+    _set_on_signal(loop, signal.SIGTERM, stop_requested)
+    _set_on_signal(loop, signal.SIGINT, stop_requested)
+    _set_on_signal(loop, signal.SIGHUP, reload_requested)
     if take_reload_signal():
         reload_requested.set()
     await program.start()
@@ -83,6 +83,19 @@
     await program.leave()
 
 
+def _set_on_signal(loop: asyncio.AbstractEventLoop, number: signal.Signals, event: asyncio.Event) -> None:
+    """Sets an event when a signal arrives.
+
+    A handler of the loop would be taken away as the loop closes, and the signal have its default effect from then on.
+    """
+
+    def notify(_number: int, _frame: object) -> None:
+        if not loop.is_closed():
+            loop.call_soon_threadsafe(event.set)
+
+    signal.signal(number, notify)
+
+
 def _check_changed_settings(log: Logger) -> None:
     """Logs whether the settings file is usable; addresses and folders change only at the next start."""
     try:
@@ -111,6 +124,7 @@
     except OSError as error:
         print_error(error)
         return EXIT_FAILURE
+    ignore_signals()
     return EXIT_OK
 
 
--- a/archhatch/early_signals.py
+++ b/archhatch/early_signals.py
@@ -1,7 +1,7 @@
-"""Signals that arrive before a program has set its own handlers.
+"""Signals that arrive before a program has set its own handlers, or when it has ended in order.
 
 A starting program loads code for some tenths of a second. Meanwhile SIGHUP, by its default, would end the process, and
-SIGTERM would end it as if it had failed.
+SIGTERM would end it as if it had failed. So would a further SIGTERM while the interpreter is taken down.
 """
 
 from __future__ import annotations
@@ -28,6 +28,12 @@
     signal.signal(signal.SIGTERM, _end)
 
 
+def ignore_signals() -> None:
+    """Lets a process that has ended in order reach its exit status, whatever still arrives."""
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.SIG_IGN)
+
+
 def take_reload_signal() -> bool:
     """Returns whether SIGHUP has arrived since it is held, and forgets it.
 
