HTTP server: memory is held for a body before it is read, and who stalls gives way

Callers saw: an edge that ended as it ran out of memory, with all requests on it, when clients sent many large bodies and stopped just short of their end.

Cause: each body was read as fast as it came, whatever all of them took together, and held without end by a client that did not finish it. Very small chunks were read 40,000 at a time.

Change: archhatch/memory divides MemoryMb, less what the program needs, into shares; a pool is charged before a body is read (at its length; one in chunks as it grows, by the banker's algorithm, so that no two wait for each other). Who finds no room waits in turn by address, unread, a third of its request's time and 5 s at most, then is refused with 503 (3013) and a closed connection: nothing of it was passed on, so the promise holds. While somebody waits, the body that holds most for longest without progress is ended with 408; without any byte for 30 s it is ended in any case. Small bodies have a part for themselves. The route and the key are checked first, so that a 404 or a 401 holds nothing. A body grows in place and is handed on without a copy.

A test changed: an unfinished header of 20 kB where 8 kB are allowed was answered 400 when it came in one read; a read takes 16 KiB now, so it is always the 431 of MaxHeaderBytes.

--- a/archhatch/data_plane/edge.py
+++ b/archhatch/data_plane/edge.py
@@ -12,7 +12,7 @@
 from aiohttp.web_request import BaseRequest
 from transitions import Machine
 
-from ..http_server import HttpLimits, HttpServer
+from ..http_server import ClientMemory, HttpLimits, HttpServer
 from ..membership import ConfigWatcher, NodeCard
 from ..routing import ConfigurationFollower, RoutingTable
 from ..routing.configuration import ClientLimits
@@ -66,6 +66,7 @@
         load_balancer: Knows the replicas.
         placement: Where the placement policy lets routes run.
         usage: Counts requests for the tenants' usage; None where no usage is reported.
+        client_memory: What clients may make this process hold.
     """
 
     state: str
@@ -100,6 +101,7 @@
         self.live_requests = LiveRequestTracker(self.state_board, self.clock, self._contact_s(QUIET_SHARE))
         self.config_watcher = self._make_config_watcher()
         self.usage = self._make_usage_sender()
+        self.client_memory = ClientMemory.of(settings.memory_mb, self.counters)
         self.readiness_server = HttpServer(self._answer_readiness, log, self.counters)
 
     def _contact_s(self, share: float) -> float:
@@ -181,8 +183,14 @@
         )
 
     def _make_http_server(self) -> HttpServer:
-        handler = self.dispatcher.dispatch
-        return HttpServer(handler, self.log, self.counters, cancel_on_disconnect=True)
+        return HttpServer(
+            self.dispatcher.dispatch,
+            self.log,
+            self.counters,
+            cancel_on_disconnect=True,
+            memory=self.client_memory,
+            screen=self.dispatcher.screen,
+        )
 
     @property
     def plan(self) -> RoutingTable | None:
--- a/archhatch/http_server/server.py
+++ b/archhatch/http_server/server.py
@@ -8,121 +8,52 @@
 
 import asyncio
 import socket
-import sys
-import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import TYPE_CHECKING, Any, cast
 
 from aiohttp.abc import AbstractStreamWriter
-from aiohttp.http import HttpProcessingError, HttpVersion11, RawRequestMessage
+from aiohttp.http import HttpVersion11, RawRequestMessage
 from aiohttp.streams import StreamReader
 from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_protocol import RequestHandler, RequestPayloadError
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
-from aiohttp.web_server import Server
+
+from ..memory import HELD_BODY, MemoryFullError
 from ..runtime import Counters, Result, error_result
-from ..runtime.logs import LineLimit
+from .body_reader import BodyReader
+from .client_memory import BodyTerms, ClientMemory
+from .connection import ClientConnection, ConnectionTable
 from .limits import PARSER_HEADER_BYTES, HttpLimits
+from .malformed import ErrorCounter
+from .sweep import sweep_connections
 
 if TYPE_CHECKING:
     from loguru import Logger
 
 Handler = Callable[[BaseRequest, bytes], Awaitable[Result | StreamResponse]]
+Screen = Callable[[BaseRequest], Result | BodyTerms]
 
-SWEEPS_PER_HEADER_TIMEOUT = 4  # how often connections are looked at
-MAX_MALFORMED_LINES_PER_S = 5  # log lines on requests that cannot be read
-MAX_MESSAGE_CHARS = 200  # of what the parser says
 HEADER_LINE_OVERHEAD = 4  # ": " and the end of the line
 LISTEN_BACKLOG = 1024
 LINGERING_S = 1.0  # how long the rest of a body is read after an early answer
 DRAIN_POLL_S = 0.05
 SHUTDOWN_S = 0.2  # how long connections may take to end
+RETRY_AFTER_S = 0.5  # when a client may come back that was refused for lack of memory
 
 FLUSH_S = 0.2  # how long the last answers may take to be written
 
+MALFORMED_CODE = 2001
 BODY_TOO_LARGE_CODE = 2012
+TOO_SLOW_CODE = 2016
 HEADERS_TOO_LARGE_CODE = 2017
+NO_MEMORY_CODE = 3013
 TIME_UP_CODE = 4002
 
-_HEADER_TIMEOUT_RESPONSE = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-_HEADERS_TOO_LARGE_RESPONSE = (
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-)
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class _ClientConnection(RequestHandler):
-    """One client's connection.
-
-    Attributes:
-        opened_at: When it was opened; None once it brought a request.
-        header_started_at: Since when a request's header section is on its way; None while there is none.
-        awaits_request: Whether no request of it is being handled.
-    """
-
-    __slots__ = ("opened_at", "header_started_at", "awaits_request", "_header_bytes")
-
-    def __init__(self, *args: Any, **options: Any) -> None:  # noqa: ANN401 - those of aiohttp's RequestHandler
-        super().__init__(*args, **options)
-        self.opened_at: float | None = asyncio.get_running_loop().time()
-        self.header_started_at: float | None = None
-        self.awaits_request = True
-        self._header_bytes = 0  # of the header section that is on its way
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Takes a connection; one that was accepted just before the server closed is left unread."""
-        manager = cast(_Server, self._manager)
-        super().connection_made(transport)
-        if manager.is_closed:
-            self.force_close()
-
-    def has_queued_requests(self) -> bool:
-        """Returns whether further requests have been read on it."""
-        return bool(self._messages)
-
-    def is_resting(self) -> bool:
-        """Returns whether nothing of a request has arrived that is not answered yet."""
-        waiter = self._waiter
-        return waiter is not None and not waiter.done() and self.header_started_at is None
-
-    def data_received(self, data: bytes) -> None:
-        """Takes bytes from the socket."""
-        if self.awaits_request and self.header_started_at is None:
-            self.header_started_at = asyncio.get_running_loop().time()
-            self._header_bytes = 0
-        requests_before = self._request_count
-        super().data_received(data)
-        if self._request_count > requests_before:
-            self.awaits_request = False
-        elif self.awaits_request:
-            self._check_unfinished_header(len(data))
-
-    def _check_unfinished_header(self, received: int) -> None:
-        """Ends a connection whose header section is too long before it is complete."""
-        self._header_bytes += received
-        transport = self.transport
-        if self._header_bytes > cast(_Server, self._manager).max_header_bytes and transport is not None:
-            cast(asyncio.Transport, transport).write(_HEADERS_TOO_LARGE_RESPONSE)
-            transport.close()
-
-
-class _Server(Server):
-    is_closed = False  # whether connections are not read any more
-    max_header_bytes = HttpLimits().max_header_bytes
-
-    def apply_limits(self, limits: HttpLimits) -> None:
-        """Puts limits in force for the connections that are open and for later ones."""
-        self.max_header_bytes = limits.max_header_bytes
-        self._kwargs["keepalive_timeout"] = limits.idle_timeout_s
-        for connection in self.connections:
-            connection._keepalive_timeout = limits.idle_timeout_s  # noqa: SLF001 - aiohttp has no public way
-
-    def __call__(self) -> _ClientConnection:
-        """Returns the protocol for a new connection."""
-        return _ClientConnection(self, loop=self._loop, **self._kwargs)
-
-
 class HttpServer:
     """Serves a handler on an address; it returns a Result, or a stream that it wrote itself.
 
@@ -132,13 +63,15 @@
         limits: What it takes from clients; a change holds for the connections that are open as well.
     """
 
-    def __init__(
+    def __init__(  # noqa: PLR0913, PLR0917 - what it uses, named one by one
         self,
         handler: Handler,
         log: Logger,
         counters: Counters,
         limits: HttpLimits | None = None,
         cancel_on_disconnect: bool = False,
+        memory: ClientMemory | None = None,
+        screen: Screen | None = None,
     ) -> None:
         """Prepares a server.
 
@@ -148,13 +81,18 @@
             counters: Where refused connections and errors are counted.
             limits: What it takes from clients; the defaults if left out.
             cancel_on_disconnect: Whether a handler is cancelled when its client closes the connection.
+            memory: What clients may make this process hold; without bounds if left out.
+            screen: Called with a request whose body is not there yet: refuses it, or says on what terms it is read.
         """
         self._handler, self._log, self.counters = handler, log, counters
         self._cancel_on_disconnect = cancel_on_disconnect
         self._limits = HttpLimits() if limits is None else limits
         self.is_draining = False
         self.in_flight = 0
-        self._server: _Server | None = None
+        self._memory = ClientMemory.of(0, counters) if memory is None else memory
+        self._screen = screen
+        self._body_reader = BodyReader(self._memory, lambda: self._limits.max_body_bytes)
+        self._server: ConnectionTable | None = None
         self._listener: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
         self._handlers: set[asyncio.Task[Any]] = set()
@@ -174,13 +112,15 @@
     async def open(self, address: str, sock: socket.socket | None = None) -> None:
         """Serves on an address, or on a socket that listens already."""
         loop = asyncio.get_running_loop()
-        self._server = _Server(
+        self._server = ConnectionTable(
+            self._memory.connections,
+            self.counters,
             cast(Any, self._serve),
             request_factory=self._make_request,
             handler_cancellation=self._cancel_on_disconnect,
             auto_decompress=False,
             access_log=None,
-            logger=_ErrorCounter(self.counters, self._log),
+            logger=ErrorCounter(self.counters, self._log),
             keepalive_timeout=self.limits.idle_timeout_s,
             tcp_keepalive=False,
             max_line_size=PARSER_HEADER_BYTES,
@@ -188,7 +128,7 @@
             lingering_time=LINGERING_S,
         )
         self._server.max_header_bytes = self.limits.max_header_bytes
-        self._sweeper = loop.create_task(self._sweep_connections(self._server))
+        self._sweeper = loop.create_task(sweep_connections(self._server, lambda: self.limits, self.counters))
         if sock is not None:
             self._listener = await loop.create_server(self._server, backlog=LISTEN_BACKLOG, sock=sock)
             return
@@ -207,13 +147,13 @@
         No request is read that is not answered: what is being handled at the end of the time is answered with an
         error, unless its answer has begun; connections on which nothing is under way are closed without being read.
         """
-        server = cast(_Server, self._server)
+        server = cast(ConnectionTable, self._server)
         await self._wait_until_resting(grace_s)
         cast(asyncio.Task, self._sweeper).cancel()
         cast(asyncio.Server, self._listener).close()
         server.is_closed = True
-        for connection in list(server.connections):
-            if cast(_ClientConnection, connection).is_resting():
+        for connection in server.client_connections():
+            if connection.is_resting():
                 connection.force_close()
         self._is_time_up = True
         for handler in list(self._handlers):
@@ -225,9 +165,9 @@
         """Waits until all connections rest, but not longer than the timeout."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
-        server = cast(_Server, self._server)
+        server = cast(ConnectionTable, self._server)
         while loop.time() < deadline:
-            if all(cast(_ClientConnection, connection).is_resting() for connection in server.connections):
+            if all(connection.is_resting() for connection in server.client_connections()):
                 return
             await asyncio.sleep(DRAIN_POLL_S)
 
@@ -242,75 +182,81 @@
         loop = asyncio.get_running_loop()
         return BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=self.limits.max_body_bytes)
 
-    async def _sweep_connections(self, server: _Server) -> None:
-        """Ends connections whose header section takes longer than HeaderTimeoutMs, and those that never send one."""
-        loop = asyncio.get_running_loop()
-        while True:
-            header_timeout_s = self.limits.header_timeout_s
-            await asyncio.sleep(header_timeout_s / SWEEPS_PER_HEADER_TIMEOUT)
-            idle_timeout_s = self.limits.idle_timeout_s
-            now = loop.time()
-            for connection in server.connections:
-                self._sweep(cast(_ClientConnection, connection), now, header_timeout_s, idle_timeout_s)
-
-    def _sweep(self, connection: _ClientConnection, now: float, header_timeout_s: float, idle_timeout_s: float) -> None:
-        transport = connection.transport
-        if not connection.awaits_request or transport is None:
-            return
-        if connection.header_started_at is not None:
-            if now - connection.header_started_at > header_timeout_s:
-                self.counters.add("http.slow_header")
-                cast(asyncio.Transport, transport).write(_HEADER_TIMEOUT_RESPONSE)
-                transport.close()
-        elif connection.opened_at is not None and now - connection.opened_at > idle_timeout_s:
-            self.counters.add("http.idle")
-            transport.close()
-
     async def _serve(self, request: BaseRequest) -> StreamResponse:
         """Handles one request, from the end of its header section to its answer."""
         self.in_flight += 1
-        connection = cast(_ClientConnection, request.protocol)
-        connection.awaits_request = False
-        connection.header_started_at = connection.opened_at = None
+        connection = cast(ClientConnection, request.protocol)
         task = cast(asyncio.Task, asyncio.current_task())
+        connection.begin_request(task)
         self._handlers.add(task)
         try:
-            try:
-                result = await self._handle(request)
-            except HTTPRequestEntityTooLarge:
-                result = _closing_error(BODY_TOO_LARGE_CODE)
-            except asyncio.CancelledError:
-                if not self._is_time_up or _has_begun_answer(request):
-                    raise
-                task.uncancel()
-                self.counters.add("http.time_up")
-                result = _closing_error(TIME_UP_CODE)
-            return result if isinstance(result, StreamResponse) else self._response(result, connection)
+            result = await self._result_of(request, connection, task)
+            if isinstance(result, StreamResponse):
+                return result
+            return self._response(result, connection)
         finally:
             self.in_flight -= 1
             self._handlers.discard(task)
             # not while the rest of a refused body is on its way, or a further request has been read
-            connection.awaits_request = request.content.is_eof() and not connection.has_queued_requests()
+            connection.finish_request(request.content.is_eof() and not connection.has_queued_requests())
 
-    async def _handle(self, request: BaseRequest) -> Result | StreamResponse:
-        if _expects_continue(request):
-            await request.writer.write(_CONTINUE_RESPONSE)  # type: ignore[attr-defined] # a StreamWriter
+    async def _result_of(
+        self, request: BaseRequest, connection: ClientConnection, task: asyncio.Task[Any]
+    ) -> Result | StreamResponse:
+        """Returns what a request is answered, also where its handling failed or was ended."""
+        try:
+            return await self._handle(request, connection)
+        except HTTPRequestEntityTooLarge:
+            return _closing_error(BODY_TOO_LARGE_CODE)
+        except MemoryFullError:
+            return _closing_error(NO_MEMORY_CODE, RETRY_AFTER_S)
+        except RequestPayloadError:
+            self.counters.add("http.malformed.body")
+            return _closing_error(MALFORMED_CODE)
+        except ConnectionError:
+            if connection.transport is not None:
+                raise
+            self.counters.add("http.client_left")
+            return _closing_error(TIME_UP_CODE)  # nobody reads it
+        except asyncio.CancelledError:
+            code = self._code_of_end(request, connection)
+            if code is None:
+                raise
+            task.uncancel()
+            return _closing_error(code)
+
+    def _code_of_end(self, request: BaseRequest, connection: ClientConnection) -> int | None:
+        """Returns what the client of a request is told that was ended; None if nothing can be told any more."""
+        if _has_begun_answer(request):
+            return None
+        if connection.end_reason is not None:
+            self.counters.add(f"http.{connection.end_reason.value}")
+            return TOO_SLOW_CODE
+        if not self._is_time_up:
+            return None
+        self.counters.add("http.time_up")
+        return TIME_UP_CODE
+
+    async def _handle(self, request: BaseRequest, connection: ClientConnection) -> Result | StreamResponse:
         if _header_bytes(request) > self.limits.max_header_bytes:
             return _closing_error(HEADERS_TOO_LARGE_CODE)
-        return await self._handler(request, await self._read_body(request))
-
-    async def _read_body(self, request: BaseRequest) -> bytes:
-        if not request.body_exists:
-            return b""
-        max_bytes = self.limits.max_body_bytes
-        if request.content_length is not None and request.content_length > max_bytes:
-            raise HTTPRequestEntityTooLarge(max_bytes, request.content_length)
-        return await request.read()
+        is_arrived = self._screen is None or request.content.is_eof()
+        terms = BodyTerms() if is_arrived else cast(Screen, self._screen)(request)
+        if isinstance(terms, Result):
+            terms.close = True  # its body is not read
+            return terms
+        body = await self._body_reader.read(request, connection, terms, partial(_allow_body, request))
+        connection.take_unserved()
+        HELD_BODY.set(body)  # each request is handled in a task, and so in a context, of its own
+        try:
+            return await self._handler(request, body.data)
+        finally:
+            body.release()
 
-    def _response(self, result: Result, connection: _ClientConnection) -> Response:
+    def _response(self, result: Result, connection: ClientConnection) -> Response:
+        is_last = result.close or (self.is_draining and not connection.has_queued_requests())
         response = Response(status=result.status, body=result.body, headers=result.head)
-        is_last = self.is_draining and not connection.has_queued_requests()
-        if is_last or result.close:
+        if is_last:
             response.force_close()
             response.headers["Connection"] = "close"
         return response
@@ -326,51 +272,20 @@
     return request.headers.get("Expect", "").lower() == "100-continue" and request.version >= HttpVersion11
 
 
+async def _allow_body(request: BaseRequest) -> None:
+    """Tells a client that waits for leave to send the body that it may."""
+    if _expects_continue(request):
+        await request.writer.write(_CONTINUE_RESPONSE)  # type: ignore[attr-defined] # a StreamWriter
+
+
 def _has_begun_answer(request: BaseRequest) -> bool:
     """Whether part of an answer is on its way to the client, so that another would look like its rest."""
     sent_before = len(_CONTINUE_RESPONSE) if _expects_continue(request) else 0
     return request.transport is None or request.writer.output_size > sent_before  # type: ignore[attr-defined] # a StreamWriter
 
 
-def _closing_error(code: int) -> Result:
+def _closing_error(code: int, after_s: float | None = None) -> Result:
     """A refusal after which the rest of the request is not read."""
-    result = error_result(code)
+    result = error_result(code, after_s=after_s)
     result.close = True
     return result
-
-
-class _ErrorCounter:
-    """Takes the place of aiohttp's logger: malformed requests are counted, faults of handlers are logged too."""
-
-    def __init__(self, counters: Counters, log: Logger) -> None:
-        self.counters, self._log = counters, log
-        self._line_limit = LineLimit(MAX_MALFORMED_LINES_PER_S)
-
-    def _note_malformed(self, error: HttpProcessingError) -> None:
-        """Counts a request that cannot be read by its reason; clients must not fill the log."""
-        reason = type(error).__name__
-        self.counters.add(f"http.malformed.{reason}")
-        if self._line_limit.admits(time.monotonic()):
-            self._log.info("http: malformed request, reason={} message={!r}", reason, error.message[:MAX_MESSAGE_CHARS])
-
-    def debug(self, *_args: object, exc_info: object = None, **_options: object) -> None:
-        """Notes a request that cannot be read; drops the rest."""
-        if isinstance(exc_info, HttpProcessingError):
-            self._note_malformed(exc_info)
-
-    info = debug
-
-    def error(self, *_args: object, **_options: object) -> None:
-        """Counts a malformed request."""
-        self.counters.add("http.error")
-
-    warning = error
-
-    def exception(self, message: str, *args: object, exc_info: Any = None, **_options: object) -> None:  # noqa: ANN401 - as in logging
-        """Counts and logs a fault of a handler, or a request that cannot be read."""
-        error = exc_info if isinstance(exc_info, BaseException) else sys.exc_info()[1]
-        if isinstance(error, HttpProcessingError):
-            self._note_malformed(error)
-            return
-        self.counters.add("http.fault")
-        self._log.opt(exception=exc_info or True).error("http: {}", message % args if args else message)
--- /dev/null
+++ b/archhatch/memory/__init__.py
@@ -0,0 +1,21 @@
+"""The memory that a process holds for others: what it may hold of each kind, who waits for it, and who gives way."""
+
+from .decisions import Growing, Holding, can_all_grow, choose_to_give_way, choose_waiter
+from .held_body import HELD_BODY, HeldBody, retain_held_body
+from .pool import Charge, MemoryFullError, MemoryPool
+from .shares import MemoryShares
+
+__all__ = [
+    "HELD_BODY",
+    "Charge",
+    "Growing",
+    "HeldBody",
+    "Holding",
+    "MemoryFullError",
+    "MemoryPool",
+    "MemoryShares",
+    "can_all_grow",
+    "choose_to_give_way",
+    "choose_waiter",
+    "retain_held_body",
+]
--- a/archhatch/runtime/result_codes.py
+++ b/archhatch/runtime/result_codes.py
@@ -59,6 +59,7 @@
     3010: (503, "the disk takes nothing at the moment; not written"),
     3011: (503, "the keys were not confirmed lately; it has not run"),
     3012: (503, "this node is about to end; it has not run"),
+    3013: (503, "too little memory at the moment; it has not run"),
     3101: (503, "no region that may run it is in; it has not run"),
     4001: (502, "the replica broke off"),
     4002: (504, "the time is up; it may have run"),
