Upstream: a large body is written a piece at a time, and let go when its request ends

Callers saw: two requests of 32 MiB at once ended a small edge; ten whole bodies of 30 MB took 379 MB.

Cause: a body was given to the socket in one piece, which copies what the kernel does not take, twice; and when a request had ended its body stayed in memory, as the contexts of pooled connections and timers, and aiohttp's objects, refer to the request in circles that the collector finds late.

Change: bodies over 64 KiB are written in pieces as fast as the replica takes them. What is written after a successful answer that came early still follows in full (aiohttp cancels the writing then). The body is let go when the request ends; its memory stays charged while an attempt outlives the request.

Why this works: between its pool and the socket a body stands in memory once, and once only.

--- a/archhatch/data_plane/forward.py
+++ b/archhatch/data_plane/forward.py
@@ -7,6 +7,7 @@
 
 from aiohttp.web_request import BaseRequest
 
+from ..memory import HeldBody, retain_held_body
 from ..routing import Route, RouteClass
 from ..runtime import Clock, Counters, Result, error_result
 from ..upstream import (
@@ -364,16 +365,18 @@
         replica has done most of the work.
         """
         for task, attempt in self._attempts.items():
-            outlived = asyncio.ensure_future(self._outlive(task, attempt))
+            outlived = asyncio.ensure_future(self._outlive(task, attempt, retain_held_body()))
             self._forwarder.outlived.add(outlived)
             outlived.add_done_callback(self._forwarder.outlived.discard)
         self._attempts = {}
 
-    async def _outlive(self, task: asyncio.Task[AttemptResult], attempt: _Attempt) -> None:
+    async def _outlive(self, task: asyncio.Task[AttemptResult], attempt: _Attempt, held_body: HeldBody | None) -> None:
         try:
             result = await task
         finally:
             attempt.release()
+            if held_body is not None:
+                held_body.release()
         self._record(attempt, result, self._forwarder.clock.now())
 
     def _cancel_attempts(self) -> None:
--- a/archhatch/upstream/client.py
+++ b/archhatch/upstream/client.py
@@ -13,15 +13,24 @@
 from yarl import URL
 
 from ..runtime import Counters
-from .attempt_result import AttemptResult, Execution, classify_response, has_body_framing, is_response_to
+from .attempt_result import (
+    FIRST_REDIRECT_STATUS,
+    AttemptResult,
+    Execution,
+    classify_response,
+    has_body_framing,
+    is_response_to,
+)
 from .connection_pool import CONNECTION_USE, ConnectionUse, Delivery, NotSentError, PooledConnector
 from .headers import DEADLINE_MS_HEADER, EXPECTED_INSTANCE_HEADER, end_to_end_headers
+from .large_body import PIECE_BYTES, LargeBody
 from .verbatim_request import VerbatimRequest
 
 KEEP_ALIVE_S = 30  # idle connections are closed after so long
 READ_BUFFER_BYTES = 1 << 18
 UNACKNOWLEDGED_DATA_MS = 3000  # a peer that acknowledges nothing for so long is gone (RFC 5482)
 MAX_CONNECT_S = 1.0  # how long a TCP handshake may take
+MAX_BODY_WRITE_S = 60.0  # for the rest of a body after its answer, where there is no time limit
 MIN_TIMEOUT_S = 0.001  # aiohttp takes 0 for no limit at all
 
 _HEADERS_WITHOUT_DEFAULT = frozenset({"Accept", "Accept-Encoding", "User-Agent", "Content-Type"})
@@ -116,37 +125,60 @@
         outgoing = CIMultiDict(end_to_end_headers(headers))
         if instance_id:
             outgoing[EXPECTED_INSTANCE_HEADER] = instance_id
-        deadline = self.now() + timeout_s
-        while True:
-            remaining_s = max(MIN_TIMEOUT_S, deadline - self.now())
-            if timeout_s > 0:
-                outgoing[DEADLINE_MS_HEADER] = str(max(1, int(remaining_s * 1000)))
-            use, response = ConnectionUse(delivery, may_send=may_send, target=target), None
-            CONNECTION_USE.set(use)
-            try:
-                async with self.session.request(
-                    method,
-                    URL(f"http://{address}{target}", encoded=True),
-                    headers=outgoing,
-                    data=body if body else None,
-                    allow_redirects=False,
-                    timeout=aiohttp.ClientTimeout(
-                        total=remaining_s if timeout_s > 0 else None,
-                        sock_connect=min(MAX_CONNECT_S, timeout_s or MAX_CONNECT_S),
-                    ),
-                ) as response:
-                    self.connector.record_response(address, use, response.headers.get("Keep-Alive", ""))
-                    yield response
-                    return
-            except aiohttp.ClientConnectorError:
-                raise
-            except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-                if response is not None or not self.connector.record_reset(address, use):
-                    raise
-                if delivery is not Delivery.AT_LEAST_ONCE:
-                    raise StaleConnectionError(repr(error)) from error
-                if timeout_s > 0 and self.now() >= deadline:
+        deadline = self.now() + timeout_s if timeout_s > 0 else None
+        payload, use = _payload_of(body), ConnectionUse(delivery)
+        try:
+            while True:
+                remaining_s = None if deadline is None else max(MIN_TIMEOUT_S, deadline - self.now())
+                if remaining_s is not None:
+                    outgoing[DEADLINE_MS_HEADER] = str(max(1, int(remaining_s * 1000)))
+                use, response = ConnectionUse(delivery, may_send=may_send, target=target), None
+                CONNECTION_USE.set(use)
+                try:
+                    async with self.session.request(
+                        method,
+                        URL(f"http://{address}{target}", encoded=True),
+                        headers=outgoing,
+                        data=payload,
+                        allow_redirects=False,
+                        timeout=aiohttp.ClientTimeout(
+                            total=remaining_s, sock_connect=min(MAX_CONNECT_S, timeout_s or MAX_CONNECT_S)
+                        ),
+                    ) as response:
+                        self.connector.record_response(address, use, response.headers.get("Keep-Alive", ""))
+                        yield response
+                        await self._finish_body(payload, response.status, deadline)
+                        return
+                except aiohttp.ClientConnectorError:
                     raise
+                except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+                    if response is not None:
+                        raise
+                    self._check_resend(error, use, address, deadline)
+        finally:
+            # pooled connections and timers keep the context of this request, and so what it refers to
+            use.may_send = None
+            if isinstance(payload, LargeBody):
+                payload.release()
+
+    async def _finish_body(self, payload: bytes | LargeBody | None, status: int, deadline: float | None) -> None:
+        """Waits until the rest of a body is written whose answer, a success, came before its end."""
+        if isinstance(payload, LargeBody) and status < FIRST_REDIRECT_STATUS:
+            await payload.wait_written(MAX_BODY_WRITE_S if deadline is None else deadline - self.now())
+
+    def _check_resend(self, error: Exception, use: ConnectionUse, address: str, deadline: float | None) -> None:
+        """Allows one more send of a request that met a pooled connection which its replica had forgotten.
+
+        Raises:
+            StaleConnectionError: It had, but the request may not be repeated.
+            aiohttp.ClientError: The connection broke for another reason, or the time is over.
+        """
+        if not self.connector.record_reset(address, use):
+            raise error
+        if use.delivery is not Delivery.AT_LEAST_ONCE:
+            raise StaleConnectionError(repr(error)) from error
+        if deadline is not None and self.now() >= deadline:
+            raise error
 
     async def send(  # noqa: PLR0913, PLR0917 - as request()
         self,
@@ -196,6 +228,13 @@
     return classify_response(response.status, list(response.headers.items()), body)
 
 
+def _payload_of(body: bytes) -> bytes | LargeBody | None:
+    """Returns a body as aiohttp is to write it."""
+    if len(body) > PIECE_BYTES:
+        return LargeBody(body)
+    return body or None
+
+
 def _open_socket(address_info: tuple[Any, ...]) -> socket.socket:
     """Opens a socket for an entry of getaddrinfo()."""
     family, kind, protocol, _, _ = address_info
