Rare requests: a large body does not go by a store

Callers saw: a store that ended as it ran out of memory, and its jobs' readers waiting for another.

Cause: an edge's rare requests go by a store of its zone. A frame between nodes stands in memory several times on its way (deflated, encoded, framed, buffered; received, checked, parsed, inflated), and the store has no say in how many come.

Change: bodies over 64 KiB are sent by the edge itself; a new connection is cheaper than the copies.

--- a/archhatch/data_plane/forward.py
+++ b/archhatch/data_plane/forward.py
@@ -22,7 +22,7 @@
     end_to_end_headers,
 )
 from ..upstream.attempt_result import FIRST_SERVER_ERROR_STATUS
-from ..upstream.proxied_request import ProxiedRequest
+from ..upstream.proxied_request import MAX_PROXIED_BYTES, ProxiedRequest
 from ..usage.counter import UsageSender
 from .live_requests import LiveRequestTracker
 from .request_terms import RequestTerms, read_terms
@@ -265,6 +265,8 @@
             return None
         if self._forwarder.upstream_client.has_idle_connection(replica.address):
             return None
+        if len(self._body) > MAX_PROXIED_BYTES:
+            return None
         if not all((name + value).isascii() for name, value in self._headers):  # JSON cannot carry their bytes
             return None
         return proxies.choose(self.service, now)
--- a/archhatch/upstream/proxied_request.py
+++ b/archhatch/upstream/proxied_request.py
@@ -8,6 +8,10 @@
 from .attempt_result import Execution
 from .headers import Headers
 
+# Of a request or an answer that goes by a store: a frame between nodes stands in memory several times on its way, which
+# for a long body is dearer than a connection.
+MAX_PROXIED_BYTES = 64 << 10
+
 
 def _read_headers(pairs: list[list[str]]) -> Headers:
     return [(name, value) for name, value in pairs]
