Answers: a large one holds memory until its client took it, and who takes nothing gives way

Callers saw: an edge that ended as it ran out of memory, when clients asked for large answers and read nothing of them.

Cause: an answer was read as fast as its replica sent it, and written in one piece, whatever the answers took together; a client that read nothing kept its answer for good. Up to half a MB was read ahead of each stream that its client did not take.

Change: an answer over 64 KiB is read only when there is room for it in a pool of its own, and written a piece at a time; its memory is given back when it is written. While others wait, the one whose client takes nothing for a second is cut, which looks like the closed connection that it is. Streams are read 64 KiB ahead. A store passes on answers up to 64 KiB; of longer ones the edge asks a replica itself.

--- a/archhatch/data_plane/edge.py
+++ b/archhatch/data_plane/edge.py
@@ -14,6 +14,7 @@
 
 from ..http_server import ClientMemory, HttpLimits, HttpServer
 from ..membership import ConfigWatcher, NodeCard
+from ..memory import MemoryPool, MemoryShares
 from ..routing import ConfigurationFollower, RoutingTable
 from ..routing.configuration import ClientLimits
 from ..rpc import CallError, ConnectionPool
@@ -130,7 +131,9 @@
 
     async def start(self) -> None:
         """Makes the parts that need the event loop, and serves."""
-        self.upstream_client = UpstreamClient(counters=self.counters)
+        answer_bytes = MemoryShares.of(self.settings.memory_mb).large_answers
+        answer_memory = MemoryPool("large_answers", answer_bytes, self.counters, self.clock.now)
+        self.upstream_client = UpstreamClient(counters=self.counters, answer_memory=answer_memory)
         self.load_balancer.use_connections_of(self.upstream_client.has_idle_connection)
         self.request_forwarder = self._make_forwarder()
         self.dispatcher = self._make_dispatcher()
--- a/archhatch/data_plane/forward.py
+++ b/archhatch/data_plane/forward.py
@@ -402,4 +402,4 @@
         if result.status in NOT_EXECUTED_STATUSES:
             self._forwarder.counters.add("front.no_proof")
             return error_result(MAY_HAVE_RUN_CODE)
-        return Result(result.status, result.body, end_to_end_headers(result.headers))
+        return Result(result.status, result.body, end_to_end_headers(result.headers), charge=result.charge)
--- a/archhatch/data_plane/relay.py
+++ b/archhatch/data_plane/relay.py
@@ -9,6 +9,7 @@
 from aiohttp.web_response import StreamResponse
 
 from ..exceptions import ArchhatchError
+from ..memory import Charge, MemoryFullError
 from ..routing import Route
 from ..runtime import Clock, Counters, Result, error_result
 from ..upstream import (
@@ -28,6 +29,7 @@
     has_body_framing,
     is_response_to,
 )
+from ..upstream.answer_body import read_answer
 from ..upstream.attempt_result import FIRST_REDIRECT_STATUS, FIRST_SERVER_ERROR_STATUS
 from ..upstream.event_stream import EventReader, is_next_event
 from ..upstream.headers import LAST_EVENT_ID_HEADER
@@ -196,7 +198,7 @@
                 self._may_send,
             ) as response:
                 return await self._take_response(replica, response)
-        except (aiohttp.ClientError, OSError, ValueError, TimeoutError) as error:
+        except (aiohttp.ClientError, OSError, ValueError, TimeoutError, MemoryFullError) as error:
             return self._take_failure(replica, error)
 
     def _headers_for_attempt(self) -> Headers:
@@ -273,7 +275,8 @@
         """Takes a response that is no stream; only once it is whole, it proves what it says."""
         is_turned_away = declares_not_executed(response)
         self._may_have_run = self._may_have_run or not is_turned_away
-        body = await response.read()
+        wait_s = max(0.0, self._deadline - self._relay.clock.now())
+        body, charge = await read_answer(response, self._relay.upstream_client.answer_memory, wait_s)
         if not has_body_framing(response):
             raise InvalidResponseError("nothing tells where its body ends")
         now = self._relay.clock.now()
@@ -285,15 +288,15 @@
         self._relay.load_balancer.record_outcome(replica, outcome, now)
         if self._client_stream is not None:
             return _AfterAttempt.STOP
-        self._whole_answer = self._pass_on(response, body)
+        self._whole_answer = self._pass_on(response, body, charge)
         return _AfterAttempt.DONE
 
-    def _pass_on(self, response: aiohttp.ClientResponse, body: bytes) -> Result:
+    def _pass_on(self, response: aiohttp.ClientResponse, body: bytes, charge: Charge | None) -> Result:
         """A replica's answer for the client; a refusal without proof would be a promise, and is not passed on."""
         if response.status in NOT_EXECUTED_STATUSES:
             self._relay.counters.add("front.no_proof")
             return error_result(MAY_HAVE_RUN_CODE)
-        return Result(response.status, body, end_to_end_headers(response.headers.items()))
+        return Result(response.status, body, end_to_end_headers(response.headers.items()), charge=charge)
 
     def _take_failure(self, replica: ReplicaEndpoint, error: Exception) -> _AfterAttempt:
         """Takes an attempt that ended without a whole response."""
--- a/archhatch/http_server/server.py
+++ b/archhatch/http_server/server.py
@@ -22,6 +22,7 @@
 
 from ..memory import HELD_BODY, MemoryFullError
 from ..runtime import Counters, Result, error_result
+from .answer_writer import LARGE_ANSWER_BYTES, write_large_answer
 from .body_reader import BodyReader
 from .client_memory import BodyTerms, ClientMemory
 from .connection import ClientConnection, ConnectionTable
@@ -193,7 +194,7 @@
             result = await self._result_of(request, connection, task)
             if isinstance(result, StreamResponse):
                 return result
-            return self._response(result, connection)
+            return await self._response(request, result, connection)
         finally:
             self.in_flight -= 1
             self._handlers.discard(task)
@@ -253,8 +254,14 @@
         finally:
             body.release()
 
-    def _response(self, result: Result, connection: ClientConnection) -> Response:
+    async def _response(self, request: BaseRequest, result: Result, connection: ClientConnection) -> StreamResponse:
+        """Returns an answer for aiohttp to write; a large one is written here."""
         is_last = result.close or (self.is_draining and not connection.has_queued_requests())
+        if len(result.body) > LARGE_ANSWER_BYTES and request.method != "HEAD":
+            try:
+                return await write_large_answer(request, result, connection, is_last)
+            finally:
+                result.release()
         response = Response(status=result.status, body=result.body, headers=result.head)
         if is_last:
             response.force_close()
--- a/archhatch/runtime/result_codes.py
+++ b/archhatch/runtime/result_codes.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 import orjson
 
+if TYPE_CHECKING:
+    from ..memory import Charge
+
 # Code: (HTTP status, text). The texts are part of the public interface (field "Says"); docs/codes.md holds the same
 # table. Codes from 6001 are findings of `archhatch doctor` and have no HTTP status.
 CODES: dict[int, tuple[int, str]] = {
@@ -92,6 +96,7 @@
         body: The body, complete.
         head: Header fields as (name, value) pairs, beside those that the server adds.
         close: Whether the connection is closed after this answer.
+        charge: The memory that is held for its body; None if none is.
 
     >>> Result(200, b"ok").status
     200
@@ -101,6 +106,12 @@
     body: bytes = b""
     head: list[tuple[str, str]] = field(default_factory=list)
     close: bool = False
+    charge: Charge | None = None
+
+    def release(self) -> None:
+        """Gives back the memory that is held for its body."""
+        if self.charge is not None:
+            self.charge.release()
 
 
 def json_result(code: int, document: object, head: list[tuple[str, str]] | None = None) -> Result:
--- a/archhatch/store/proxy.py
+++ b/archhatch/store/proxy.py
@@ -6,6 +6,7 @@
 
 from ..rpc import CallRefusedError
 from ..upstream import Delivery
+from ..upstream.proxied_request import MAX_PROXIED_BYTES
 from .messages import SendAnswer, SendRequest
 from .result_codes import NO_REPLICA_FREE, NO_ROUTE, NOT_CERTAIN, NOT_TAKEN
 
@@ -75,6 +76,7 @@
                 request.timeout_s,
                 Delivery.AT_LEAST_ONCE,
                 lambda: store.clock.now() < end,
+                MAX_PROXIED_BYTES,
             )
         finally:
             endpoint.in_flight -= 1
--- a/archhatch/upstream/attempt_result.py
+++ b/archhatch/upstream/attempt_result.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from ..memory import Charge
 from .connection_pool import Delivery
 from .headers import NOT_EXECUTED_HEADER, REPLY_SEAL_HEADER, REQUEST_ID_HEADER, Headers
 
@@ -43,6 +44,7 @@
         reason: Why the outcome is not EXECUTED, for logs.
         is_unresponsive: Whether there was no connection, or no response in time.
         is_stale_connection: Whether a pooled connection was forgotten, or nothing was sent; no sign of ill health.
+        charge: The memory that its body holds; None if none is held.
     """
 
     execution: Execution
@@ -52,6 +54,7 @@
     reason: str = ""
     is_unresponsive: bool = False
     is_stale_connection: bool = False
+    charge: Charge | None = None
 
     @property
     def is_success(self) -> bool:
--- a/archhatch/upstream/client.py
+++ b/archhatch/upstream/client.py
@@ -12,7 +12,9 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from ..memory import MemoryFullError, MemoryPool
 from ..runtime import Counters
+from .answer_body import read_answer
 from .attempt_result import (
     FIRST_REDIRECT_STATUS,
     AttemptResult,
@@ -27,9 +29,10 @@
 from .verbatim_request import VerbatimRequest
 
 KEEP_ALIVE_S = 30  # idle connections are closed after so long
-READ_BUFFER_BYTES = 1 << 18
+READ_BUFFER_BYTES = 32 << 10  # of an answer, beyond what its reader has taken
 UNACKNOWLEDGED_DATA_MS = 3000  # a peer that acknowledges nothing for so long is gone (RFC 5482)
 MAX_CONNECT_S = 1.0  # how long a TCP handshake may take
+MAX_MEMORY_WAIT_S = 60.0  # for an answer to a request that has no time limit
 MAX_BODY_WRITE_S = 60.0  # for the rest of a body after its answer, where there is no time limit
 MIN_TIMEOUT_S = 0.001  # aiohttp takes 0 for no limit at all
 
@@ -45,10 +48,15 @@
 
     Attributes:
         connector: The pool of connections.
+        answer_memory: For large answers; None for no bound.
     """
 
     def __init__(
-        self, per_host: int = 0, now: Callable[[], float] = time.monotonic, counters: Counters | None = None
+        self,
+        per_host: int = 0,
+        now: Callable[[], float] = time.monotonic,
+        counters: Counters | None = None,
+        answer_memory: MemoryPool | None = None,
     ) -> None:
         """Opens no connection yet.
 
@@ -56,8 +64,9 @@
             per_host: How many connections one replica gets at most; 0 for no limit.
             now: The steady clock, in seconds.
             counters: Where new connections are counted.
+            answer_memory: For large answers; no bound if left out.
         """
-        self.now = now
+        self.now, self.answer_memory = now, answer_memory
         self.connector = PooledConnector(
             now,
             counters,
@@ -192,10 +201,12 @@
         timeout_s: float,
         delivery: Delivery = Delivery.UNSPECIFIED,
         may_send: Callable[[], bool] | None = None,
+        max_answer_bytes: int | None = None,
     ) -> AttemptResult:
         """Sends a request and reads the whole response.
 
-        The arguments are those of request(), and the request's id, which the response must repeat.
+        The arguments are those of request(), the request's id, which the response must repeat, and the longest answer
+        that is taken.
 
         Returns:
             What is certain about the request; a failure is a result too, never an exception.
@@ -204,28 +215,37 @@
             async with self.request(
                 address, instance_id, method, target, headers, body, timeout_s, delivery, may_send
             ) as response:
-                return await _read_result(response, request_id, delivery)
+                return await self._read_result(response, request_id, delivery, timeout_s, max_answer_bytes)
         except NotSentError as error:
             return AttemptResult(Execution.NOT_EXECUTED, reason=repr(error), is_stale_connection=True)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             # there was no connection to send it on
             return AttemptResult(Execution.NOT_EXECUTED, reason=repr(error), is_unresponsive=True)
-        except StaleConnectionError as error:
+        except (StaleConnectionError, MemoryFullError) as error:  # they say nothing of the replica
             return AttemptResult(Execution.UNKNOWN, reason=repr(error), is_stale_connection=True)
         except TimeoutError as error:
             return AttemptResult(Execution.UNKNOWN, reason=repr(error), is_unresponsive=True)
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return AttemptResult(Execution.UNKNOWN, reason=repr(error))
 
-
-async def _read_result(response: aiohttp.ClientResponse, request_id: str, delivery: Delivery) -> AttemptResult:
-    if not is_response_to(response, request_id, delivery):
-        response.close()
-        return AttemptResult(Execution.UNKNOWN, reason="answer of another request")
-    body = await response.read()
-    if not has_body_framing(response):
-        return AttemptResult(Execution.UNKNOWN, response.status, reason="nothing tells where its body ends")
-    return classify_response(response.status, list(response.headers.items()), body)
+    async def _read_result(
+        self,
+        response: aiohttp.ClientResponse,
+        request_id: str,
+        delivery: Delivery,
+        timeout_s: float,
+        max_answer_bytes: int | None,
+    ) -> AttemptResult:
+        if not is_response_to(response, request_id, delivery):
+            response.close()
+            return AttemptResult(Execution.UNKNOWN, reason="answer of another request")
+        wait_s = timeout_s if timeout_s > 0 else MAX_MEMORY_WAIT_S
+        body, charge = await read_answer(response, self.answer_memory, wait_s, max_answer_bytes)
+        if not has_body_framing(response):
+            return AttemptResult(Execution.UNKNOWN, response.status, reason="nothing tells where its body ends")
+        result = classify_response(response.status, list(response.headers.items()), body)
+        result.charge = charge
+        return result
 
 
 def _payload_of(body: bytes) -> bytes | LargeBody | None:
--- a/archhatch/upstream/connection_pool.py
+++ b/archhatch/upstream/connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
 import functools
 import re
@@ -20,6 +21,7 @@
 
 from ..runtime import Counters
 
+READ_BYTES = 64 << 10  # of one connection, before the others have their turn
 KEEP_ALIVE_SHARE = 0.8  # of the time in a replica's Keep-Alive header: its close may already be on the way
 OBSERVATION_TTL_S = 30.0  # how long it counts that a connection served after some idle time, or was reset
 MIN_FORGOTTEN_IDLE_S = 0.25  # a connection that idled for less was not forgotten by its replica
@@ -77,6 +79,11 @@
     is_idle = False
     idle_since = float("-inf")
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes a connection."""
+        cast(Any, transport).max_size = READ_BYTES  # of asyncio's transports over sockets: how much one read takes
+        super().connection_made(transport)
+
     def data_received(self, data: bytes) -> None:
         """Takes bytes from the socket."""
         if self.is_idle and data:  # aiohttp calls it without data too
--- a/tests/data_plane/test_store_proxies.py
+++ b/tests/data_plane/test_store_proxies.py
@@ -193,7 +193,7 @@
     )
     answers = list(answers)
 
-    async def send(address, iid, method, target, heads, body, rid, timeout_s, mode, may_send):
+    async def send(address, iid, method, target, heads, body, rid, timeout_s, mode, may_send, max_answer_bytes):
         sent.append((iid, method, target, heads, body, rid, mode, may_send()))
         assert load_balancer.replicas[iid].in_flight == 1
         return answers.pop(0)
