HTTP server: two requests are parsed ahead on a connection, not 32 with their bodies

Callers saw: an edge that ended as it ran out of memory, when clients sent many requests ahead on few connections and left the answers unread.

Cause: aiohttp parses 32 requests of a connection ahead of the one that is served, each with its body.

Change: two are parsed ahead. An ordinary connection has none, so its reading is never paused.

--- a/archhatch/http_server/connection.py
+++ b/archhatch/http_server/connection.py
@@ -1,8 +1,9 @@
 """A client's connection, and the table of them: the one module that touches aiohttp's private parts (aiohttp 3.14).
 
-Turns: a connection reads READ_BYTES at most before the others have their turn, and BUFFERED_BYTES of a body beyond
-what is being served; the rest waits unread, so that TCP slows its client down. What is read and not served yet, and
-what a client does not take, is counted against the bounds of all connections; beyond them one gives way.
+Turns: a connection reads READ_BYTES at most before the others have their turn, and parses no more than
+MAX_REQUESTS_AHEAD requests, or BUFFERED_BYTES of a body, beyond what is being served; the rest waits unread, so that TCP
+slows its client down. What is read and not served yet, and what a client does not take, is counted against the bounds
+of all connections; beyond them one gives way.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import enum
 from typing import Any, cast
 
+from aiohttp import web_protocol
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_server import Server
@@ -23,8 +25,11 @@
 
 READ_BYTES = 16 << 10  # of one connection, before the others have their turn
 BUFFERED_BYTES = 16 << 10  # of a body that is not being read yet; chunks are bounded by a sixteenth of half of it
+MAX_REQUESTS_AHEAD = 2  # parsed, beside the one that is being served
 UNSENT_BYTES = 16 << 10  # of answers, from which on the next request of the connection waits
 
+web_protocol.MAX_MSG_QUEUE_SIZE = MAX_REQUESTS_AHEAD
+
 HEADER_TIMEOUT_RESPONSE = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 HEADERS_TOO_LARGE_RESPONSE = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
