HTTP server: connections are bounded by descriptors and memory; the longest idle one gives way

Callers saw: an edge out of descriptors, which served nobody new, and a log of 200,000 tracebacks in seconds, when clients opened more connections than MaxFds, or reset many within a body.

Cause: nothing bounded connections. Out of descriptors, asyncio's accept loop fails 1,024 times a turn (once for each of its backlog), and writes a traceback each time.

Change: a server keeps three quarters of MaxFds less the 200 for files, and no more than its share of the memory holds (32 KiB each, and what was read and not served, or sent and not taken). Beyond that the one that rests longest is closed, else the one that holds most in vain; one that is being served never is, the newest goes then. 32 are accepted in one turn. The listener's queue stays at 1,024.

--- a/archhatch/data_plane/edge.py
+++ b/archhatch/data_plane/edge.py
@@ -102,7 +102,7 @@
         self.live_requests = LiveRequestTracker(self.state_board, self.clock, self._contact_s(QUIET_SHARE))
         self.config_watcher = self._make_config_watcher()
         self.usage = self._make_usage_sender()
-        self.client_memory = ClientMemory.of(settings.memory_mb, self.counters)
+        self.client_memory = ClientMemory.of(settings.memory_mb, settings.max_fds, self.counters)
         self.readiness_server = HttpServer(self._answer_readiness, log, self.counters)
 
     def _contact_s(self, share: float) -> float:
--- a/archhatch/http_server/client_memory.py
+++ b/archhatch/http_server/client_memory.py
@@ -13,6 +13,9 @@
 # Of one connection with a request: aiohttp's objects, the request's head, its task and its way to a replica.
 CONNECTION_BYTES = 32 << 10
 SMALL_BODY_BYTES = 64 << 10  # bodies up to this length have a part of the memory for themselves
+RESERVED_FDS = 200  # of MaxFds: files outside of the data folder
+OTHER_FDS_SHARE = 0.25  # of MaxFds: for replicas, other nodes and the other listeners
+MIN_CONNECTIONS = 16
 BODY_WAIT_S = 5.0  # how long a request may wait for memory
 BODY_STALL_TIMEOUT_S = 30.0  # a body of which nothing comes for so long is given up
 ANSWER_STALL_TIMEOUT_S = 30.0  # a client that takes nothing for so long is given up
@@ -45,6 +48,16 @@
     count: int = sys.maxsize
     held_bytes: int = sys.maxsize
 
+    @classmethod
+    def of(cls, shares: MemoryShares, max_fds: int) -> ConnectionBounds:
+        """Returns the bounds that follow from a process's memory and descriptors.
+
+        >>> ConnectionBounds.of(MemoryShares.of(160), 512).count
+        184
+        """
+        count = max_fds - RESERVED_FDS - int(max_fds * OTHER_FDS_SHARE)
+        return cls(max(MIN_CONNECTIONS, count), shares.connections)
+
     def are_passed(self, count: int, more_bytes: int) -> bool:
         """Whether so many connections, with so many bytes beside their own, are too much."""
         return count > self.count or count * CONNECTION_BYTES + more_bytes > self.held_bytes
@@ -71,7 +84,7 @@
         self.connections = connections
 
     @classmethod
-    def of(cls, memory_mb: int, counters: Counters) -> ClientMemory:
+    def of(cls, memory_mb: int, max_fds: int, counters: Counters) -> ClientMemory:
         """Returns the memory of the clients of a process with these limits."""
         shares = MemoryShares.of(memory_mb)
-        return cls(shares, ConnectionBounds(), counters)
+        return cls(shares, ConnectionBounds.of(shares, max_fds), counters)
--- a/archhatch/http_server/server.py
+++ b/archhatch/http_server/server.py
@@ -38,9 +38,11 @@
 
 HEADER_LINE_OVERHEAD = 4  # ": " and the end of the line
 LISTEN_BACKLOG = 1024
+ACCEPTED_AT_ONCE = 32  # connections, before the others have their turn
 LINGERING_S = 1.0  # how long the rest of a body is read after an early answer
 DRAIN_POLL_S = 0.05
 SHUTDOWN_S = 0.2  # how long connections may take to end
+UNLIMITED_FDS = 1 << 30  # of a server that is made without bounds
 RETRY_AFTER_S = 0.5  # when a client may come back that was refused for lack of memory
 
 FLUSH_S = 0.2  # how long the last answers may take to be written
@@ -90,7 +92,7 @@
         self._limits = HttpLimits() if limits is None else limits
         self.is_draining = False
         self.in_flight = 0
-        self._memory = ClientMemory.of(0, counters) if memory is None else memory
+        self._memory = ClientMemory.of(0, UNLIMITED_FDS, counters) if memory is None else memory
         self._screen = screen
         self._body_reader = BodyReader(self._memory, lambda: self._limits.max_body_bytes)
         self._server: ConnectionTable | None = None
@@ -130,13 +132,13 @@
         )
         self._server.max_header_bytes = self.limits.max_header_bytes
         self._sweeper = loop.create_task(sweep_connections(self._server, lambda: self.limits, self.counters))
-        if sock is not None:
-            self._listener = await loop.create_server(self._server, backlog=LISTEN_BACKLOG, sock=sock)
-            return
-        host, port = address.rsplit(":", 1)
-        self._listener = await loop.create_server(
-            self._server, backlog=LISTEN_BACKLOG, host=host, port=int(port), reuse_address=True
-        )
+        if sock is None:
+            host, port = address.rsplit(":", 1)
+            sock = socket.create_server((host, int(port)), backlog=LISTEN_BACKLOG)
+            sock.setblocking(False)
+        # asyncio takes the backlog also for how many connections it accepts in one turn
+        self._listener = await loop.create_server(self._server, backlog=ACCEPTED_AT_ONCE, sock=sock)
+        sock.listen(LISTEN_BACKLOG)
 
     def port(self) -> int:
         """Returns the port that the server listens on."""
