Edge: the readiness address takes no bodies

Callers saw: an edge that ended as it ran out of memory, by bodies that were sent to its readiness address.

Cause: that address had the limits of an HTTP server that knows no configuration: 32 MiB a body, no bound on all of them.

Change: a body there is refused unread with 413; 128 connections are kept, and none of them needs memory that clients at the front can fill.

--- a/archhatch/data_plane/edge.py
+++ b/archhatch/data_plane/edge.py
@@ -13,8 +13,8 @@
 from transitions import Machine
 
 from ..http_server import ClientMemory, HttpLimits, HttpServer
-from ..membership import ConfigWatcher, NodeCard
 from ..memory import MemoryPool, MemoryShares
+from ..membership import ConfigWatcher, NodeCard
 from ..routing import ConfigurationFollower, RoutingTable
 from ..routing.configuration import ClientLimits
 from ..rpc import CallError, ConnectionPool
@@ -103,7 +103,7 @@
         self.config_watcher = self._make_config_watcher()
         self.usage = self._make_usage_sender()
         self.client_memory = ClientMemory.of(settings.memory_mb, settings.max_fds, self.counters)
-        self.readiness_server = HttpServer(self._answer_readiness, log, self.counters)
+        self.readiness_server = self._make_readiness_server()
 
     def _contact_s(self, share: float) -> float:
         return self.settings.seconds("ContactMs", share)
@@ -195,6 +195,16 @@
             screen=self.dispatcher.screen,
         )
 
+    def _make_readiness_server(self) -> HttpServer:
+        """Makes the server of an address that nobody needs to send a body to."""
+        return HttpServer(
+            self._answer_readiness,
+            self.log,
+            self.counters,
+            HttpLimits(max_body_bytes=0),
+            memory=ClientMemory.of_probes(self.counters),
+        )
+
     @property
     def plan(self) -> RoutingTable | None:
         """The configuration in force; None before the first one came."""
--- a/archhatch/http_server/client_memory.py
+++ b/archhatch/http_server/client_memory.py
@@ -16,6 +16,7 @@
 RESERVED_FDS = 200  # of MaxFds: files outside of the data folder
 OTHER_FDS_SHARE = 0.25  # of MaxFds: for replicas, other nodes and the other listeners
 MIN_CONNECTIONS = 16
+PROBE_CONNECTIONS = 128  # of an address that only the platform calls
 BODY_WAIT_S = 5.0  # how long a request may wait for memory
 BODY_STALL_TIMEOUT_S = 30.0  # a body of which nothing comes for so long is given up
 ANSWER_STALL_TIMEOUT_S = 30.0  # a client that takes nothing for so long is given up
@@ -88,3 +89,8 @@
         """Returns the memory of the clients of a process with these limits."""
         shares = MemoryShares.of(memory_mb)
         return cls(shares, ConnectionBounds.of(shares, max_fds), counters)
+
+    @classmethod
+    def of_probes(cls, counters: Counters) -> ClientMemory:
+        """Returns the memory of an address whose callers send no bodies."""
+        return cls(MemoryShares(0, 0, 0, 0), ConnectionBounds(count=PROBE_CONNECTIONS), counters)
