Control nodes: bodies within a budget, by what each call needs

Callers saw: a control node that ended as it ran out of memory, by bodies that anybody sent to its address.

Cause: every call took bodies of 32 MiB, unknown ones too, all at once.

Change: a call is looked up by its head before its body is read: unknown ones, and all of them while the node may not serve, are refused unread; calls that bring no document of an operator take 64 KiB; documents (configurations, policies, evacuations) hold four times their length of the node's memory, in turn.

--- a/archhatch/control/admin_api.py
+++ b/archhatch/control/admin_api.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
 from ..consensus import is_majority
+from ..http_server import BodyTerms
 from ..membership import ReplicaEntry, shard_of, without_marks
 from ..rpc import CallRefusedError
 from ..runtime import error_result, json_result
@@ -24,7 +25,7 @@
     RetirementRequest,
     SingletonRoleRequest,
 )
-from .api_requests import decode
+from .api_requests import decode, max_body_bytes_of
 from .config_commands import ConfigChange, why_invalid
 from .register_values import RegisterValue
 from .registers import PLAN, SERVICE_SHARDS
@@ -45,6 +46,7 @@
 # Headers of the configuration, while the newest one cannot be read: why not, and which revision is in force.
 UNREADABLE_HEADER = "X-Archhatch-Config-Unreadable"
 IN_FORCE_HEADER = "X-Archhatch-Config-In-Force"
+DOCUMENT_COST_RATIO = 4.0  # memory of a document that is read, checked and agreed upon, to the bytes of its body
 
 
 class AdminApiHost(Protocol):
@@ -94,6 +96,21 @@
             SingletonRoleRequest: self._run_role_command,
         }
 
+    def screen(self, http_request: BaseRequest) -> Result | BodyTerms:
+        """Refuses a request whose body is not there yet by its head alone, or says on what terms the body is read."""
+        try:
+            max_bytes = max_body_bytes_of(http_request.method, http_request.raw_path)
+        except InvalidRequestError as error:
+            self.node.counters.add(f"request.invalid.{error.code}")
+            return error_result(error.code, error.why)
+        if not self.node.check_serving():
+            return self._refuse_unserving()
+        return BodyTerms(cost_ratio=DOCUMENT_COST_RATIO if max_bytes is None else 1.0, max_bytes=max_bytes)
+
+    def _refuse_unserving(self) -> Result:
+        self.node.counters.add("request.not_serving")
+        return error_result(NO_MAJORITY, after_s=self.node.quiet_s)
+
     async def answer(self, http_request: BaseRequest, body: bytes) -> Result:
         """Answers a request; 503 at once while this node may not serve, so that the caller goes on to another one.
 
@@ -112,8 +129,7 @@
             return error_result(error.code, error.why)
         node.counters.add("request." + type(request).__name__)
         if not node.check_serving():
-            node.counters.add("request.not_serving")
-            return error_result(NO_MAJORITY, after_s=node.quiet_s)
+            return self._refuse_unserving()
         try:
             return await self._handlers[type(request)](request)
         except CallRefusedError as refusal:
--- a/archhatch/control/api_requests.py
+++ b/archhatch/control/api_requests.py
@@ -41,19 +41,45 @@
 
 
 Decoder = Callable[..., ApiRequest]  # takes the groups of the path's pattern, the headers and the body
-DECODERS: list[tuple[str, re.Pattern[str], Decoder]] = []
+DECODERS: list[tuple[str, re.Pattern[str], Decoder, int | None]] = []
+SHORT_BODY_BYTES = 64 << 10  # the longest body of a call that brings no document of an operator
 
 
-def decodes(method: str, path_pattern: str) -> Callable[[Decoder], Decoder]:
-    """Registers a decoder for a method and a path."""
+def decodes(
+    method: str, path_pattern: str, max_body_bytes: int | None = SHORT_BODY_BYTES
+) -> Callable[[Decoder], Decoder]:
+    """Registers a decoder for a method and a path.
+
+    Args:
+        method: The HTTP method.
+        path_pattern: The path, as a regular expression.
+        max_body_bytes: The longest body; None for that of the server.
+    """
 
     def register(decoder: Decoder) -> Decoder:
-        DECODERS.append((method, re.compile(path_pattern + r"\Z"), decoder))
+        DECODERS.append((method, re.compile(path_pattern + r"\Z"), decoder, max_body_bytes))
         return decoder
 
     return register
 
 
+def max_body_bytes_of(method: str, path: str) -> int | None:
+    """Returns the longest body of a call; None for that of the server.
+
+    >>> max_body_bytes_of("PUT", "/api/instances/i-1"), max_body_bytes_of("PUT", "/api/config")
+    (65536, None)
+
+    Raises:
+        InvalidRequestError: There is no such call.
+    """
+    path = path.split("?", 1)[0]
+    matching = [row for row in DECODERS if row[1].match(path)]
+    for row_method, _, _, max_body_bytes in matching:
+        if row_method == method:
+            return max_body_bytes
+    raise MethodNotAllowedError if matching else UnknownCallError
+
+
 def decode(method: str, path: str, headers: Mapping[str, str], body: bytes) -> ApiRequest:
     """Decodes a request.
 
@@ -74,7 +100,7 @@
     """
     path = path.split("?", 1)[0]
     has_other_method = False
-    for decoder_method, pattern, decoder in DECODERS:
+    for decoder_method, pattern, decoder, _ in DECODERS:
         match = pattern.match(path)
         if match:
             if decoder_method == method:
@@ -125,12 +151,12 @@
 # -- the configuration
 
 
-@decodes("PUT", r"/api/config")
+@decodes("PUT", r"/api/config", max_body_bytes=None)
 def _decode_config_put(headers: Mapping[str, str], body: bytes) -> ChangeConfigRequest:
     return _read_config_change("put", headers, body)
 
 
-@decodes("PATCH", r"/api/config")
+@decodes("PATCH", r"/api/config", max_body_bytes=None)
 def _decode_config_patch(headers: Mapping[str, str], body: bytes) -> ChangeConfigRequest:
     return _read_config_change("patch", headers, body)
 
@@ -181,7 +207,7 @@
     return PolicyRequest("policy.get", {})
 
 
-@decodes("PUT", r"/api/policy")
+@decodes("PUT", r"/api/policy", max_body_bytes=None)
 def _decode_policy_put(headers: Mapping[str, str], body: bytes) -> PolicyRequest:
     try:
         return PolicyRequest("policy.put", {"text": body.decode(), "match": _read_if_match(headers)})
@@ -216,7 +242,7 @@
 # -- evacuations
 
 
-@decodes("POST", r"/api/evacuations")
+@decodes("POST", r"/api/evacuations", max_body_bytes=None)
 def _decode_evacuation_plan(_headers: Mapping[str, str], body: bytes) -> EvacuationRequest:
     document = _read_object(body, InvalidEvacuationRequestError)
     is_dry_run = document.pop("DryRun", False)
--- a/archhatch/control/node.py
+++ b/archhatch/control/node.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from ..evacuation.controller import EvacuationController
-from ..http_server import HttpServer
+from ..http_server import ClientMemory, HttpServer
 from ..jobs import Quorum
 from ..membership import LiveRequests, NodeCard, PeerSet, ReplicaRegistry
 from ..membership.agreed_time import AgreedTime
@@ -125,7 +125,13 @@
         self.admin_api = AdminApi(self)
         self.verbs = register_handlers(self)
         self.rpc_server = network.server(self.verbs, log, self.counters, lambda: self.id)
-        self.http_server = HttpServer(self.admin_api.answer, log, self.counters)
+        self.http_server = HttpServer(
+            self.admin_api.answer,
+            log,
+            self.counters,
+            memory=ClientMemory.of(settings.memory_mb, settings.max_fds, self.counters),
+            screen=self.admin_api.screen,
+        )
 
     # -- start and end
 
--- a/archhatch/http_server/connection.py
+++ b/archhatch/http_server/connection.py
@@ -1,9 +1,9 @@
 """A client's connection, and the table of them: the one module that touches aiohttp's private parts (aiohttp 3.14).
 
 Turns: a connection reads READ_BYTES at most before the others have their turn, and parses no more than
-MAX_REQUESTS_AHEAD requests, or BUFFERED_BYTES of a body, beyond what is being served; the rest waits unread, so that TCP
-slows its client down. What is read and not served yet, and what a client does not take, is counted against the bounds
-of all connections; beyond them one gives way.
+MAX_REQUESTS_AHEAD requests, or BUFFERED_BYTES of a body, beyond what is being served; the rest waits unread, so that
+TCP slows its client down. What is read and not served yet, and what a client does not take, is counted against the
+bounds of all connections; beyond them one gives way.
 """
 
 from __future__ import annotations
