Edge: a batch job holds half as much again as its body, for what is sent to its store

Callers saw: an edge that ended as it ran out of memory, when several large jobs were handed in at once.

Cause: a job's body is checked, deflated, encoded and framed, and all of it waits in memory for its store.

Change: a job that is not there yet when its head is read holds 1.5 times its length; on a small edge large jobs take turns. Calls about jobs, which need no body, take 64 KiB.

--- a/archhatch/data_plane/dispatcher.py
+++ b/archhatch/data_plane/dispatcher.py
@@ -34,6 +34,7 @@
 
 BODY_WAIT_SHARE = 1 / 3  # of a request's time: a client gives up what was not read by then
 MAX_JOB_CALL_BYTES = 64 << 10  # of a call about a batch job, which needs no body
+JOB_COST_RATIO = 1.5  # of a batch job: its body, and what is sent to its store
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +95,7 @@
         if route.kind in JOB_CLASSES:
             if request.method != "POST":
                 return error_result(METHOD_NOT_ALLOWED_CODE)
-            return BodyTerms()
+            return BodyTerms(cost_ratio=JOB_COST_RATIO)
         terms = read_terms(request, route)
         if isinstance(terms, Result):
             return terms
