--- a/tests/crowds/clients.py
+++ b/tests/crowds/clients.py
@@ -216,6 +216,23 @@
     return script
 
 
+def batch_jobs_and_resets(body: bytes, count: int) -> Script:
+    """Hands in a batch job and resets the connection, again and again."""
+
+    async def script(client: Client) -> None:
+        address = f"{client.address[0]}:{client.address[1]}"
+        for _ in range(count):
+            other = Client(address)
+            try:
+                await other.connect()
+                await other.send(head("/roll/step", len(body)) + body)
+                await asyncio.sleep(0.05)  # so that it is read, and on its way to its store
+            finally:
+                other.reset()
+
+    return script
+
+
 async def nothing(_client: Client) -> None:
     """Sends nothing."""
 
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -9,6 +9,7 @@
 import pytest
 from tests.crowds.clients import (
     batch_job,
+    batch_jobs_and_resets,
     bodies_and_resets,
     body_in_chunks,
     body_piece_by_piece,
@@ -43,6 +44,7 @@
         40,
         lambda: bodies_and_resets(TARGET, 300_000, itertools.cycle([200_000, 300_000]), 400),
     ),
+    "resets behind batch jobs": (8, lambda: batch_jobs_and_resets(job_body(100_000, 75), 30)),
     "batch jobs": (8, lambda: batch_job(job_body(200_000, 75))),
 }
 
