HTTP server: a body that came with its head takes the short way

Change: a body that is there in full when its head is read (32 KiB at most) is counted as read of its connection, and needs no pool, no buffer and no context. A read takes 32 KiB.

--- a/archhatch/http_server/answer_writer.py
+++ b/archhatch/http_server/answer_writer.py
@@ -44,4 +44,6 @@
                 charge.note_bytes(len(piece))
     except ConnectionError:  # the client left
         response.force_close()
+    finally:
+        result.release()
     return response
--- a/archhatch/http_server/connection.py
+++ b/archhatch/http_server/connection.py
@@ -23,8 +23,8 @@
 from .connection_choice import ConnectionState, Stage, choose_to_close
 from .limits import HttpLimits
 
-READ_BYTES = 16 << 10  # of one connection, before the others have their turn
-BUFFERED_BYTES = 16 << 10  # of a body that is not being read yet; chunks are bounded by a sixteenth of half of it
+READ_BYTES = 32 << 10  # of one connection, before the others have their turn
+BUFFERED_BYTES = 32 << 10  # of a body that is not being read yet, in 1,024 chunks at most
 MAX_REQUESTS_AHEAD = 2  # parsed, beside the one that is being served
 UNSENT_BYTES = 16 << 10  # of answers, from which on the next request of the connection waits
 
@@ -53,7 +53,7 @@
         rested_at: When its last request ended, or when it was opened.
         body_charge: What it holds for a body that is being read; None while none is.
         waits_for_memory_since: Since when its request waits for memory; None while it does not.
-        unserved_bytes: What was read of requests that are not being served yet.
+        unserved_bytes: What was read and not served yet, beside bodies that hold memory of their own.
         unsent_bytes: What its client did not take when that was more than UNSENT_BYTES.
         unsent_since: Since when; None while its client takes what it is sent.
         is_giving_way: Whether it is about to end for the sake of others.
@@ -180,11 +180,14 @@
         if count and table.are_bounds_passed():
             table.make_room()
 
-    def take_unserved(self) -> None:
-        """Notes that what was read is being served, and counts elsewhere."""
+    def take_unserved(self, left_bytes: int = 0) -> None:
+        """Notes that what was read has been served, or counts elsewhere, but for so many bytes."""
+        count = self.unserved_bytes - left_bytes
+        if count <= 0:
+            return
+        self.unserved_bytes = left_bytes
         if self._manager is not None:
-            self._table.held_bytes -= self.unserved_bytes
-        self.unserved_bytes = 0
+            self._table.held_bytes -= count
 
     def _check_unfinished_header(self, received: int) -> None:
         """Ends a connection whose header section is too long before it is complete."""
@@ -231,6 +234,8 @@
         Args:
             awaits_request: Whether nothing is left of it on its way, and no further request has been read.
         """
+        # of requests that were read ahead no more than a read and a buffer is left
+        self.take_unserved(READ_BYTES + BUFFERED_BYTES if self._messages else 0)
         self._serving_task = None
         self.body_charge = None
         self.waits_for_memory_since = None
--- a/archhatch/http_server/server.py
+++ b/archhatch/http_server/server.py
@@ -196,7 +196,10 @@
             result = await self._result_of(request, connection, task)
             if isinstance(result, StreamResponse):
                 return result
-            return await self._response(request, result, connection)
+            is_last = result.close or (self.is_draining and not connection.has_queued_requests())
+            if len(result.body) > LARGE_ANSWER_BYTES and request.method != "HEAD":
+                return await write_large_answer(request, result, connection, is_last)
+            return _small_response(result, is_last)
         finally:
             self.in_flight -= 1
             self._handlers.discard(task)
@@ -243,32 +246,43 @@
     async def _handle(self, request: BaseRequest, connection: ClientConnection) -> Result | StreamResponse:
         if _header_bytes(request) > self.limits.max_header_bytes:
             return _closing_error(HEADERS_TOO_LARGE_CODE)
-        is_arrived = self._screen is None or request.content.is_eof()
-        terms = BodyTerms() if is_arrived else cast(Screen, self._screen)(request)
+        if request.content.is_eof():
+            return await self._handler(request, self._arrived_body(request))
+        return await self._handle_arriving(request, connection)
+
+    def _arrived_body(self, request: BaseRequest) -> bytes:
+        """Returns a body that came with its head; it is counted as read of its connection until its request ends.
+
+        Raises:
+            HTTPRequestEntityTooLarge: It is longer than is allowed.
+        """
+        body = request.content.read_nowait()
+        max_bytes = self._limits.max_body_bytes
+        if len(body) > max_bytes:
+            raise HTTPRequestEntityTooLarge(max_bytes, len(body))
+        return body
+
+    async def _handle_arriving(self, request: BaseRequest, connection: ClientConnection) -> Result | StreamResponse:
+        """Handles a request whose body is on its way."""
+        terms = BodyTerms() if self._screen is None else self._screen(request)
         if isinstance(terms, Result):
             terms.close = True  # its body is not read
             return terms
         body = await self._body_reader.read(request, connection, terms, partial(_allow_body, request))
-        connection.take_unserved()
         HELD_BODY.set(body)  # each request is handled in a task, and so in a context, of its own
         try:
             return await self._handler(request, body.data)
         finally:
             body.release()
 
-    async def _response(self, request: BaseRequest, result: Result, connection: ClientConnection) -> StreamResponse:
-        """Returns an answer for aiohttp to write; a large one is written here."""
-        is_last = result.close or (self.is_draining and not connection.has_queued_requests())
-        if len(result.body) > LARGE_ANSWER_BYTES and request.method != "HEAD":
-            try:
-                return await write_large_answer(request, result, connection, is_last)
-            finally:
-                result.release()
-        response = Response(status=result.status, body=result.body, headers=result.head)
-        if is_last:
-            response.force_close()
-            response.headers["Connection"] = "close"
-        return response
+
+def _small_response(result: Result, is_last: bool) -> Response:
+    """Returns an answer for aiohttp to write at once."""
+    response = Response(status=result.status, body=result.body, headers=result.head)
+    if is_last:
+        response.force_close()
+        response.headers["Connection"] = "close"
+    return response
 
 
 def _header_bytes(request: BaseRequest) -> int:
