Client memory: what is held and what is at its bound, for operators

An edge's readiness answer says HeldBytes by kind and AtBound; a control node tells doctor, which finds 6013 while callers wait for memory. Bodies whose memory is held are read 256 KiB at a time.

--- a/archhatch/cli/programs.py
+++ b/archhatch/cli/programs.py
@@ -16,6 +16,7 @@
 from ..runtime.build_info import build_info
 from ..early_signals import ignore_signals, take_reload_signal
 from .common_flags import SETTINGS, load_settings, print_error
+from .loop_errors import LoopErrorHandler
 from .registry import EXIT_FAILURE, EXIT_OK, EXIT_USAGE, command
 
 if TYPE_CHECKING:
@@ -64,6 +65,7 @@
     Logs its counters from time to time, and checks the settings file after SIGHUP.
     """
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(LoopErrorHandler(program.counters, log))
     stop_requested, reload_requested = asyncio.Event(), asyncio.Event()
     _set_on_signal(loop, signal.SIGTERM, stop_requested)
     _set_on_signal(loop, signal.SIGINT, stop_requested)
--- a/archhatch/control/node.py
+++ b/archhatch/control/node.py
@@ -250,6 +250,7 @@
             "stamps": self.registers.chosen_versions(),
             "silent": silent_s,
             "unreadable": self._unreadable_configuration(),
+            "at_bound": self.http_server.kinds_at_their_bound(),
             "sources": build_info().sources,
         }
 
--- a/archhatch/data_plane/edge.py
+++ b/archhatch/data_plane/edge.py
@@ -291,6 +291,8 @@
             "Revision": table.revision if table else 0,
             "Version": build_info().version,
             "Sources": build_info().sources,
+            "HeldBytes": self.http_server.held_bytes(),
+            "AtBound": self.http_server.kinds_at_their_bound(),
         }
         if unreadable is not None:
             condition["UnreadableRevision"] = unreadable.revision
--- a/archhatch/diagnostics/findings.py
+++ b/archhatch/diagnostics/findings.py
@@ -25,6 +25,7 @@
     VERSIONS_DIFFER = 6010
     CONFIGURATION_UNREADABLE = 6011
     SOURCES_DIFFER = 6012
+    CLIENT_MEMORY_FULL = 6013
 
 
 @dataclass(frozen=True, slots=True)
--- a/archhatch/diagnostics/node_checks.py
+++ b/archhatch/diagnostics/node_checks.py
@@ -27,6 +27,7 @@
         silent_for_s: For each replica without heartbeats: seconds since the last one, by the replica's id.
         sources: The fingerprint of the sources that it runs; empty for a version that does not say.
         unreadable_configuration: Which configuration it cannot read, and why; empty if it reads the newest one.
+        kinds_at_bound: The kinds of memory of which its callers would need more.
     """
 
     has_majority_contact: bool = wire("in_touch")
@@ -37,6 +38,7 @@
     silent_for_s: dict[str, float] = wire("silent")
     sources: str = wire("sources", default="")
     unreadable_configuration: str = wire("unreadable", default="")
+    kinds_at_bound: list[str] = wire("at_bound", default_factory=list)
 
 
 async def ask_seed_peers(settings: Settings, timeout_s: float) -> tuple[dict[str, NodeCondition], list[Finding]]:
@@ -98,6 +100,9 @@
             findings.append(Finding(FindingCode.LOG_DAMAGED, address, what))
         if condition.unreadable_configuration:
             findings.append(Finding(FindingCode.CONFIGURATION_UNREADABLE, address, condition.unreadable_configuration))
+        if condition.kinds_at_bound:
+            what = f"{', '.join(condition.kinds_at_bound)}"
+            findings.append(Finding(FindingCode.CLIENT_MEMORY_FULL, address, what))
     return findings
 
 
--- a/archhatch/http_server/body_reader.py
+++ b/archhatch/http_server/body_reader.py
@@ -17,7 +17,8 @@
 from .client_memory import SMALL_BODY_BYTES, BodyTerms, ClientMemory
 from .connection import ClientConnection, discard_buffered, set_read_bytes
 
-LARGE_READ_BYTES = 64 << 10  # of a large body, before others have their turn
+LARGE_READ_BYTES = 256 << 10  # of a large body, whose memory is held, before others have their turn
+NEXT_READ_BYTES = 64 << 10  # of a body in chunks: held beyond what has come
 SMALL_PIECE_BYTES = 4 << 10  # a buffer of chunks with less in it was full of very small ones
 
 
@@ -114,7 +115,8 @@
             give_way=connection.give_way,
         )
         self._use(charge)
-        set_read_bytes(connection, self._request.content, LARGE_READ_BYTES)
+        is_whole = charge.held_bytes >= charge.claim_bytes
+        set_read_bytes(connection, self._request.content, LARGE_READ_BYTES if is_whole else NEXT_READ_BYTES)
 
     def _cost(self, length: int) -> int:
         """Returns the memory that a body takes; one that takes all that there is has it for itself."""
@@ -152,7 +154,7 @@
         """Holds memory for what comes next, and gives other bodies in very small chunks their turn."""
         charge = self._charge
         assert charge is not None  # hold() took it
-        if self._cost(total) + self._cost(LARGE_READ_BYTES) > charge.held_bytes and total > SMALL_BODY_BYTES // 2:
+        if self._cost(total) + self._cost(NEXT_READ_BYTES) > charge.held_bytes and total > SMALL_BODY_BYTES // 2:
             await self._hold_more(charge, total)
         if piece_bytes < SMALL_PIECE_BYTES:
             async with self._turns:
@@ -160,7 +162,7 @@
 
     async def _hold_more(self, charge: Charge, total: int) -> None:
         """Holds twice as much as there is, up to the longest body."""
-        wanted = min(max(2 * total, 4 * LARGE_READ_BYTES), self._max_bytes)
+        wanted = min(max(2 * total, 4 * NEXT_READ_BYTES), self._max_bytes)
         if charge.pool is not self._memory.large_bodies:
             await self._take_large(wanted, self._max_bytes)
             return
@@ -174,7 +176,7 @@
         assert charge is not None  # hold() took it
         charge.give_way_by(None)
         charge.settle(min(self._cost(total), charge.held_bytes))
-        self._connection.body_charge = None
+        self._connection.finish_body()
         return HeldBody(self._buffer.getvalue(), charge)
 
     def abandon(self) -> None:
@@ -184,4 +186,4 @@
             discard_buffered(self._request.content)
         if self._charge is not None:
             self._charge.release()
-        self._connection.body_charge = None
+        self._connection.finish_body()
--- a/archhatch/http_server/client_memory.py
+++ b/archhatch/http_server/client_memory.py
@@ -84,6 +84,14 @@
         self.large_bodies = MemoryPool("large_bodies", shares.large_bodies, counters, now)
         self.connections = connections
 
+    def pools_at_their_bound(self) -> list[str]:
+        """Returns the names of the pools for which requests wait at the moment."""
+        return [pool.name for pool in (self.small_bodies, self.large_bodies) if pool.waiter_count]
+
+    def held_bytes(self) -> dict[str, int]:
+        """Returns how many bytes are held, by pool."""
+        return {pool.name: pool.held_bytes for pool in (self.small_bodies, self.large_bodies)}
+
     @classmethod
     def of(cls, memory_mb: int, max_fds: int, counters: Counters) -> ClientMemory:
         """Returns the memory of the clients of a process with these limits."""
--- a/archhatch/http_server/connection.py
+++ b/archhatch/http_server/connection.py
@@ -19,7 +19,7 @@
 
 from ..memory import Charge
 from ..runtime import Counters
-from .client_memory import ConnectionBounds
+from .client_memory import CONNECTION_BYTES, ConnectionBounds
 from .connection_choice import ConnectionState, Stage, choose_to_close
 from .limits import HttpLimits
 
@@ -228,6 +228,13 @@
         self.awaits_request = False
         self.header_started_at = self.opened_at = None
 
+    def finish_body(self) -> None:
+        """Notes that a body is read, or will not be; what comes next is read in small parts again."""
+        self.body_charge = None
+        self.waits_for_memory_since = None
+        if self.transport is not None:
+            cast(Any, self.transport).max_size = READ_BYTES
+
     def finish_request(self, awaits_request: bool) -> None:
         """Notes that it is handled.
 
@@ -237,8 +244,6 @@
         # of requests that were read ahead no more than a read and a buffer is left
         self.take_unserved(READ_BYTES + BUFFERED_BYTES if self._messages else 0)
         self._serving_task = None
-        self.body_charge = None
-        self.waits_for_memory_since = None
         self.awaits_request = awaits_request
         self.rested_at = asyncio.get_running_loop().time()
 
@@ -301,6 +306,14 @@
         """Whether there are too many connections, or they hold too much."""
         return self._bounds.are_passed(len(self._connections) - self.giving_way_count, self.held_bytes)
 
+    def is_full(self) -> bool:
+        """Whether one connection more would be too many."""
+        return self._bounds.are_passed(len(self._connections) - self.giving_way_count + 1, self.held_bytes)
+
+    def total_bytes(self) -> int:
+        """Returns about what its connections take."""
+        return len(self._connections) * CONNECTION_BYTES + self.held_bytes
+
     def make_room(self) -> None:
         """Closes a connection if there are too many."""
         if not self.are_bounds_passed():
--- a/archhatch/http_server/server.py
+++ b/archhatch/http_server/server.py
@@ -112,6 +112,16 @@
         if self._server is not None:
             self._server.apply_limits(limits)
 
+    def held_bytes(self) -> dict[str, int]:
+        """Returns how many bytes its clients make it hold, by kind."""
+        table = self._server
+        return {**self._memory.held_bytes(), "connections": table.total_bytes() if table is not None else 0}
+
+    def kinds_at_their_bound(self) -> list[str]:
+        """Returns the kinds of memory of which its clients would need more at the moment."""
+        kinds = self._memory.pools_at_their_bound()
+        return [*kinds, "connections"] if self._server is not None and self._server.is_full() else kinds
+
     async def open(self, address: str, sock: socket.socket | None = None) -> None:
         """Serves on an address, or on a socket that listens already."""
         loop = asyncio.get_running_loop()
--- a/archhatch/runtime/result_codes.py
+++ b/archhatch/runtime/result_codes.py
@@ -81,6 +81,7 @@
     6010: (0, "nodes disagree on the stamp"),
     6011: (0, "a configuration cannot be read"),
     6012: (0, "nodes run different code"),
+    6013: (0, "callers wait for memory"),
 }
 
 
--- a/archhatch/upstream/large_body.py
+++ b/archhatch/upstream/large_body.py
@@ -9,7 +9,7 @@
 from aiohttp.http import StreamWriter
 from aiohttp.payload import Payload
 
-PIECE_BYTES = 64 << 10
+PIECE_BYTES = 256 << 10
 
 
 class LargeBody(Payload):
--- a/tests/diagnostics/test_doctor.py
+++ b/tests/diagnostics/test_doctor.py
@@ -8,6 +8,7 @@
 
 from archhatch.diagnostics import Doctor, report
 from archhatch.wal import pack_record
+from archhatch.diagnostics.node_checks import NodeCondition, check_conditions
 
 
 def settings(tmp_path, **change):
@@ -116,3 +117,9 @@
         cwd=ROOT,
     )
     assert out.returncode == 2 and out.stderr.count("\n") == 1 and "SeedPeers" in out.stderr
+
+
+def test_a_node_whose_callers_wait_for_memory_is_named():
+    node = NodeCondition(True, 3, 3, False, {}, {}, kinds_at_bound=["large_bodies"])
+    found = check_conditions({"10.0.0.1:47000": node})
+    assert [finding.text() for finding in found] == ["6013 callers wait for memory: 10.0.0.1:47000: large_bodies"]
--- a/tests/http_server/test_client_memory.py
+++ b/tests/http_server/test_client_memory.py
@@ -126,11 +126,13 @@
         await it.client(head(LARGE) + b"b" * LARGE)
         await it.until(lambda: it.bodies)
         reader, _ = await it.client(head(LARGE) + b"b" * 10)
+        await it.until(lambda: it.server.kinds_at_their_bound() == ["large_bodies"])
+        assert it.server.held_bytes()["large_bodies"] == LARGE
         answer = await reader.read()
         assert b" 503 " in answer.split(b"\r\n")[0] and b"Retry-After: " in answer and b"Connection: close" in answer
         assert b'"Error":3013' in answer and len(it.bodies) == 1
 
-    play(run, go, wait_s=0.05)
+    play(run, go, wait_s=0.2)
 
 
 def test_small_bodies_are_served_beside_a_crowd_of_large_ones(run):
