Batch jobs: an edge asks its store for room before it sends a large job

Callers saw: a store that ended as it ran out of memory when several edges handed large jobs in at once; its runs' jobs waited for another leader.

Cause: a store has no say in what is sent to it. The body of a job stands in memory several times while it is received, inflated, checked, written and copied to other stores, before the store's admission counts it.

Change: for a body over 256 KiB an edge first asks for room (`lot.reserve`, with its length). Without room nothing of the job is sent (3013), so the edge asks again and then refuses with its promise. A store of an earlier version does not know the call, and is sent the job as before.

--- a/archhatch/data_plane/job_handlers.py
+++ b/archhatch/data_plane/job_handlers.py
@@ -25,6 +25,7 @@
     JobQueryResponse,
     ReadItemRequest,
     ReadJobRequest,
+    ReserveJobRequest,
     SubmitJobRequest,
     SubmitJobResponse,
 )
@@ -46,6 +47,9 @@
 # Refusals after which this very call has put nothing anywhere.
 NOT_TAKEN_CODES = frozenset({2008, 3001, 3005, 3008})
 
+UNKNOWN_CALL_CODE = 2009  # of a store of an earlier version
+LARGE_JOB_BYTES = 256 << 10  # from here on a store is asked for room first
+RESERVE_CALL_S = 0.4
 MAX_HOLD_S = 5.0  # a read is held no longer, whatever its caller allows
 BEYOND_ALL_RESULTS = 1 << 31  # a position: asks whether a job is there, without any result
 MAX_UNCLEAR_JOBS = 4096  # submissions without a clear outcome that are remembered
@@ -176,13 +180,28 @@
             address = self._address_of(lease.holder_id) if lease is not None else None
             if lease is not None and address is not None:
                 addressed = dataclasses.replace(message, store_id=lease.holder_id, term=lease.term)
-                timeout_s = max(MIN_SUBMIT_CALL_S, deadline - self._clock.now())
-                result = await self._submit_to(address, addressed, body, timeout_s)
-                if result is not None:
-                    return result
+                if len(body) <= LARGE_JOB_BYTES or await self._reserve(address, addressed, len(body)):
+                    timeout_s = max(MIN_SUBMIT_CALL_S, deadline - self._clock.now())
+                    result = await self._submit_to(address, addressed, body, timeout_s)
+                    if result is not None:
+                        return result
             await asyncio.sleep(SUBMIT_RETRY_S)
         return None
 
+    async def _reserve(self, address: str, message: SubmitJobRequest, size: int) -> bool:
+        """Whether a run's leader has room for the body of a large job now; nothing is sent of it before."""
+        request = ReserveJobRequest(store_id=message.store_id, job_id=message.job_id, size=size)
+        try:
+            code, _, _ = await self._connections.to(address).call(
+                "lot.reserve", request.to_document(), timeout_s=RESERVE_CALL_S
+            )
+        except CallError:
+            return False
+        if code not in (DONE_CODE, UNKNOWN_CALL_CODE):
+            self.counters.add("job.waits_for_memory")
+            return False
+        return True
+
     async def _submit_to(self, address: str, message: SubmitJobRequest, body: bytes, timeout_s: float) -> Result | None:
         """Sends a job to a run's leader; None if it did not take it, or did not say so."""
         job_id = message.job_id
--- a/archhatch/data_plane/job_messages.py
+++ b/archhatch/data_plane/job_messages.py
@@ -8,6 +8,21 @@
 from ..runtime.message import Message, wire
 
 
+@dataclass(frozen=True, slots=True)
+class ReserveJobRequest(Message):
+    """Asks the leader of a run for room for the body of a large job, before it is sent.
+
+    Attributes:
+        store_id: The store that is asked.
+        job_id: The job.
+        size: The length of its body in bytes.
+    """
+
+    store_id: str = wire("to")
+    job_id: str = wire("lot")
+    size: int = wire("size")
+
+
 @dataclass(frozen=True, slots=True)
 class SubmitJobRequest(Message):
     """Asks the leader of a run to take a job; its body travels beside it.
--- a/archhatch/store/handlers.py
+++ b/archhatch/store/handlers.py
@@ -9,6 +9,8 @@
 from ..jobs.record import pack_many, unpack_many
 from ..rpc import CallRefusedError, Handlers
 from ..wal import LogError
+from .job_reservations import JobReservations
+from .memory_budget import MemoryBudget
 from .messages import (
     FetchRecordsRequest,
     JobRequest,
@@ -17,14 +19,15 @@
     PrepareRequest,
     ReadItemRequest,
     ReadResultsRequest,
+    ReserveJobRequest,
     SubmitJobRequest,
 )
-from .result_codes import DISK_FAILED, NO_ROOM, NOT_CERTAIN, NOT_TAKEN, OTHER_INCARNATION, UNKNOWN_JOB
+from .result_codes import DISK_FAILED, NO_MEMORY, NO_ROOM, NOT_CERTAIN, NOT_TAKEN, OTHER_INCARNATION, UNKNOWN_JOB
 
 if TYPE_CHECKING:
     from ..jobs import RecordStore
     from ..rollout_controller import LeadershipTerm
-    from ..runtime import Clock, Counters
+    from ..runtime import Clock, Counters, Settings
     from ..share_group import PartitionLeader
     from ..usage.reporter import UsageReporter
     from .disk import DiskState
@@ -52,6 +55,7 @@
 class StoreHandlersHost(JobHolder, Protocol):
     """What the handlers use of their store."""
 
+    settings: Settings
     clock: Clock
     counters: Counters
     leaving: bool
@@ -67,6 +71,7 @@
 
     def __init__(self, store: StoreHandlersHost) -> None:
         self.store = store
+        self._reservations = JobReservations(MemoryBudget(store.settings.memory_mb).arriving_job_bytes)
 
     def register(self, handlers: Handlers) -> None:
         """Puts all verbs into a table of handlers."""
@@ -78,6 +83,7 @@
             "shelf.lacks": self._check_missing,
             "share.fetch": self._acquire_entries,
             "share.commit": self._acknowledge_entries,
+            "lot.reserve": self._reserve_job,
             "lot.put": self._submit_job,
             "lot.read": self._read_results,
             "lot.item": self._read_item,
@@ -156,15 +162,28 @@
     def _sign(self, leadership: LeadershipTerm) -> dict:
         return LeaderSignature(leadership.run, self.store.id, leadership.term).to_document()
 
+    async def _reserve_job(self, document: dict, _body: bytes) -> None:
+        request = ReserveJobRequest.from_document(document)
+        if not self._reservations.reserve(request.job_id, request.size, self.store.clock.now()):
+            self.store.counters.add("job.waits_for_memory")
+            raise CallRefusedError(NO_MEMORY)
+
     async def _submit_job(self, document: dict, body: bytes) -> dict:
         request = SubmitJobRequest.from_document(document)
-        leadership = self._submission_leadership(request, len(body))
+        self._reservations.begin(request.job_id)
+        try:
+            leadership = self._submission_leadership(request, len(body))
+            await self._accept_job(leadership, document, body)
+        finally:
+            self._reservations.release(request.job_id)
+        return self._sign(leadership)
+
+    async def _accept_job(self, leadership: LeadershipTerm, document: dict, body: bytes) -> None:
         try:
             await leadership.accept_job(document, body)
         except DeposedError:
             leadership.step_down()
             raise CallRefusedError(NOT_CERTAIN) from None
-        return self._sign(leadership)
 
     def _submission_leadership(self, request: SubmitJobRequest, size: int) -> LeadershipTerm:
         """Finds the leadership that may take a job of so many bytes now; refuses if there is none."""
--- a/archhatch/store/messages.py
+++ b/archhatch/store/messages.py
@@ -101,6 +101,14 @@
     stores: dict = wire("stores")
 
 
+@dataclass(frozen=True, slots=True)
+class ReserveJobRequest(Message):
+    """Asks for room for the body of a large job, before it is sent."""
+
+    job_id: str = wire("lot")
+    size: int = wire("size")
+
+
 @dataclass(frozen=True, slots=True)
 class SubmitJobRequest(Message):
     """Hands in a job. The leader reads further keys of the same document as the head of the job's record.
--- a/archhatch/store/result_codes.py
+++ b/archhatch/store/result_codes.py
@@ -11,3 +11,4 @@
 NOT_TAKEN = 3005  # nothing was taken: another store may be asked without risk
 NO_ROOM = 3008
 DISK_FAILED = 3010
+NO_MEMORY = 3013  # too little memory for a job's body at the moment; nothing was taken
--- a/tests/crowds/deployment.py
+++ b/tests/crowds/deployment.py
@@ -127,9 +127,9 @@
 
 
 @contextlib.asynccontextmanager
-async def small_system(max_fds: int = MAX_FDS):
+async def small_system(max_fds: int = MAX_FDS, edge_count: int = 1):
     """Starts a system and its replicas, and ends them; gives the system and a watch on it."""
-    system = SmallSystem(Record(Path(os.devnull)))
+    system = SmallSystem(Record(Path(os.devnull)), edge_count=edge_count)
     system.max_fds = max_fds
     replicas = replicas_of(system)
     watch = Watch(system)
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 
 import pytest
@@ -71,6 +72,17 @@
     play(scenario)
 
 
+def test_a_crowd_of_batch_jobs_at_several_edges():
+    async def scenario(system):
+        async with contextlib.AsyncExitStack() as crowds:
+            script = batch_job(job_body(200_000, 75))
+            scripts = [crowd(system.front(edge), 3, script) for edge in range(1, system.edge_count + 1)]
+            await asyncio.gather(*(crowds.enter_async_context(one) for one in scripts))
+            assert await ordinary_status(system.front()) == 200
+
+    play(scenario, edge_count=6)
+
+
 @pytest.mark.parametrize("method, target", [("GET", "/api/readiness"), ("POST", "/other")])
 def test_a_crowd_at_the_readiness_address(method, target):
     async def scenario(system):
--- a/tests/data_plane/test_job_handlers.py
+++ b/tests/data_plane/test_job_handlers.py
@@ -13,7 +13,7 @@
 from archhatch.runtime import Counters
 from archhatch.rpc import CallError
 from archhatch.upstream import REQUEST_ID_HEADER
-from archhatch.data_plane.job_handlers import MAX_UNCLEAR_JOBS, JobHandlers
+from archhatch.data_plane.job_handlers import LARGE_JOB_BYTES, MAX_UNCLEAR_JOBS, JobHandlers
 from archhatch.data_plane.job_messages import ReadJobRequest
 
 LEASE = {"holder": "s0", "life": "l", "term": 4}
@@ -45,10 +45,10 @@
         code, out = answer
         return code, out, b"page"
 
-    async def hand_in(self, job_id="l"):
+    async def hand_in(self, job_id="l", more=None):
         request = SimpleNamespace(headers={REQUEST_ID_HEADER: job_id, "Host": "h"}, raw_path="/p/")
         route = SimpleNamespace(traffic_split=[("s", 1)])
-        return (await self.desk.submit(request, route, orjson.dumps(LOT))).status
+        return (await self.desk.submit(request, route, orjson.dumps({**LOT, **(more or {})}))).status
 
 
 HAND_INS = [  # what the holder answers, in turn -> the status of the hand-in
@@ -67,6 +67,26 @@
 ]  # another's word is no acknowledgement
 
 
+LARGE_HAND_INS = [  # what the holder answers, in turn -> the status of the hand-in, and whether the body was sent
+    ([(1000, None), (1000, MINE)], 202, True),
+    ([(3013, None), (1000, None), (1000, MINE)], 202, True),
+    ([(3013, None)], 503, False),
+    ([LOST], 503, False),  # of the question for room nothing is left anywhere
+    ([(2009, None), (1000, MINE)], 202, True),  # a store of an earlier version does not know the question
+]
+
+
+@pytest.mark.parametrize("answers, status, is_sent", LARGE_HAND_INS)
+def test_a_large_job_is_sent_only_to_a_holder_with_room_for_it(run, answers, status, is_sent):
+    async def go():
+        edge = Edge(*answers)
+        assert await edge.hand_in(more={"Comment": "x" * (LARGE_JOB_BYTES + 1)}) == status
+        assert edge.calls[0][0] == "lot.reserve" and edge.calls[0][1]["size"] > LARGE_JOB_BYTES
+        assert any(verb == "lot.put" for verb, _ in edge.calls) is is_sent
+
+    run(go())
+
+
 @pytest.mark.parametrize("answers, status", HAND_INS)
 def test_a_refusal_is_said_only_if_nothing_can_have_been_taken(run, answers, status):
     edge = Edge(*answers)
