HTTP server: the rest of a refused body is not counted, and no served connection gives way

Callers saw: connections that closed while their requests ran (LOST), on an edge at which other clients sent large bodies.

When no other connection could be closed, the newest of all went, though it was being served.

The unit test fails on the code before.

Change: a connection knows that it discards, and counts nothing then. If all are being served only a connection that was just made is closed.

--- a/archhatch/http_server/connection.py
+++ b/archhatch/http_server/connection.py
@@ -57,6 +57,7 @@
         unsent_bytes: What its client did not take when that was more than UNSENT_BYTES.
         unsent_since: Since when; None while its client takes what it is sent.
         is_giving_way: Whether it is about to end for the sake of others.
+        is_discarding: Whether the rest of a refused body is on its way, which is read and let go.
         end_reason: Why its request is being ended; None while it is not.
     """
 
@@ -71,6 +72,7 @@
         "unsent_bytes",
         "unsent_since",
         "is_giving_way",
+        "is_discarding",
         "end_reason",
         "_header_bytes",
         "_serving_task",
@@ -89,6 +91,7 @@
         self.unsent_bytes = 0
         self.unsent_since: float | None = None
         self.is_giving_way = False
+        self.is_discarding = False
         self.end_reason: EndReason | None = None
         self._header_bytes = 0  # of the header section that is on its way
         self._serving_task: asyncio.Task[Any] | None = None
@@ -112,7 +115,7 @@
         if table.is_closed:
             self.force_close()
         else:
-            table.make_room()
+            table.make_room(newcomer=self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Lets go at once of what was read: the objects of a connection refer to each other, and are freed late."""
@@ -162,7 +165,7 @@
         if self.awaits_request and self.header_started_at is None:
             self.header_started_at = asyncio.get_running_loop().time()
             self._header_bytes = 0
-        if self.body_charge is None:
+        if self.body_charge is None and not self.is_discarding:
             self._note_unserved(len(data))
         requests_before = self._request_count
         super().data_received(data)
@@ -225,7 +228,7 @@
     def begin_request(self, task: asyncio.Task[Any]) -> None:
         """Notes that a request is being handled."""
         self._serving_task = task
-        self.awaits_request = False
+        self.awaits_request = self.is_discarding = False
         self.header_started_at = self.opened_at = None
 
     def finish_body(self) -> None:
@@ -235,16 +238,17 @@
         if self.transport is not None:
             cast(Any, self.transport).max_size = READ_BYTES
 
-    def finish_request(self, awaits_request: bool) -> None:
+    def finish_request(self, is_read: bool) -> None:
         """Notes that it is handled.
 
         Args:
-            awaits_request: Whether nothing is left of it on its way, and no further request has been read.
+            is_read: Whether nothing of it is on its way any more.
         """
         # of requests that were read ahead no more than a read and a buffer is left
         self.take_unserved(READ_BYTES + BUFFERED_BYTES if self._messages else 0)
         self._serving_task = None
-        self.awaits_request = awaits_request
+        self.is_discarding = not is_read
+        self.awaits_request = is_read and not self._messages
         self.rested_at = asyncio.get_running_loop().time()
 
     def end_request(self, reason: EndReason) -> None:
@@ -314,17 +318,21 @@
         """Returns about what its connections take."""
         return len(self._connections) * CONNECTION_BYTES + self.held_bytes
 
-    def make_room(self) -> None:
-        """Closes a connection if there are too many."""
+    def make_room(self, newcomer: ClientConnection | None = None) -> None:
+        """Closes a connection if there are too many; one that is being served never is.
+
+        Args:
+            newcomer: A connection that was just made, which goes if all others are being served.
+        """
         if not self.are_bounds_passed():
             return
         connections = [connection for connection in self.client_connections() if not connection.is_giving_way]
         states = [connection.state(key) for key, connection in enumerate(connections)]
         chosen = choose_to_close(states, self._loop.time())
-        if chosen is None:
-            chosen = len(connections) - 1  # all are being served: the newest goes
-        self._counters.add(f"http.gave_way.{states[chosen].stage.value}")
-        connections[chosen].give_way()
+        giving_way = newcomer if chosen is None else connections[chosen]
+        if giving_way is not None:
+            self._counters.add("http.gave_way")
+            giving_way.give_way()
 
 
 def set_read_bytes(connection: ClientConnection, content: StreamReader, count: int) -> None:
--- a/archhatch/http_server/server.py
+++ b/archhatch/http_server/server.py
@@ -213,8 +213,7 @@
         finally:
             self.in_flight -= 1
             self._handlers.discard(task)
-            # not while the rest of a refused body is on its way, or a further request has been read
-            connection.finish_request(request.content.is_eof() and not connection.has_queued_requests())
+            connection.finish_request(is_read=request.content.is_eof())
 
     async def _result_of(
         self, request: BaseRequest, connection: ClientConnection, task: asyncio.Task[Any]
--- a/tests/crowds/clients.py
+++ b/tests/crowds/clients.py
@@ -75,12 +75,12 @@
 
 
 @contextlib.asynccontextmanager
-async def crowd(address: str, size: int, script: Script):
-    """Plays a script on so many connections, CROWD_S long; they stay open, and scripts go on, until the end."""
+async def crowd(address: str, size: int, script: Script, for_s: float = CROWD_S):
+    """Plays a script on so many connections for so long; they stay open, and scripts go on, until the end."""
     clients = [Client(address) for _ in range(size)]
     tasks = [asyncio.ensure_future(_play(client, script)) for client in clients]
     try:
-        await asyncio.wait(tasks, timeout=CROWD_S)
+        await asyncio.wait(tasks, timeout=for_s)
         yield clients
     finally:
         for task in tasks:
--- a/tests/crowds/deployment.py
+++ b/tests/crowds/deployment.py
@@ -71,6 +71,11 @@
     raise AssertionError(f"process {pid} has ended")
 
 
+def open_descriptors(pid: int) -> int:
+    """Returns how many descriptors a process has open."""
+    return len(os.listdir(f"/proc/{pid}/fd"))
+
+
 class Watch:
     """What the processes of a system used while it was watched.
 
@@ -96,7 +101,7 @@
         while True:
             for name, node in self.system.nodes.items():
                 with contextlib.suppress(OSError):
-                    open_fds = len(os.listdir(f"/proc/{node.process.pid}/fd"))
+                    open_fds = open_descriptors(node.process.pid)
                     self.most_fds[name] = max(self.most_fds.get(name, 0), open_fds)
             await asyncio.sleep(SAMPLE_S)
 
--- a/tests/http_server/test_client_memory.py
+++ b/tests/http_server/test_client_memory.py
@@ -180,6 +180,29 @@
     play(run, go, connections=3)
 
 
+def test_the_rest_of_a_refused_body_is_not_held_and_closes_no_one_else(run):
+    """Guards against counting what is read and let go: it closed connections that were being served (soak, seed 3)."""
+
+    async def go(it):
+        it.gate.clear()
+        served, _ = await it.client(head(2) + b"ok")
+        await it.until(lambda: it.bodies)
+        it.memory.connections = it.server._server._bounds = ConnectionBounds(64, 2 * CONNECTION_BYTES + LARGE)
+        it.server.limits = HttpLimits(max_body_bytes=5)
+        refused, writer = await it.client(head(100 * LARGE))
+        assert (await refused.readline()).split()[1] == b"413"
+        sent = 0
+        while sent < 20 * LARGE and not writer.transport.is_closing():
+            writer.write(b"b" * SMALL_BODY_BYTES)
+            sent += SMALL_BODY_BYTES
+            await writer.drain()
+            assert it.held()[2] <= LARGE
+        it.gate.set()
+        assert (await served.readline()).split()[1] == b"200"
+
+    play(run, go)
+
+
 async def read_all(reader):
     try:
         return await reader.read()
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -46,7 +46,13 @@
     }
 
 
-def configuration(revision: int, model_service: str, timeout_ms: int = 20000, has_roll: bool = True) -> dict:
+def configuration(
+    revision: int,
+    model_service: str,
+    timeout_ms: int = 20000,
+    has_roll: bool = True,
+    max_body_bytes: int = LIMITS["MaxBodyBytes"],
+) -> dict:
     """Returns a version: which service has the model and the rollout route, and whether there is that route."""
     routes = [
         _route("quote", "idempotent", "quote-app", 2000),
@@ -61,7 +67,8 @@
     for name in (BLUE, GREEN):
         models = [{"Name": "m"}] if name == model_service else []
         services.append({"Name": name, **plain, "Engine": {"SlotCount": 4, "KvCapacity": 123037, "ModelList": models}})
-    return {"Revision": revision, "RouteTable": routes, "ServiceTable": services, "Limits": LIMITS}
+    limits = {**LIMITS, "MaxBodyBytes": max_body_bytes}
+    return {"Revision": revision, "RouteTable": routes, "ServiceTable": services, "Limits": limits}
 
 
 def _quote_work_s(target: str) -> float:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,6 +1,6 @@
 """Soaks: real processes under clients that never let go, while signals, restarts, crashes and changes come in series.
 
-By hand: python3 -m tests.soak.soak --seeds 0:50 --jobs 4
+By hand: python3 -m tests.soak.soak --seeds 0:50 --jobs 4 [--crowds]
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 from tests.soak.clients import ITEMS, Job, LiveClient, Outcome, Trainer, send_bursts
+from tests.soak.crowds import BODY_LIMITS, CrowdSeries, SmallLinkedSystem
 from tests.soak.deployment import BLUE, Record, configuration, replicas_of
 from tests.soak.links import LinkedSystem
 from tests.soak.judge import judge_jobs, judge_live, judge_use
@@ -28,13 +29,16 @@
 MANY_EDGES = 40  # of a large soak
 
 
-async def play(seed: int, edge_count: int = 2, troubles_s: float = TROUBLES_S) -> list[str]:
-    """Plays one soak; returns the rules that were broken."""
+async def play(seed: int, edge_count: int = 2, troubles_s: float = TROUBLES_S, has_crowds: bool = False) -> list[str]:
+    """Plays one soak, with clients that do not behave if wanted; returns the rules that were broken."""
     asyncio.get_running_loop().set_exception_handler(_pass_over_resets)
     rng = random.Random(seed)
-    system = LinkedSystem(Record(Path("/dev/null")), edge_count=edge_count)
+    make_system = SmallLinkedSystem if has_crowds else LinkedSystem
+    system = make_system(Record(Path("/dev/null")), edge_count=edge_count)
     replicas = replicas_of(system)
     troubles = Troubles(system, replicas, rng)
+    crowds = CrowdSeries(system, random.Random(seed))
+    troubles.body_limits = BODY_LIMITS if has_crowds else ()
     outcomes: list[Outcome] = []
     jobs: list[Job] = []
     is_calm, is_over = asyncio.Event(), asyncio.Event()
@@ -53,6 +57,8 @@
             for n in range(CLIENTS_A_EDGE * min(edge_count, 8))
         ]
         running = [asyncio.ensure_future(each) for each in (*clients, *(trainer.run(is_calm) for trainer in trainers))]
+        if has_crowds:
+            running += [asyncio.ensure_future(crowds.play(is_calm)), asyncio.ensure_future(crowds.watch(is_over))]
         await troubles.play(troubles_s)
         await asyncio.sleep(CALM_S)
         is_calm.set()
@@ -63,11 +69,13 @@
         await asyncio.gather(*running)
         used = {"quote-app", "order-app", troubles.model_service}
         system.record.say(f"seed {seed}: {len(outcomes)} live requests, {len(jobs)} jobs, {troubles.log}")
+        system.record.say(f"crowds: {crowds.played}")
         return [
             *judge_live(outcomes, replicas, troubles.log),
             *judge_jobs(jobs, replicas, troubles.log),
             *judge_use(replicas, calm_from, used),
             *(f"LATE END {end}" for end in troubles.log.late_ends),
+            *sorted(crowds.broken),
         ]
     finally:
         is_calm.set()
@@ -103,17 +111,19 @@
     parser.add_argument("--seeds", default="0:1", help="FIRST:END")
     parser.add_argument("--jobs", type=int, default=1, help="how many are played at once")
     parser.add_argument("--edges", type=int, default=2)
+    parser.add_argument("--crowds", action="store_true", help="play clients that do not behave beside the others")
     parser.add_argument("--alone", action="store_true", help="play the first seed in this process")
     options = parser.parse_args()
     first, end = (int(part) for part in options.seeds.split(":"))
     if options.alone:
-        broken = asyncio.run(play(first, options.edges))
+        broken = asyncio.run(play(first, options.edges, has_crowds=options.crowds))
         print("\n".join(broken) or "all rules held", flush=True)
         return 1 if broken else 0
 
     def play_seed(seed: int) -> int:
         command = [sys.executable, "-m", "tests.soak.soak", "--alone", "--seeds", f"{seed}:{seed + 1}"]
-        done = subprocess.run([*command, "--edges", str(options.edges)], cwd=ROOT, capture_output=True, check=False)
+        command += ["--edges", str(options.edges), *(["--crowds"] if options.crowds else [])]
+        done = subprocess.run(command, cwd=ROOT, capture_output=True, check=False)
         lines = (done.stdout + done.stderr).decode().splitlines()
         shown = lines if options.jobs == 1 else [line for line in lines if not line[:9].strip()[:1].isdigit()]
         print(f"seed {seed}: exit {done.returncode}", *shown, sep="\n  ", flush=True)
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -42,6 +42,7 @@
         self.log = Log()
         self.reset_begun = asyncio.Event()
         self.model_service = BLUE
+        self.body_limits: tuple[int, ...] = ()  # MaxBodyBytes of versions, drawn; without them that of the first
         self._revision = 1
         self._started_at: dict[str, float] = {}
 
@@ -159,7 +160,8 @@
 
     async def configure(self, has_roll: bool, timeout_ms: int = 20000) -> None:
         """Sends the next version until it is acknowledged."""
-        document = configuration(self._revision + 1, self.model_service, timeout_ms, has_roll)
+        limit = {"max_body_bytes": self.rng.choice(self.body_limits)} if self.body_limits else {}
+        document = configuration(self._revision + 1, self.model_service, timeout_ms, has_roll, **limit)
         while status_of(await self.system.change_configuration(document, self._revision)) != 200:
             await asyncio.sleep(0.2)
         self._revision += 1
