Client memory: charges by what a byte and a connection were measured to cost

A batch job costs an edge three times its length while it is on its way to its store (1.5 was charged), a connection 5.4 KB at rest and 14.8 KB with a request (32 KiB were charged, 20 now): a small edge keeps 1,171 connections.

--- a/archhatch/data_plane/dispatcher.py
+++ b/archhatch/data_plane/dispatcher.py
@@ -34,7 +34,7 @@
 
 BODY_WAIT_SHARE = 1 / 3  # of a request's time: a client gives up what was not read by then
 MAX_JOB_CALL_BYTES = 64 << 10  # of a call about a batch job, which needs no body
-JOB_COST_RATIO = 1.5  # of a batch job: its body, and what is sent to its store
+JOB_COST_RATIO = 3.0  # memory of a batch job until its store has it, to the bytes of its body
 
 
 @dataclass(frozen=True, slots=True)
--- a/archhatch/http_server/client_memory.py
+++ b/archhatch/http_server/client_memory.py
@@ -11,7 +11,7 @@
 from ..runtime import Counters
 
 # Of one connection with a request: aiohttp's objects, the request's head, its task and its way to a replica.
-CONNECTION_BYTES = 32 << 10
+CONNECTION_BYTES = 20 << 10
 SMALL_BODY_BYTES = 64 << 10  # bodies up to this length have a part of the memory for themselves
 RESERVED_FDS = 200  # of MaxFds: files outside of the data folder
 OTHER_FDS_SHARE = 0.25  # of MaxFds: for replicas, other nodes and the other listeners
