HTTP server: 16 KiB a read, and chunked bodies charged with what their chunks cost

All crowds at once, three times their size, took 164 MB of an edge of 160: the buffers of bodies in very small chunks (up to 1,024 of them, and the read behind them) stood beside their charge. Now 512 chunks and 16 KiB are buffered, and a body in chunks holds 96 KiB at first.

--- a/archhatch/http_server/body_reader.py
+++ b/archhatch/http_server/body_reader.py
@@ -17,6 +17,8 @@
 from .client_memory import SMALL_BODY_BYTES, BodyTerms, ClientMemory
 from .connection import ClientConnection, discard_buffered, set_read_bytes
 
+# What a body in chunks holds at first: SMALL_BODY_BYTES of it, and what is kept of very small chunks.
+UNKNOWN_LENGTH_BYTES = SMALL_BODY_BYTES + (32 << 10)
 LARGE_READ_BYTES = 256 << 10  # of a large body, whose memory is held, before others have their turn
 NEXT_READ_BYTES = 64 << 10  # of a body in chunks: held beyond what has come
 SMALL_PIECE_BYTES = 4 << 10  # a buffer of chunks with less in it was full of very small ones
@@ -89,7 +91,7 @@
     async def hold(self, length: int | None) -> None:
         """Holds memory for the body, or for its beginning."""
         if length is None:
-            await self._take_small(SMALL_BODY_BYTES)
+            await self._take_small(UNKNOWN_LENGTH_BYTES)
             return
         if length <= SMALL_BODY_BYTES and self._terms.cost_ratio <= 1.0:
             await self._take_small(length)
--- a/archhatch/http_server/connection.py
+++ b/archhatch/http_server/connection.py
@@ -23,8 +23,8 @@
 from .connection_choice import ConnectionState, Stage, choose_to_close
 from .limits import HttpLimits
 
-READ_BYTES = 32 << 10  # of one connection, before the others have their turn
-BUFFERED_BYTES = 32 << 10  # of a body that is not being read yet, in 1,024 chunks at most
+READ_BYTES = 16 << 10  # of one connection, before the others have their turn
+BUFFERED_BYTES = 16 << 10  # of a body that is not being read yet, in 512 chunks at most
 MAX_REQUESTS_AHEAD = 2  # parsed, beside the one that is being served
 UNSENT_BYTES = 16 << 10  # of answers, from which on the next request of the connection waits
 
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -102,6 +102,18 @@
     play(scenario)
 
 
+def test_all_crowds_at_once():
+    async def scenario(system):
+        crowds = [crowd(system.front(), size, make_script()) for size, make_script in FRONT_CROWDS.values()]
+        crowds.append(crowd(system.readiness(), 10, body_with_length("/other", LARGE_BYTES, missing=1)))
+        crowds.append(crowd(system.front(), 600, nothing))
+        async with contextlib.AsyncExitStack() as entered:
+            await asyncio.gather(*(entered.enter_async_context(one) for one in crowds))
+            assert await ordinary_status(system.front()) == 200
+
+    play(scenario)
+
+
 def test_more_connections_than_descriptors():
     async def scenario(system):
         async with crowd(system.front(), 700, nothing):
