--- a/tests/system/test_upgrade.py
+++ b/tests/system/test_upgrade.py
@@ -69,7 +69,11 @@
             assert await ask(system, 1, "/new-2/1") == 200  # the text was taken for a number
             readiness = await call_once(system.readiness(1), "GET", "/api/readiness")
             code = {"Version": build_info().version, "Sources": build_info().sources}  # what was built is what runs
-            assert readiness.json() == {"OperState": "ready", "Revision": 2, **code}
+            condition = readiness.json()
+            held = condition.pop("HeldBytes")
+            assert set(held) == {"connections", "large_bodies", "small_bodies"}
+            assert held["large_bodies"] == held["small_bodies"] == 0  # nothing is on its way
+            assert condition == {"OperState": "ready", "Revision": 2, "AtBound": [], **code}
             operator = Operator(system, ROOT, revision=2)
             assert await operator.send(1, timeout_ms="2000") == 400  # what arrives today is read strictly
             await operator.send_until_taken()
