--- a/tests/crowds/clients.py
+++ b/tests/crowds/clients.py
@@ -172,8 +172,8 @@
     return script
 
 
-def bodies_and_resets(target: str, length: int, sent: Iterator[int], count: int) -> Script:
-    """Sends part of a body and resets the connection, again and again."""
+def _with_resets(next_request: Callable[[], bytes], count: int, pause_s: float = 0.0) -> Script:
+    """Sends a request, or a part of one, and resets the connection, again and again on new ones."""
 
     async def script(client: Client) -> None:
         address = f"{client.address[0]}:{client.address[1]}"
@@ -181,13 +181,19 @@
             other = Client(address)
             try:
                 await other.connect()
-                await other.send(head(target, length) + FILLER[: next(sent)])
+                await other.send(next_request())
+                await asyncio.sleep(pause_s)
             finally:
                 other.reset()
 
     return script
 
 
+def bodies_and_resets(target: str, length: int, sent: Iterator[int], count: int) -> Script:
+    """Sends part of a body and resets the connection, again and again."""
+    return _with_resets(lambda: head(target, length) + FILLER[: next(sent)], count)
+
+
 def job_body(payload_bytes: int, items: int) -> bytes:
     """Returns a batch job with payloads of so many bytes."""
     payload = base64.b64encode(bytes(range(256)) * (payload_bytes // 256)).decode()
@@ -217,20 +223,8 @@
 
 
 def batch_jobs_and_resets(body: bytes, count: int) -> Script:
-    """Hands in a batch job and resets the connection, again and again."""
-
-    async def script(client: Client) -> None:
-        address = f"{client.address[0]}:{client.address[1]}"
-        for _ in range(count):
-            other = Client(address)
-            try:
-                await other.connect()
-                await other.send(head("/roll/step", len(body)) + body)
-                await asyncio.sleep(0.05)  # so that it is read, and on its way to its store
-            finally:
-                other.reset()
-
-    return script
+    """Hands in a batch job and resets the connection once it is on its way to its store, again and again."""
+    return _with_resets(lambda: head("/roll/step", len(body)) + body, count, pause_s=0.05)
 
 
 async def nothing(_client: Client) -> None:
--- a/tests/http_server/test_client_memory.py
+++ b/tests/http_server/test_client_memory.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from tests.http_server import rig
 
 from archhatch.http_server import BodyTerms, ClientMemory, HttpLimits, HttpServer
 from archhatch.http_server.client_memory import CONNECTION_BYTES, SMALL_BODY_BYTES, ConnectionBounds
@@ -59,18 +60,7 @@
 
 
 def play(run, scenario, **options):
-    async def go():
-        it = Served(**options)
-        await it.server.open("127.0.0.1:0")
-        try:
-            await scenario(it)
-        finally:
-            it.gate.set()
-            for writer in it.writers:
-                writer.close()
-            await it.server.close(0.0)
-
-    run(go())
+    rig.play(run, Served(**options), scenario)
 
 
 ENDS = [
--- a/tests/http_server/test_shutdown.py
+++ b/tests/http_server/test_shutdown.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from tests.http_server import rig
 from aiohttp.web_response import StreamResponse
 
 from archhatch.http_server import HttpServer
@@ -60,19 +61,7 @@
 
 def play(run, scenario, handler=None):
     """Plays a scenario with a server of its own."""
-
-    async def go():
-        it = Served(handler)
-        await it.server.open("127.0.0.1:0")
-        try:
-            await scenario(it)
-        finally:
-            it.gate.set()
-            for writer in it.writers:
-                writer.close()
-            await it.server.close(0.0)
-
-    run(go())
+    rig.play(run, Served(handler), scenario)
 
 
 # What came on a resting connection in the last 0.2 s of an edge was read and thrown away.
