Stores: a large job's bytes are not copied on their way to the disk and to other stores

Cause: a store that led a run held the bytes of one job up to ten times. Packing records copied them twice, unpacking twice, the log joined them with their head and then copied them into one chunk, and a caller and a server kept the body of a call until its answer. Nobody counted these.

Change: the log takes a record in pieces and writes them chunk by chunk; records are packed into and unpacked from one buffer; a connection lets go of a body once its frame is written, a server once its handler has it.

--- a/archhatch/jobs/record.py
+++ b/archhatch/jobs/record.py
@@ -136,17 +136,22 @@
 # -- bytes
 
 
+def pack_pieces(record: Record) -> tuple[bytes, bytes]:
+    """Returns a record as two pieces, one behind the other: its head with its length, and its body, not copied."""
+    head = orjson.dumps(record.head)
+    return _LENGTH.pack(len(head)) + head, bytes(record.body)
+
+
 def pack(record: Record) -> bytes:
     """Returns a record as bytes.
 
     >>> unpack(pack(Record(end_head("job", "run"), b"x"))).body
     b'x'
     """
-    head = orjson.dumps(record.head)
-    return _LENGTH.pack(len(head)) + head + bytes(record.body)
+    return b"".join(pack_pieces(record))
 
 
-def unpack(raw: bytes) -> Record:
+def unpack(raw: bytes | memoryview) -> Record:
     """Returns the record in these bytes."""
     length = _LENGTH.unpack_from(raw)[0]
     return Record(orjson.loads(raw[4 : 4 + length]), bytes(raw[4 + length :]))
@@ -158,20 +163,20 @@
     >>> len(unpack_many(pack_many([Record({"k": "E"}), Record({"k": "E"})])))
     2
     """
-    parts = []
+    pieces: list[bytes] = []
     for record in records:
-        raw = pack(record)
-        parts.append(_LENGTH.pack(len(raw)))
-        parts.append(raw)
-    return b"".join(parts)
+        head, body = pack_pieces(record)
+        pieces += (_LENGTH.pack(len(head) + len(body)), head, body)
+    return b"".join(pieces)
 
 
 def unpack_many(raw: bytes) -> list[Record]:
     """Returns what pack_many packed."""
     records = []
     start = 0
+    view = memoryview(raw)  # its slices copy nothing
     while start < len(raw):
         length = _LENGTH.unpack_from(raw, start)[0]
-        records.append(unpack(raw[start + 4 : start + 4 + length]))
+        records.append(unpack(view[start + 4 : start + 4 + length]))
         start += 4 + length
     return records
--- a/archhatch/jobs/record_state.py
+++ b/archhatch/jobs/record_state.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from ..runtime import Clock
-from .record import Kind, Record, identity_head, order_head, pack, promise_head, unpack
+from .record import Kind, Record, identity_head, order_head, pack_pieces, promise_head, unpack
 from .run_report import HeldJob, RunReport
 
 RECORD_OVERHEAD = 200  # bytes reckoned for a record besides its body
@@ -212,7 +212,7 @@
         for job_id in job_ids:
             self.batch_jobs.pop(job_id, None)
 
-    def snapshot(self) -> Iterator[bytes]:
+    def snapshot(self) -> Iterator[tuple[bytes, bytes]]:
         """Returns all that is kept, for a rewritten log.
 
         It is gathered now, and packed as it is taken, also in another thread.
@@ -225,7 +225,7 @@
         records = [Record(head) for head in heads] + self._window_records()
         for stored in self.batch_jobs.values():
             records += stored.records()
-        return (pack(record) for record in records)
+        return (pack_pieces(record) for record in records)
 
     def size(self) -> int:
         """Returns the bytes that the jobs' records come to."""
--- a/archhatch/jobs/record_store.py
+++ b/archhatch/jobs/record_store.py
@@ -17,9 +17,9 @@
 from dataclasses import dataclass
 
 from ..runtime import Clock, Counters
-from ..wal import LogError, WriteAheadLog
+from ..wal import LogError, LogRecord, WriteAheadLog
 from .body_cache import BodyCache
-from .record import Kind, Record, identity_head, pack, promise_head
+from .record import Kind, Record, identity_head, pack, pack_pieces, promise_head
 from .record_state import RecordState
 
 RESERVE = 1 / 8  # of the disk: kept free of new jobs, for promises, results and ends
@@ -179,7 +179,7 @@
             self.counters.add("record_store.write_failed")
 
     async def _carry(self, entries: list[_Entry]) -> list[bool]:
-        raws: list[bytes] = []
+        raws: list[LogRecord] = []
         terms: dict[str, int] = {}
         for entry in entries:
             run = entry.record.head["run"]
@@ -187,7 +187,7 @@
                 terms[run] = entry.term
                 raws.append(pack(Record(promise_head(run, entry.term))))
             if entry.record.head["k"] != Kind.PROMISE and not self.supersedes(entry.record):
-                raws.append(pack(entry.record))
+                raws.append(pack_pieces(entry.record))
         try:
             await self.wal.append(*raws)
         finally:
--- a/archhatch/rpc/connection.py
+++ b/archhatch/rpc/connection.py
@@ -119,6 +119,7 @@
         try:
             head = orjson.dumps(document)
             channel.write(pack(Envelope(call=key, verb=verb, head=head, body=body, to=to, within_ms=within_ms)))
+            del body  # a long one does not stand here beside its frame while the answer is awaited
             answer = await self._wait(channel, future, verb, timeout_s)
         except FrameError as error:
             raise CallError(f"{self.address}: {verb}: {error}", sent=False) from error
--- a/archhatch/rpc/server.py
+++ b/archhatch/rpc/server.py
@@ -199,7 +199,7 @@
         """
         try:
             handler = self._find_handler(call)
-            result = await handler(orjson.loads(call.head) if call.head else None, call.body)
+            result = await handler(orjson.loads(call.head) if call.head else None, _take_body(call))
         except CallRefusedError as refusal:
             return refusal.code, refusal.document, b""
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
@@ -230,3 +230,10 @@
         """Returns whether an id is one of this node's; a server that knows none has none."""
         own = self.identity() if self.identity is not None else ""
         return node_id == own if isinstance(own, str) else node_id in own
+
+
+def _take_body(call: Envelope) -> bytes:
+    """Takes the body out of a call, so that a long one lives no longer than its handler needs it."""
+    body = call.body
+    call.body = b""
+    return body
--- a/archhatch/store/handlers.py
+++ b/archhatch/store/handlers.py
@@ -102,8 +102,10 @@
             if document["to"] != self.store.id:
                 self.store.counters.add("call.other_incarnation")
                 raise CallRefusedError(OTHER_INCARNATION)
+            answering = handler(document, body)
+            del body  # the handler's alone: it lets a long one go as soon as it can
             try:
-                return await handler(document, body)
+                return await answering
             except LogError:
                 raise CallRefusedError(DISK_FAILED) from None
 
@@ -127,7 +129,9 @@
     async def _append(self, _document: dict, body: bytes) -> list:
         if not self.store.ready:
             raise CallRefusedError(NOT_CERTAIN)
-        return await self.store.disk.watch(self.store.record_store.append(unpack_many(body)))
+        records = unpack_many(body)
+        del body  # the records have their own bytes
+        return await self.store.disk.watch(self.store.record_store.append(records))
 
     async def _fetch_records(self, document: dict, _body: bytes) -> tuple[None, bytes]:
         request = FetchRecordsRequest.from_document(document)
--- a/archhatch/wal/__init__.py
+++ b/archhatch/wal/__init__.py
@@ -33,7 +33,7 @@
 from .files import LogFiles, OsFiles
 from .generations import generation_number
 from .log import WriteAheadLog
-from .records import pack_record
+from .records import LogRecord, pack_record
 from .scan import read_records
 from .worker import ThreadWorker
 
@@ -42,6 +42,7 @@
     "LogClosedError",
     "LogError",
     "LogFiles",
+    "LogRecord",
     "LogRewriteError",
     "LogSyncError",
     "LogTruncateError",
--- a/archhatch/wal/generation.py
+++ b/archhatch/wal/generation.py
@@ -8,7 +8,7 @@
 
 from .errors import LogSyncError, LogTruncateError, LogWriteError
 from .files import LogFiles
-from .records import FrameKind, RecordDigest, frame_header
+from .records import FrameKind, LogRecord, RecordDigest, frame_header, pieces_of
 from .scan import CHUNK_BYTES, ByteSource, FileSource, iterate_frames
 
 PROBE_BYTES = 1 << 16  # written behind the end, and truncated again, to see whether the disk takes writes
@@ -36,7 +36,7 @@
         self.is_abandoned = False
         self.is_closed = False
 
-    def append(self, records: Iterable[bytes]) -> None:
+    def append(self, records: Iterable[LogRecord]) -> None:
         """Appends records and syncs them.
 
         Args:
@@ -59,7 +59,7 @@
             raise LogSyncError(f"{self.path}: {error}") from error
         self.size = end
 
-    def write_snapshot(self, records: Iterable[bytes]) -> RecordDigest:
+    def write_snapshot(self, records: Iterable[LogRecord]) -> RecordDigest:
         """Writes the records of a rewrite and syncs them; they do not count before `write_closing_frame`.
 
         Returns:
@@ -119,10 +119,12 @@
         """Writes in chunks of bounded size and returns the offset behind the last one."""
         chunk = bytearray()
         for frame_part in frame_parts:
-            chunk += frame_part
-            if len(chunk) >= CHUNK_BYTES:
-                offset = self._write_chunk(chunk, offset)
-                chunk = bytearray()
+            view = memoryview(frame_part)
+            for start in range(0, len(view), CHUNK_BYTES):
+                chunk += view[start : start + CHUNK_BYTES]
+                if len(chunk) >= CHUNK_BYTES:
+                    offset = self._write_chunk(chunk, offset)
+                    chunk = bytearray()
         return self._write_chunk(chunk, offset)
 
     def _write_chunk(self, chunk: bytearray, offset: int) -> int:
@@ -159,11 +161,11 @@
             self.files.truncate(self.handle, self.size)
 
 
-def _framed(records: Iterable[bytes], digest: RecordDigest | None = None) -> Iterator[bytes]:
-    """Yields header and body of each record, and adds each to the digest."""
+def _framed(records: Iterable[LogRecord], digest: RecordDigest | None = None) -> Iterator[bytes]:
+    """Yields header and pieces of each record, and adds each to the digest."""
     for record in records:
         header = frame_header(record)
         if digest is not None:
             digest.add(header)
         yield header
-        yield record
+        yield from pieces_of(record)
--- a/archhatch/wal/generations.py
+++ b/archhatch/wal/generations.py
@@ -13,7 +13,7 @@
 from .errors import LogError, LogRewriteError
 from .files import LogFiles
 from .generation import Generation
-from .records import CLOSING_FRAME_BYTES
+from .records import CLOSING_FRAME_BYTES, LogRecord
 from .scan import ByteSource, FileSource, ScanResult, has_valid_frame_from, scan
 
 DAMAGED_SUFFIX = ".damaged"  # of the copy that is kept of a damaged file
@@ -217,7 +217,7 @@
 
     # -- appending and rewriting
 
-    def append(self, records: Iterable[bytes]) -> None:
+    def append(self, records: Iterable[LogRecord]) -> None:
         """Appends records to the generation that counts, synced; see `Generation.append`."""
         self.current.append(records)
 
@@ -225,7 +225,7 @@
         """Finds out whether the disk takes writes; see `Generation.probe`."""
         self.current.probe()
 
-    def rewrite(self, records: Iterable[bytes]) -> None:
+    def rewrite(self, records: Iterable[LogRecord]) -> None:
         """Writes a new generation of these records and switches to it; after an error the previous one counts.
 
         Once a closing frame may be on the disk, the previous generation may take appends only if the newer file is
--- a/archhatch/wal/log.py
+++ b/archhatch/wal/log.py
@@ -11,6 +11,7 @@
 from .errors import LogBrokenError, LogClosedError, LogError
 from .files import LogFiles, OsFiles
 from .generations import Generations
+from .records import LogRecord
 from .requests import LogRequest, RequestQueue, Snapshot
 from .worker import ThreadWorker, Worker
 
@@ -154,7 +155,7 @@
         loop = asyncio.get_running_loop()
         self._tasks = [loop.create_task(self._process_requests()), loop.create_task(self._recover())]
 
-    async def append(self, *records: bytes) -> None:
+    async def append(self, *records: LogRecord) -> None:
         """Appends records; returns when they are synced.
 
         Raises:
@@ -194,7 +195,7 @@
     # -- requests
 
     async def _submit(
-        self, queue: list[LogRequest], records: tuple[bytes, ...] = (), snapshot: Snapshot | None = None
+        self, queue: list[LogRequest], records: tuple[LogRecord, ...] = (), snapshot: Snapshot | None = None
     ) -> None:
         if self._is_closed:
             raise LogClosedError(f"{self.path}: closed")
--- a/archhatch/wal/records.py
+++ b/archhatch/wal/records.py
@@ -16,6 +16,9 @@
 _CLOSING_BODY = struct.Struct(">QI")  # number of records, CRC-32 over their headers
 CLOSING_FRAME_BYTES = HEADER.size + _CLOSING_BODY.size
 
+# What an owner appends as one record: its bytes, or pieces of them, so that a long record is not copied to be joined.
+LogRecord = bytes | tuple[bytes, ...]
+
 
 class FrameKind(IntEnum):
     """The kinds of frames, by the mark that begins them."""
@@ -77,9 +80,22 @@
         return _CLOSING_BODY.pack(self.count, self.checksum)
 
 
-def frame_header(body: bytes, kind: FrameKind = FrameKind.RECORD) -> bytes:
-    """Returns the header that precedes these bytes."""
-    return HEADER.pack(kind, len(body), zlib.crc32(body))
+def pieces_of(record: LogRecord) -> tuple[bytes, ...]:
+    """Returns the pieces of a record, which are its bytes one behind the other."""
+    return (record,) if isinstance(record, bytes) else record
+
+
+def frame_header(record: LogRecord, kind: FrameKind = FrameKind.RECORD) -> bytes:
+    """Returns the header that precedes a record.
+
+    >>> frame_header(b"abc") == frame_header((b"a", b"bc"))
+    True
+    """
+    size = checksum = 0
+    for piece in pieces_of(record):
+        size += len(piece)
+        checksum = zlib.crc32(piece, checksum)
+    return HEADER.pack(kind, size, checksum)
 
 
 def pack_record(record: bytes) -> bytes:
--- a/archhatch/wal/requests.py
+++ b/archhatch/wal/requests.py
@@ -6,7 +6,9 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-Snapshot = Callable[[], Iterable[bytes]]
+from .records import LogRecord
+
+Snapshot = Callable[[], Iterable[LogRecord]]
 
 
 @dataclass(slots=True, eq=False)
@@ -23,7 +25,7 @@
 
     submitted_at: float
     done: asyncio.Future
-    records: tuple[bytes, ...] = ()
+    records: tuple[LogRecord, ...] = ()
     snapshot: Snapshot | None = None
     has_result: bool = False
 
--- a/tests/jobs/test_batch_job.py
+++ b/tests/jobs/test_batch_job.py
@@ -147,7 +147,7 @@
         again.load(wal.raws)
         assert again.promised_terms == {"m": 4} and again.batch_jobs["l"].results[0].head["term"] == 3
         third = RecordStore(wal, clock, Counters())
-        third.load(again.snapshot())
+        third.load(map(b"".join, again.snapshot()))
         assert third.promised_terms == again.promised_terms and third.batch_jobs.keys() == again.batch_jobs.keys()
 
     run(go())
--- a/tests/jobs/test_record_store.py
+++ b/tests/jobs/test_record_store.py
@@ -153,7 +153,7 @@
         kinds = ["S", "U"][2 - len(order) :]
         for one in (record_store, store(wal, clock)):
             assert [head["k"] for head, _ in one.describe_run("m")["windows"]] == kinds
-        wal.raws = list(record_store.snapshot())
+        wal.raws = list(map(b"".join, record_store.snapshot()))
         assert told(store(wal, clock))[0]["windows"] == record_store.describe_run("m")["windows"]
 
     run(go())
--- a/tests/share_group/test_window_journal.py
+++ b/tests/share_group/test_window_journal.py
@@ -125,7 +125,7 @@
         ]
         assert have == kept
         again = RecordStore(MemBook(), clock, Counters())
-        again.load(record_store.snapshot())
+        again.load(map(b"".join, record_store.snapshot()))
         assert [(r.head["k"], r.head["se"], r.head["n"]) for r in again.windows.get(("r", "m"), [])] == [
             (k, se, n) for k, _, se, n in kept
         ]
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -26,5 +26,5 @@
     def __init__(self):
         self.raws: list = []
 
-    async def append(self, *raws: bytes) -> None:
-        self.raws.extend(raws)
+    async def append(self, *raws: bytes | tuple[bytes, ...]) -> None:
+        self.raws.extend(raw if isinstance(raw, bytes) else b"".join(raw) for raw in raws)
