Stores: a large job that cannot be opened is refused before its body is sent

Cause: an edge asked for room only for the body of a job on its way; whether the job could be opened at all was checked when the whole body had come. With the open jobs at their share of the memory, each edge sent a job of 20 MB up to ten times a second, and the leader read each to refuse it.

Change: lot.reserve refuses with 3008, as lot.put does, what memory or disks do not admit; a job that is known is let in, as its caller may ask only because an answer was lost.

--- a/archhatch/store/handlers.py
+++ b/archhatch/store/handlers.py
@@ -168,6 +168,10 @@
 
     async def _reserve_job(self, document: dict, _body: bytes) -> None:
         request = ReserveJobRequest.from_document(document)
+        if not is_known(self.store, request.job_id) and not self.store.membership.can_admit(
+            request.job_id, request.size
+        ):
+            raise CallRefusedError(NO_ROOM)
         if not self._reservations.reserve(request.job_id, request.size, self.store.clock.now()):
             self.store.counters.add("job.waits_for_memory")
             raise CallRefusedError(NO_MEMORY)
@@ -246,8 +250,14 @@
 
     That is as far as this store can know; if so, a refusal must not promise that the job was not taken.
     """
-    is_kept = job_id in store.record_store.batch_jobs
-    if is_kept or any(job_id in term.offered_jobs or job_id in term.batch_jobs for term in store.leaderships.values()):
+    if is_known(store, job_id):
         return True
     leadership = store.leaderships.get(run)
     return leadership is not None and leadership.state == "reading"
+
+
+def is_known(store: JobHolder, job_id: str) -> bool:
+    """Returns whether a job is kept here, or was handed in to a term that this store leads or led."""
+    if job_id in store.record_store.batch_jobs:
+        return True
+    return any(job_id in term.offered_jobs or job_id in term.batch_jobs for term in store.leaderships.values())
--- a/tests/store/test_job_reservations.py
+++ b/tests/store/test_job_reservations.py
@@ -40,21 +40,42 @@
     assert reservations.reserve("b", 80, waited_s) is is_there_room
 
 
+def small_store(clock, admits=True, kept=()):
+    """Returns what handlers use of a store with room for 100,000 bytes of arriving jobs."""
+    return types.SimpleNamespace(
+        settings=types.SimpleNamespace(memory_mb=1),
+        clock=clock,
+        counters=Counters(),
+        leaderships={},
+        leaving=True,
+        ready=True,
+        record_store=types.SimpleNamespace(batch_jobs=dict.fromkeys(kept)),
+        membership=types.SimpleNamespace(can_admit=lambda _job_id, _size: admits),
+        members=dict,
+        id="s",
+    )
+
+
+@pytest.mark.parametrize("admits, job_id, code", [(False, "new", 3008), (False, "kept", None), (True, "new", None)])
+def test_a_job_that_cannot_be_opened_is_refused_before_its_body_is_sent(run, clock, admits, job_id, code):
+    """Guards against edges that sent bodies of 20 MB ten times a second, each read whole only to be refused."""
+
+    async def go():
+        handlers = StoreHandlers(small_store(clock, admits, kept=["kept"]))
+        try:
+            await handlers._reserve_job({"to": "s", "lot": job_id, "size": 90_000}, b"")
+            refused_with = None
+        except CallRefusedError as refusal:
+            refused_with = refusal.code
+        assert refused_with == code
+
+    run(go())
+
+
 def test_room_of_a_body_that_has_come_is_kept_until_it_is_taken_or_refused(run):
     async def go():
         clock = HandClock()
-        store = types.SimpleNamespace(
-            settings=types.SimpleNamespace(memory_mb=1),  # room for 100,000 bytes
-            clock=clock,
-            counters=Counters(),
-            leaderships={},
-            leaving=True,
-            ready=True,
-            record_store=types.SimpleNamespace(batch_jobs={}),
-            members=dict,
-            id="s",
-        )
-        handlers, gate = StoreHandlers(store), asyncio.Event()
+        handlers, gate = StoreHandlers(small_store(clock)), asyncio.Event()
         handlers._submission_leadership = lambda *_: types.SimpleNamespace(accept_job=lambda *_: gate.wait())
         handlers._sign = lambda leadership: {}
         put = {"to": "s", "lot": "a", "run": "r", "term": 1, "host": "h", "path": "/x"}
