Stores: each copy of a large job needs room of its own, and one whose room has gone is refused

Cause: room for arriving jobs was kept by the job's id. Several edges with the same job were all let in on one reservation; and the body of an edge that had stood still for 3 s was taken though its room was another job's by then.

Change: a reservation is for one copy. A large body that comes without one, or after it ran out, gets room or is refused with the codes for lack of room. LARGE_JOB_BYTES is one constant of jobs, for edges and stores.

Both unit tests failed before (room given twice; a body taken beside another).

--- a/archhatch/data_plane/job_handlers.py
+++ b/archhatch/data_plane/job_handlers.py
@@ -10,7 +10,7 @@
 
 from aiohttp.web_request import BaseRequest
 
-from ..jobs import InvalidJobError, Quorum, check_job
+from ..jobs import LARGE_JOB_BYTES, InvalidJobError, Quorum, check_job
 from ..routing import Route, RoutingTable
 from ..rpc import CallError, ConnectionPool
 from ..runtime import Clock, Counters, Result, Settings, error_result
@@ -48,7 +48,6 @@
 NOT_TAKEN_CODES = frozenset({2008, 3001, 3005, 3008})
 
 UNKNOWN_CALL_CODE = 2009  # of a store of an earlier version
-LARGE_JOB_BYTES = 256 << 10  # from here on a store is asked for room first
 RESERVE_CALL_S = 0.4
 MAX_HOLD_S = 5.0  # a read is held no longer, whatever its caller allows
 BEYOND_ALL_RESULTS = 1 << 31  # a position: asks whether a job is there, without any result
--- a/archhatch/jobs/__init__.py
+++ b/archhatch/jobs/__init__.py
@@ -1,6 +1,6 @@
 """Batch jobs and their results, as stores keep them."""
 
-from .batch_job import BatchJob, Item, check_job, read_job
+from .batch_job import LARGE_JOB_BYTES, BatchJob, Item, check_job, read_job
 from .body_cache import BodyCache
 from .errors import DeposedError, InvalidJobError
 from .quorum import Quorum, active_members
@@ -9,6 +9,7 @@
 from .replicator import Replicator
 
 __all__ = [
+    "LARGE_JOB_BYTES",
     "BatchJob",
     "BodyCache",
     "DeposedError",
--- a/archhatch/jobs/batch_job.py
+++ b/archhatch/jobs/batch_job.py
@@ -20,6 +20,7 @@
 _HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,256}", re.ASCII)  # a token (RFC 9110)
 _HEADER_VALUE = re.compile(r"[\x20-\x7e\x80-\uffff\t]*")
 
+LARGE_JOB_BYTES = 256 << 10  # a longer body is sent to a store only once there is room for it
 ITEM_OVERHEAD_BYTES = 1500  # of memory that an item takes beside its part of the body, its share entry included
 PAGE_BYTES = 300_000  # of results that one answer holds: each is copied a few times on its way
 
--- a/archhatch/store/handlers.py
+++ b/archhatch/store/handlers.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+import contextlib
+from collections.abc import Awaitable, Callable, Iterator
 from typing import TYPE_CHECKING, Any, Protocol
 
-from ..jobs import DeposedError
+from ..jobs import LARGE_JOB_BYTES, DeposedError
 from ..jobs.record import pack_many, unpack_many
 from ..rpc import CallRefusedError, Handlers
 from ..wal import LogError
@@ -178,14 +179,26 @@
 
     async def _submit_job(self, document: dict, body: bytes) -> dict:
         request = SubmitJobRequest.from_document(document)
-        self._reservations.begin(request.job_id)
-        try:
+        with self._room_for(request, len(body)):
             leadership = self._submission_leadership(request, len(body))
             await self._accept_job(leadership, document, body)
-        finally:
-            self._reservations.release(request.job_id)
         return self._sign(leadership)
 
+    @contextlib.contextmanager
+    def _room_for(self, request: SubmitJobRequest, size: int) -> Iterator[None]:
+        """Keeps room for the body of a large job while it is taken; refuses if there is none for it any more."""
+        if size <= LARGE_JOB_BYTES:
+            yield
+            return
+        reservation = self._reservations.begin(request.job_id, size, self.store.clock.now())
+        if reservation is None:
+            self.store.counters.add("job.waits_for_memory")
+            raise CallRefusedError(self._refusal_for_lack(request))
+        try:
+            yield
+        finally:
+            self._reservations.release(reservation)
+
     async def _accept_job(self, leadership: LeadershipTerm, document: dict, body: bytes) -> None:
         try:
             await leadership.accept_job(document, body)
@@ -204,9 +217,13 @@
             raise CallRefusedError(NOT_CERTAIN)
         is_known = request.job_id in leadership.batch_jobs
         if not is_known and not store.membership.can_admit(request.job_id, size):
-            raise CallRefusedError(NOT_CERTAIN if may_be_taken(store, request.run, request.job_id) else NO_ROOM)
+            raise CallRefusedError(self._refusal_for_lack(request))
         return leadership
 
+    def _refusal_for_lack(self, request: SubmitJobRequest) -> int:
+        """Returns the code that refuses a job for lack of room."""
+        return NOT_CERTAIN if may_be_taken(self.store, request.run, request.job_id) else NO_ROOM
+
     async def _read_results(self, document: dict, _body: bytes) -> tuple[dict, bytes]:
         request = ReadResultsRequest.from_document(document)
         leadership = self._leadership_of(request.job_id)
--- a/archhatch/store/job_reservations.py
+++ b/archhatch/store/job_reservations.py
@@ -6,21 +6,42 @@
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass
 
 RESERVED_S = 3.0  # for so long room is kept for a body that does not come
 
 
+@dataclass(slots=True, eq=False)
+class JobReservation:
+    """Room for one copy of a job's body.
+
+    Attributes:
+        job_id: The job.
+        size: The room in bytes.
+        expires_at: Until when it is kept, on the steady clock; for ever once the body has come.
+    """
+
+    job_id: str
+    size: int
+    expires_at: float
+
+
 class JobReservations:
-    """Keeps room for jobs by their ids.
+    """Keeps room for the bodies of jobs, each copy of one by itself: several edges may send the same job.
 
     >>> reservations = JobReservations(capacity_bytes=100)
     >>> [reservations.reserve(job_id, 60, 0.0) for job_id in ("a", "b", "a")], reservations.reserve("b", 60, 3.0)
-    ([True, False, True], True)
+    ([True, False, False], True)
     """
 
     def __init__(self, capacity_bytes: int) -> None:
         self._capacity_bytes = capacity_bytes
-        self._reserved: dict[str, tuple[int, float]] = {}  # bytes, and until when; by job
+        self._reservations: list[JobReservation] = []
+
+    @property
+    def reserved_bytes(self) -> int:
+        """How much room is kept."""
+        return sum(reservation.size for reservation in self._reservations)
 
     def reserve(self, job_id: str, size: int, now: float) -> bool:
         """Returns whether there is room for a job's body, and keeps it; one that needs all of it has it for itself.
@@ -30,20 +51,28 @@
             size: The length of its body.
             now: The steady clock.
         """
-        self._reserved = {other: held for other, held in self._reserved.items() if held[1] > now}
+        return self._reserve(job_id, size, now) is not None
+
+    def _reserve(self, job_id: str, size: int, now: float) -> JobReservation | None:
+        self._reservations = [reservation for reservation in self._reservations if reservation.expires_at > now]
         needed = min(size, self._capacity_bytes)
-        held_by_others = sum(held[0] for other, held in self._reserved.items() if other != job_id)
-        if held_by_others + needed > self._capacity_bytes:
-            return False
-        self._reserved[job_id] = (needed, now + RESERVED_S)
-        return True
-
-    def begin(self, job_id: str) -> None:
-        """Keeps the room of a job whose body has come until it is released."""
-        held = self._reserved.get(job_id)
-        if held is not None:
-            self._reserved[job_id] = (held[0], math.inf)
-
-    def release(self, job_id: str) -> None:
-        """Gives the room of a job back."""
-        self._reserved.pop(job_id, None)
+        if self.reserved_bytes + needed > self._capacity_bytes:
+            return None
+        reservation = JobReservation(job_id, needed, now + RESERVED_S)
+        self._reservations.append(reservation)
+        return reservation
+
+    def begin(self, job_id: str, size: int, now: float) -> JobReservation | None:
+        """Keeps the room of a body that has come until it is released; returns it.
+
+        A body for which no room is kept, or no more, needs it now: None if there is none.
+        """
+        waiting = (held for held in self._reservations if held.job_id == job_id and held.expires_at < math.inf)
+        reservation = next(waiting, None) or self._reserve(job_id, size, now)
+        if reservation is not None:
+            reservation.expires_at = math.inf
+        return reservation
+
+    def release(self, reservation: JobReservation) -> None:
+        """Gives room back."""
+        self._reservations.remove(reservation)
--- a/tests/crowds/clients.py
+++ b/tests/crowds/clients.py
@@ -10,6 +10,7 @@
 import contextlib
 import itertools
 import json
+import random
 import socket
 import struct
 from collections.abc import Awaitable, Callable, Iterator
@@ -194,9 +195,10 @@
     return _with_resets(lambda: head(target, length) + FILLER[: next(sent)], count)
 
 
-def job_body(payload_bytes: int, items: int) -> bytes:
-    """Returns a batch job with payloads of so many bytes."""
-    payload = base64.b64encode(bytes(range(256)) * (payload_bytes // 256)).decode()
+def job_body(payload_bytes: int, items: int, is_random: bool = False) -> bytes:
+    """Returns a batch job with payloads of so many bytes; random ones do not get shorter on their way between nodes."""
+    plain = bytes(range(256)) * (payload_bytes // 256)
+    payloads = [base64.b64encode(random.randbytes(len(plain)) if is_random else plain).decode() for _ in range(items)]
     entries = [
         {
             "InstanceId": f"item-{n}",
@@ -204,7 +206,7 @@
             "GroupId": f"g{n}",
             "TokenCount": 24,
             "HeaderMap": {"X-Archhatch-Model": "m", "X-Archhatch-Token-Count": "16,8"},
-            "Payload": payload,
+            "Payload": payloads[n],
             "ScorerUrl": {"InstanceId": f"reward-{n}", "HostName": HOST, "Path": f"/score/{n}"},
         }
         for n in range(items)
@@ -212,11 +214,12 @@
     return json.dumps({"TrainStep": 0, "Model": "m", "MinRevision": 1, "DesiredCount": 1, "Entries": entries}).encode()
 
 
-def batch_job(body: bytes) -> Script:
-    """Hands in a batch job."""
+def batch_job(body: bytes, job_id: str | None = None) -> Script:
+    """Hands in a batch job, under an id of its own if none is given."""
 
     async def script(client: Client) -> None:
-        await client.send(head("/roll/step", len(body)))
+        own_id = {} if job_id is None else {"request_id": job_id}
+        await client.send(head("/roll/step", len(body), **own_id))
         await client.send(body)
 
     return script
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -72,10 +72,11 @@
     play(scenario)
 
 
-def test_a_crowd_of_batch_jobs_at_several_edges():
+@pytest.mark.parametrize("job_id, is_random", [(None, False), (None, True), ("one-job", False), ("one-job", True)])
+def test_a_crowd_of_batch_jobs_at_several_edges(job_id, is_random):
     async def scenario(system):
         async with contextlib.AsyncExitStack() as crowds:
-            script = batch_job(job_body(200_000, 75))
+            script = batch_job(job_body(200_000, 75, is_random), job_id)
             scripts = [crowd(system.front(edge), 3, script) for edge in range(1, system.edge_count + 1)]
             await asyncio.gather(*(crowds.enter_async_context(one) for one in scripts))
             assert await ordinary_status(system.front()) == 200
--- a/tests/data_plane/test_job_handlers.py
+++ b/tests/data_plane/test_job_handlers.py
@@ -13,7 +13,8 @@
 from archhatch.runtime import Counters
 from archhatch.rpc import CallError
 from archhatch.upstream import REQUEST_ID_HEADER
-from archhatch.data_plane.job_handlers import LARGE_JOB_BYTES, MAX_UNCLEAR_JOBS, JobHandlers
+from archhatch.data_plane.job_handlers import MAX_UNCLEAR_JOBS, JobHandlers
+from archhatch.jobs import LARGE_JOB_BYTES
 from archhatch.data_plane.job_messages import ReadJobRequest
 
 LEASE = {"holder": "s0", "life": "l", "term": 4}
--- a/tests/store/test_job_reservations.py
+++ b/tests/store/test_job_reservations.py
@@ -1,4 +1,4 @@
-"""Room for the bodies of large jobs: bounded, each job once, and never kept for good by one that does not come."""
+"""Room for the bodies of large jobs: bounded, and never kept for good by one that does not come."""
 
 import asyncio
 import types
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from tests.support.fakes import HandClock
 
+from archhatch.jobs import LARGE_JOB_BYTES
 from archhatch.rpc import CallRefusedError
 from archhatch.runtime import Counters
 from archhatch.store.handlers import StoreHandlers
@@ -22,15 +23,20 @@
 @given(STEPS)
 @settings(max_examples=150, deadline=None)
 def test_what_is_reserved_never_passes_the_capacity(steps):
-    reservations, now = JobReservations(100), 0.0
+    reservations, now, begun = JobReservations(100), 0.0, []
     for name, job_id, number in steps:
         if name == "reserve":
             reservations.reserve(job_id, number, now)
         elif name == "wait":
             now += number / 50
-        else:
-            getattr(reservations, name)(job_id)
-        assert sum(size for size, _ in reservations._reserved.values()) <= 100
+        elif name == "begin":
+            begun += filter(None, [reservations.begin(job_id, number, now)])
+        elif begun:
+            reservations.release(begun.pop(number % len(begun)))
+        assert sum(held.size for held in begun) <= reservations.reserved_bytes <= 100
+    for reservation in begun:
+        reservations.release(reservation)
+    assert reservations.reserve("d", 100, now + RESERVED_S)
 
 
 @pytest.mark.parametrize("waited_s, is_there_room", [(0.0, False), (RESERVED_S, True)])
@@ -40,6 +46,13 @@
     assert reservations.reserve("b", 80, waited_s) is is_there_room
 
 
+def test_each_copy_of_a_job_needs_room_of_its_own():
+    """Guards against one job that was sent by several edges: room was kept once, and each edge sent its body."""
+    reservations = JobReservations(100)
+    assert reservations.reserve("a", 60, 0.0) and not reservations.reserve("a", 60, 0.0)
+    assert reservations.begin("a", 60, 0.0) is not None and reservations.begin("a", 60, 0.0) is None
+
+
 def small_store(clock, admits=True, kept=()):
     """Returns what handlers use of a store with room for 100,000 bytes of arriving jobs."""
     return types.SimpleNamespace(
@@ -79,15 +92,45 @@
         handlers._submission_leadership = lambda *_: types.SimpleNamespace(accept_job=lambda *_: gate.wait())
         handlers._sign = lambda leadership: {}
         put = {"to": "s", "lot": "a", "run": "r", "term": 1, "host": "h", "path": "/x"}
-        await handlers._reserve_job({"to": "s", "lot": "a", "size": 90_000}, b"")
-        submitting = asyncio.ensure_future(handlers._submit_job(put, b""))
+        handlers._reservations = JobReservations(2 * LARGE_JOB_BYTES)
+        large = bytes(LARGE_JOB_BYTES + 1)
+        await handlers._reserve_job({"to": "s", "lot": "a", "size": len(large)}, b"")
+        submitting = asyncio.ensure_future(handlers._submit_job(put, large))
         await asyncio.sleep(0)
         clock.at += 2 * RESERVED_S
         with pytest.raises(CallRefusedError) as refusal:
-            await handlers._reserve_job({"to": "s", "lot": "b", "size": 90_000}, b"")
+            await handlers._reserve_job({"to": "s", "lot": "b", "size": len(large)}, b"")
         assert refusal.value.code == 3013
         gate.set()
         await submitting
-        await handlers._reserve_job({"to": "s", "lot": "b", "size": 90_000}, b"")
+        await handlers._reserve_job({"to": "s", "lot": "b", "size": len(large)}, b"")
+
+    run(go())
+
+
+def test_a_body_that_comes_when_its_room_was_given_to_another_is_not_taken(run):
+    """Guards against an edge that stood still: its body came beside the one that had got the room meanwhile."""
+
+    async def go():
+        clock = HandClock()
+        handlers, taken = StoreHandlers(small_store(clock)), []
+        handlers._reservations = JobReservations(LARGE_JOB_BYTES + 1)
+
+        async def accept_job(document, _body):
+            taken.append(document["lot"])
+
+        handlers._submission_leadership = lambda *_: types.SimpleNamespace(accept_job=accept_job)
+        handlers._sign = lambda leadership: {}
+        large = bytes(LARGE_JOB_BYTES + 1)
+        await handlers._reserve_job({"to": "s", "lot": "a", "size": len(large)}, b"")
+        clock.at += RESERVED_S
+        await handlers._reserve_job({"to": "s", "lot": "b", "size": len(large)}, b"")
+        put = {"to": "s", "lot": "a", "run": "r", "term": 1, "host": "h", "path": "/x"}
+        with pytest.raises(CallRefusedError) as refusal:
+            await handlers._submit_job(put, large)
+        assert refusal.value.code == 3008
+        await handlers._submit_job({**put, "lot": "b"}, large)
+        await handlers._submit_job({**put, "lot": "small"}, large[:LARGE_JOB_BYTES])
+        assert taken == ["b", "small"]
 
     run(go())
