Memory pool: one that gives way may let go of others that were chosen with it

Cause: the pool's timer chose those that give way and then looked each up; a connection that closes releases all its charges, so the next look-up raised a KeyError, and the timer was not set again: those that waited had nobody give way until another began to wait.

Change: a charge that has gone meanwhile is passed over.

--- a/archhatch/memory/pool.py
+++ b/archhatch/memory/pool.py
@@ -291,7 +291,9 @@
         needed = max(1, self.held_bytes + waiter.more_bytes - self.capacity_bytes)
         for key in choose_to_give_way(self._holdings(), needed, self.now()):
             self._counters.add(f"memory.{self.name}.gave_way")
-            self._charges[key].give_way()
+            charge = self._charges.get(key)
+            if charge is not None:  # one that gave way may have released others: a connection has several
+                charge.give_way()
         self._watch_holders()
 
     def _holdings(self) -> list[Holding]:
--- a/tests/memory/test_pool.py
+++ b/tests/memory/test_pool.py
@@ -153,6 +153,26 @@
     run(go())
 
 
+def test_one_that_gives_way_may_let_go_of_others_that_were_to(run):
+    """Guards against an error in the pool's timer, after which nobody gave way any more to those that waited."""
+
+    async def go():
+        clock, errors, held = HandClock(), [], []
+        asyncio.get_running_loop().set_exception_handler(lambda _loop, context: errors.append(context))
+        pool = make_pool(now=clock.now)
+
+        def close_connection():
+            for charge in held:
+                charge.release()
+
+        held += [await pool.take("a", 30, 1.0, give_way=close_connection) for _ in range(2)]
+        clock.at += STALL_S
+        assert (await pool.take("b", 90, 30.0)).held_bytes == 90
+        assert errors == []
+
+    run(go())
+
+
 def test_a_charge_that_is_dropped_is_given_back():
     async def go():
         pool = make_pool()
