Memory pool: a charge that the garbage collector finds is taken back by the event loop

Cause: a charge that was dropped gave itself back where it was collected. The collector runs in whichever thread allocates: in a thread that writes a log it changed the pool beside the loop and resolved a waiter's future there, which does not wake the loop; on the loop's own thread it could run in the middle of a grant and grant more than there is.

Change: collected charges are put aside, and the loop takes them back: at once if somebody waits, else with the next use.

Measured: the new test (a cycle collected in another thread, debug mode of the loop) failed before with 'Non-thread-safe operation invoked on an event loop'.

--- a/archhatch/memory/pool.py
+++ b/archhatch/memory/pool.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
+from collections import deque
 from collections.abc import Callable
 from weakref import WeakValueDictionary
 
@@ -56,7 +58,8 @@
         self._uncounted_bytes = 0  # since the last progress
 
     def __del__(self) -> None:
-        self.release()
+        if self._pool is not None:
+            self._pool.take_back_soon(self)
 
     @property
     def pool(self) -> MemoryPool | None:
@@ -123,13 +126,12 @@
     Attributes:
         name: Its name in counters.
         capacity_bytes: How much can be held.
-        held_bytes: How much is held.
         now: The steady clock, in seconds.
     """
 
     def __init__(self, name: str, capacity_bytes: int, counters: Counters, now: Callable[[], float]) -> None:
         self.name, self.capacity_bytes, self.now = name, capacity_bytes, now
-        self.held_bytes = 0
+        self._held_bytes = 0
         self._counters = counters
         # weak, so that a charge that is dropped is given back
         self._charges: WeakValueDictionary[int, Charge] = WeakValueDictionary()
@@ -138,6 +140,14 @@
         self._granted_by_peer: dict[str, int] = {}  # since the first of those that wait now began to wait
         self._waiters: dict[int, _Waiter] = {}
         self._reclaim_timer: asyncio.TimerHandle | None = None
+        self._collected: deque[Charge] = deque()  # charges that the garbage collector found, still to be taken back
+        self._loop: asyncio.AbstractEventLoop | None = None
+
+    @property
+    def held_bytes(self) -> int:
+        """How much is held."""
+        self._take_back_collected()
+        return self._held_bytes
 
     @property
     def waiter_count(self) -> int:
@@ -146,7 +156,8 @@
 
     def try_take(self, peer: str, size: int, give_way: Callable[[], None] | None = None) -> Charge | None:
         """Returns a charge if there is room for it at once and nobody waits."""
-        if self._waiters or self.held_bytes + size > self.capacity_bytes:
+        self._take_back_collected()
+        if self._waiters or self._held_bytes + size > self.capacity_bytes:
             return None
         charge = Charge(self, peer, size, give_way)
         if not self._fits(charge, size):
@@ -189,6 +200,7 @@
         Raises:
             MemoryFullError: There was no room in time.
         """
+        self._take_back_collected()
         if charge.held_bytes + more_bytes > self.capacity_bytes:
             self._counters.add(f"memory.{self.name}.too_large")
             raise MemoryFullError(f"{more_bytes} bytes more than {self.capacity_bytes}")
@@ -199,6 +211,7 @@
 
     async def _wait_for_room(self, charge: Charge, more_bytes: int, wait_s: float) -> None:
         waiter = _Waiter(charge, more_bytes)
+        self._loop = asyncio.get_running_loop()
         self._waiters[charge.key] = waiter
         self._counters.add(f"memory.{self.name}.waited")
         self._serve_waiters()
@@ -225,11 +238,25 @@
         self._charges.pop(charge.key, None)
         self._serve_waiters()
 
+    def take_back_soon(self, charge: Charge) -> None:
+        """Has a charge taken back by the event loop. Safe in any thread, and in the middle of any other method.
+
+        The garbage collector runs in whichever thread allocates, so also in one that writes a log.
+        """
+        self._collected.append(charge)
+        if self._loop is not None:
+            with contextlib.suppress(RuntimeError):  # the loop has closed: nobody waits any more
+                self._loop.call_soon_threadsafe(self._take_back_collected)
+
+    def _take_back_collected(self) -> None:
+        while self._collected:
+            self._collected.popleft().release()
+
     # -- who may have what
 
     def _fits(self, charge: Charge, more_bytes: int) -> bool:
         """Whether a charge may grow: there is room, and all that grow can still come to their claims in turn."""
-        if self.held_bytes + more_bytes > self.capacity_bytes:
+        if self._held_bytes + more_bytes > self.capacity_bytes:
             return False
         others = [other for _, other in sorted(self._growing.items()) if other is not charge]
         if not others:
@@ -247,7 +274,7 @@
 
     def _change(self, charge: Charge, by_bytes: int) -> None:
         charge.held_bytes += by_bytes
-        self.held_bytes += by_bytes
+        self._held_bytes += by_bytes
         held = self._held_by_peer.get(charge.peer, 0) + by_bytes
         if held:
             self._held_by_peer[charge.peer] = held
@@ -288,7 +315,7 @@
         if not self._waiters:
             return
         waiter = self._next_waiter()
-        needed = max(1, self.held_bytes + waiter.more_bytes - self.capacity_bytes)
+        needed = max(1, self._held_bytes + waiter.more_bytes - self.capacity_bytes)
         for key in choose_to_give_way(self._holdings(), needed, self.now()):
             self._counters.add(f"memory.{self.name}.gave_way")
             charge = self._charges.get(key)
--- a/tests/memory/test_pool.py
+++ b/tests/memory/test_pool.py
@@ -1,6 +1,9 @@
 """Properties of a pool: bounded, given back whatever happens, and nobody waits for ever."""
 
 import asyncio
+import gc
+import sys
+from unittest import mock
 
 import pytest
 from hypothesis import given, settings
@@ -173,6 +176,29 @@
     run(go())
 
 
+def test_a_charge_that_another_thread_collects_is_given_back_by_the_event_loop(run):
+    """Guards against a pool that was changed, and a waiter that was woken, in the thread that collected garbage."""
+
+    async def go():
+        loop, errors = asyncio.get_running_loop(), []
+        loop.set_debug(True)  # the loop then refuses calls from other threads
+        pool = make_pool()
+        gc.disable()
+        try:
+            charge = pool.try_take("a", 80)
+            charge.give_way_by(charge.release)  # a cycle: it goes only when garbage is collected
+            del charge
+            waiting = asyncio.ensure_future(pool.take("b", 50, 30.0))
+            await asyncio.sleep(0)
+            with mock.patch.object(sys, "unraisablehook", errors.append):
+                await asyncio.to_thread(gc.collect)
+            assert (await waiting).held_bytes == 50 and errors == []
+        finally:
+            gc.enable()
+
+    run(go())
+
+
 def test_a_charge_that_is_dropped_is_given_back():
     async def go():
         pool = make_pool()
