Memory pool: a charge that was released grows no more

Cause: release() gave back what was held, but a growth that waited, or came later, was granted to the charge all the same, and nobody gave that back: the pool was smaller by it until the process ended.

Change: to grow a released charge is refused; to release one ends its wait.

--- a/archhatch/memory/pool.py
+++ b/archhatch/memory/pool.py
@@ -198,9 +198,11 @@
         """Adds to a charge once it is its turn.
 
         Raises:
-            MemoryFullError: There was no room in time.
+            MemoryFullError: There was no room in time, or the charge has been released.
         """
         self._take_back_collected()
+        if charge.pool is None:
+            raise MemoryFullError("released")
         if charge.held_bytes + more_bytes > self.capacity_bytes:
             self._counters.add(f"memory.{self.name}.too_large")
             raise MemoryFullError(f"{more_bytes} bytes more than {self.capacity_bytes}")
@@ -232,7 +234,10 @@
         self._serve_waiters()
 
     def take_back(self, charge: Charge) -> None:
-        """Takes back what a charge holds."""
+        """Takes back what a charge holds, and refuses what is awaited for it."""
+        waiter = self._waiters.pop(charge.key, None)
+        if waiter is not None and not waiter.granted.done():
+            waiter.granted.set_exception(MemoryFullError("released"))
         charge.claim_bytes = 0
         self._change(charge, -charge.held_bytes)
         self._charges.pop(charge.key, None)
--- a/tests/memory/test_pool.py
+++ b/tests/memory/test_pool.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from tests.support.fakes import HandClock
 
@@ -41,7 +41,11 @@
 )
 
 
+RELEASED_BEFORE_IT_GROWS = [("take", "a", 1, 1), ("turn",), ("grow", 0, 1), ("release", 0), ("turn",)]
+
+
 @given(OPERATIONS)
+@example(RELEASED_BEFORE_IT_GROWS)
 @settings(max_examples=150, deadline=None)
 def test_what_is_held_never_passes_the_capacity_and_all_is_given_back(operations):
     async def go():
@@ -156,6 +160,26 @@
     run(go())
 
 
+def test_one_that_is_released_while_it_waits_to_grow_gets_nothing(run):
+    """Guards against memory that nobody held any more: a closed connection's charge grew when others let go."""
+
+    async def go():
+        pool = make_pool()
+        other, charge = await pool.take("a", 60, 1.0), await pool.take("b", 40, 1.0)
+        growing = asyncio.ensure_future(pool.grow(charge, 30, 30.0))
+        await asyncio.sleep(0)
+        assert pool.waiter_count == 1
+        charge.release()
+        with pytest.raises(MemoryFullError):
+            await growing
+        other.release()
+        assert pool.held_bytes == 0 and pool.waiter_count == 0
+        with pytest.raises(MemoryFullError):
+            await pool.grow(charge, 1, 30.0)
+
+    run(go())
+
+
 def test_one_that_gives_way_may_let_go_of_others_that_were_to(run):
     """Guards against an error in the pool's timer, after which nobody gave way any more to those that waited."""
 
