Edges: ids and models that clients make up are not kept whole, nor for good

Cause: an edge remembered the run of every job that it served, for good; the runs of every model that a job named, whether there is such a model or not, for good and by its whole name; and 4,096 ids of jobs without a clear answer, each as long as a header may be. A client that makes up long names could fill an edge's memory with refused jobs.

Change: memory/recent_texts.py keeps digests of the newest texts, bounded. Of a job that was let go all leaders are asked, as of an unknown one; of a model that may have been let go each run counts as one to which its jobs may have gone.

--- a/archhatch/data_plane/job_handlers.py
+++ b/archhatch/data_plane/job_handlers.py
@@ -11,6 +11,7 @@
 from aiohttp.web_request import BaseRequest
 
 from ..jobs import LARGE_JOB_BYTES, InvalidJobError, Quorum, check_job
+from ..memory import RecentTexts
 from ..routing import Route, RoutingTable
 from ..rpc import CallError, ConnectionPool
 from ..runtime import Clock, Counters, Result, Settings, error_result
@@ -51,7 +52,9 @@
 RESERVE_CALL_S = 0.4
 MAX_HOLD_S = 5.0  # a read is held no longer, whatever its caller allows
 BEYOND_ALL_RESULTS = 1 << 31  # a position: asks whether a job is there, without any result
+MAX_KNOWN_JOBS = 16_384  # whose run is remembered; of others all leaders are asked in turn
 MAX_UNCLEAR_JOBS = 4096  # submissions without a clear outcome that are remembered
+MAX_KNOWN_MODELS = 4096  # whose runs are remembered
 SUBMIT_CONTACT_SHARE = 0.6  # of ContactMs: how long a submission looks for its leader,
 MIN_SUBMIT_S = 0.4  # ... at least
 MIN_SUBMIT_CALL_S = 0.2
@@ -79,8 +82,8 @@
     """Submits jobs, reads their results and ends them.
 
     Attributes:
-        run_by_job: The run of each job that this edge has seen.
-        unclear: Jobs that were sent to a store without a clear answer, oldest first.
+        run_by_job: The run of the jobs that this edge saw last.
+        unclear: The jobs that were sent to a store last without a clear answer.
     """
 
     def __init__(
@@ -94,9 +97,9 @@
         self._settings, self._config_source = settings, config_source
         self._connections, self.counters, self._clock = connections, counters, clock
         self._store_port = settings.internal_ports[0] + 1
-        self.run_by_job: dict[str, str] = {}
-        self.unclear: dict[str, None] = {}
-        self._runs_by_model: dict[str, set[str]] = {}  # the runs to which jobs of a model went
+        self.run_by_job = RecentTexts[str](MAX_KNOWN_JOBS)
+        self.unclear = RecentTexts[None](MAX_UNCLEAR_JOBS)
+        self._runs_by_model = RecentTexts[set[str]](MAX_KNOWN_MODELS)  # the runs to which jobs of a model went
         self._quorum = Quorum.from_settings(settings)
 
     def _leases(self) -> dict[str, RunLease]:
@@ -150,10 +153,14 @@
         """Whether a job of a model may have been accepted before the model, or its route, came to this run.
 
         That is so if there is a run to which this edge sent jobs of the model, or one that serves no model any more.
+        Of a model that this edge may have forgotten, each run is one.
         """
-        known = self._runs_by_model.setdefault(model, set())
-        known.add(run_id)
-        return any(run != run_id and (run in known or run not in services) for run in self._leases())
+        other_runs = self._leases().keys() - {run_id}
+        known = self._runs_by_model.get(model)
+        if known is None and self._runs_by_model.has_let_go:
+            return bool(other_runs)
+        self._runs_by_model.put(model, (known or set()) | {run_id})
+        return any(run in (known or ()) or run not in services for run in other_runs)
 
     async def _find_accepted(self, job_id: str) -> Result | None:
         """Returns the answer for a job that another run accepted, or may have; None if it is surely in none.
@@ -216,8 +223,8 @@
             self._note_unclear(job_id)
             raise
         if code == DONE_CODE and SubmitJobResponse.from_document(cast(dict, document)).store_id == message.store_id:
-            self.run_by_job[job_id] = message.run_id
-            self.unclear.pop(job_id, None)
+            self.run_by_job.put(job_id, message.run_id)
+            self.unclear.remove(job_id)
             return Result(HTTP_ACCEPTED)
         if code == INVALID_JOB_CODE:
             return error_result(INVALID_JOB_CODE, str(document))
@@ -228,9 +235,7 @@
         return None
 
     def _note_unclear(self, job_id: str) -> None:
-        self.unclear[job_id] = None
-        while len(self.unclear) > MAX_UNCLEAR_JOBS:
-            del self.unclear[next(iter(self.unclear))]
+        self.unclear.put(job_id, None)
 
     async def handle(self, request: BaseRequest, path: str, target: str) -> Result:
         """Answers a request under /api/lots/ or /api/items/.
@@ -290,7 +295,7 @@
     def _leaders_for(self, job_id: str) -> list[str]:
         """The stores that lead runs, the one that leads the job's run first, if it is known."""
         leases = self._leases()
-        lease = leases.get(self.run_by_job.get(job_id, ""))
+        lease = leases.get(self.run_by_job.get(job_id) or "")
         first = lease.holder_id if lease is not None else None
         others = sorted({lease.holder_id for lease in leases.values()} - {first})
         return ([first] if first else []) + others
@@ -308,7 +313,7 @@
             self.counters.add("job.wrong_process")
             return False
         if response is not None:
-            self.run_by_job[query.job_id] = response.run_id
+            self.run_by_job.put(query.job_id, response.run_id)
             return Result(HTTP_OK, body, [("Content-Type", query.content_type)])
         if code == NOT_FOUND_CODE and document == "item":
             return error_result(NOT_FOUND_CODE)
--- a/archhatch/memory/__init__.py
+++ b/archhatch/memory/__init__.py
@@ -3,6 +3,7 @@
 from .decisions import Growing, Holding, can_all_grow, choose_to_give_way, choose_waiter
 from .held_body import HELD_BODY, HeldBody, retain_held_body
 from .pool import Charge, MemoryFullError, MemoryPool
+from .recent_texts import RecentTexts
 from .shares import MemoryShares
 
 __all__ = [
@@ -14,6 +15,7 @@
     "MemoryFullError",
     "MemoryPool",
     "MemoryShares",
+    "RecentTexts",
     "can_all_grow",
     "choose_to_give_way",
     "choose_waiter",
--- a/tests/data_plane/test_job_handlers.py
+++ b/tests/data_plane/test_job_handlers.py
@@ -2,6 +2,9 @@
 asked is believed."""
 
 import asyncio
+import collections
+import gc
+import tracemalloc
 from types import SimpleNamespace
 
 import orjson
@@ -10,6 +13,7 @@
 from tests.jobs.test_batch_job import LOT
 from tests.jobs.test_quorum import quorum_settings
 
+from archhatch.memory import RecentTexts
 from archhatch.runtime import Counters
 from archhatch.rpc import CallError
 from archhatch.upstream import REQUEST_ID_HEADER
@@ -28,8 +32,9 @@
 
     def __init__(self, *answers):
         self.clock, self.answers, self.calls = HandClock(), list(answers), []
+        self.leases = {"s": LEASE}
         config_watcher = SimpleNamespace(
-            shards={"plan": {"stores": STORES}, "p0": {"tenures": {"s": LEASE}}},
+            shards={"plan": {"stores": STORES}, "p0": {"tenures": self.leases}},
             plan=SimpleNamespace(service_by_model=lambda: {}),
         )
         self.desk = JobHandlers(quorum_settings(Machines=0), config_watcher, self, Counters(), self.clock)
@@ -115,6 +120,43 @@
     assert len(desk.unclear) == MAX_UNCLEAR_JOBS and "l0" not in desk.unclear
 
 
+@pytest.mark.parametrize("answer", [(1000, MINE), (3004, None), (3005, None)])
+def test_ids_and_models_that_clients_make_up_are_not_kept(run, answer):
+    """Guards against long names that an edge kept for good: of jobs, of those without a clear answer, of models."""
+
+    async def go():
+        edge = Edge(answer)
+        edge.calls = collections.deque(maxlen=1)
+        await edge.hand_in()
+        gc.collect()
+        tracemalloc.start()
+        try:
+            for n in range(10, 20):
+                await edge.hand_in(f"{n}" * 25_000, more={"Model": f"{n}" * 100_000})
+            gc.collect()
+            assert tracemalloc.get_traced_memory()[0] < 200_000
+        finally:
+            tracemalloc.stop()
+
+    run(go())
+
+
+def test_of_a_model_that_may_be_forgotten_all_runs_are_asked(run):
+    async def go():
+        edge = Edge((1000, MINE))
+        edge.desk._runs_by_model = RecentTexts(most=1)
+        edge.leases["other"] = LEASE
+        services = ["s", "other"]
+        assert not edge.desk._may_be_in_other_run("first", "s", services)
+        assert not edge.desk._may_be_in_other_run("second", "s", services)
+        assert edge.desk._may_be_in_other_run("first", "s", services)
+        assert not edge.desk._may_be_in_other_run("second", "s", services)
+        del edge.leases["other"]
+        assert not edge.desk._may_be_in_other_run("first", "s", services)
+
+    run(go())
+
+
 @pytest.mark.parametrize(
     "answer, status, counted",
     [
