Stores: a term lets go of the ids of jobs that are nowhere any more

Cause: a leadership term kept the id of every job that was handed in until its end, also of jobs that were refused as malformed or forgotten long ago. An id may be as long as a header, and a term may last for weeks.

Change: with the jobs that it forgets, a term drops the ids of those that it does not serve, does not copy and that are not recorded on its store: no copy of them may be taken any more, so a refusal may say so.

Measured: the new test failed before (the id of a malformed job was kept).

--- a/archhatch/rollout_controller/leadership_term.py
+++ b/archhatch/rollout_controller/leadership_term.py
@@ -49,7 +49,7 @@
         state: The word of a TermState.
         batch_jobs: The jobs that it serves, by id.
         pending_jobs: Ended jobs that are still to be taken up: job id -> store id -> what that store holds.
-        offered_jobs: Jobs that were handed in under this term, whatever became of them.
+        offered_jobs: Jobs that were handed in under this term and may have been taken.
         may_order_from: The time from which a replica may have orders of this holder; at once if it is not listed.
         next_offsets: The offset of the next entry by partition of the step log; a partition is named by its model.
         window_records: What the stores hold of the partitions' windows, as [head, body].
@@ -308,7 +308,10 @@
         return None if item is None else base64.b64decode(item.payload)
 
     def forget_old_jobs(self) -> list[str]:
-        """Forgets jobs that are ended and older than StatusS; returns their ids."""
+        """Forgets jobs that are ended and older than StatusS; returns their ids.
+
+        Of those that were handed in it keeps what is served, being copied, or still recorded here.
+        """
         now = self.host.clock.now()
         keep_s = self.host.settings.seconds("StatusS")
         old = [
@@ -318,8 +321,14 @@
         ]
         for job_id in old:
             del self.batch_jobs[job_id]
+        self.offered_jobs = {job_id for job_id in self.offered_jobs if self._may_have(job_id)}
         return old
 
+    def _may_have(self, job_id: str) -> bool:
+        """Whether a job is served, is being copied, or is recorded on this store."""
+        is_being_copied = (Kind.JOB, job_id) in self.copier.in_flight
+        return is_being_copied or job_id in self.batch_jobs or job_id in self.host.record_store.batch_jobs
+
     # -- windows and orders
 
     async def replicate(self, record: Record) -> None:
--- a/tests/rollout_controller/test_leadership_term.py
+++ b/tests/rollout_controller/test_leadership_term.py
@@ -9,7 +9,7 @@
 
 from archhatch.rollout_controller import LeadershipTerm
 from archhatch.jobs.run_report import RunReport
-from archhatch.jobs import DeposedError, Record
+from archhatch.jobs import DeposedError, InvalidJobError, Record
 
 
 def job_record():
@@ -237,6 +237,33 @@
     run(go())
 
 
+def test_a_job_that_was_handed_in_is_known_for_as_long_as_it_may_be_somewhere(run, clock):
+    """Guards against the ids of all jobs of a term, kept until its end: each may be as long as a header."""
+
+    async def go():
+        store, leadership = await holding(clock)
+        with pytest.raises(InvalidJobError):
+            await leadership.accept_job({**HEAD, "lot": "wrong"}, b"{}")
+        accepting = asyncio.ensure_future(leadership.accept_job(HEAD, orjson.dumps(LOT)))
+        while not store.replicator.puts:
+            await asyncio.sleep(0)
+        accepting.cancel()  # the copies go on
+        await asyncio.gather(accepting, return_exceptions=True)
+        leadership.forget_old_jobs()
+        assert leadership.offered_jobs == {"new"}
+        store.replicator.gate.set()
+        while "new" not in leadership.batch_jobs:
+            await asyncio.sleep(0)
+        await leadership.end_job("new")
+        store.record_store.batch_jobs["new"] = None
+        clock.at += 2 * store.settings.seconds("StatusS")
+        assert leadership.forget_old_jobs() == ["new"] and leadership.offered_jobs == {"new"}
+        del store.record_store.batch_jobs["new"]
+        assert leadership.forget_old_jobs() == [] and leadership.offered_jobs == set()
+
+    run(go())
+
+
 NOTES = [  # what stores tell: (age here, note's (term, t) or none, newest (term, t) there); until when none may go
     ([(0.0, None, None)], 3.5),
     ([(1.0, None, None)], 2.5),
