--- a/tests/crowds/deployment.py
+++ b/tests/crowds/deployment.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import os
 import resource
 from pathlib import Path
@@ -18,6 +19,7 @@
 MAX_LOG_BYTES = 1_000_000
 SAMPLE_S = 0.05  # between two looks at the open descriptors
 LARGE_ANSWER_BYTES = 8_000_000
+STREAM_EVENT_BYTES = 50_000
 LARGE_ANSWER_MARK = "/large/"  # in the target of a request whose answer is large
 SETTLE_S = 2.0  # until all nodes know all replicas
 
@@ -38,6 +40,25 @@
         await super()._write(writer, status, request, extra, body)
 
 
+class EndlessStreamReplica(Replica):
+    """A replica whose streams go on for as long as they are read."""
+
+    async def _run(self, target: str, request: Message, writer: asyncio.StreamWriter) -> None:
+        request_id = request.headers["x-archhatch-request-id"]
+        head = [
+            "HTTP/1.1 200 OK",
+            f"X-Archhatch-Request-Id: {request_id}",
+            f"X-Archhatch-Reply-Seal: seal.{request_id}",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+        ]
+        writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
+        for number in itertools.count(1):
+            event = f"id: {number}\ndata: {'x' * STREAM_EVENT_BYTES}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+
+
 class SmallSystem(System):
     """Three control nodes, three stores and an edge, each within the memory of a small machine."""
 
@@ -122,12 +143,30 @@
         return broken
 
 
+def crowd_configuration() -> dict:
+    """Returns the soak's first version with a route of streams beside its own."""
+    document = configuration(1, BLUE)
+    quote = next(route for route in document["RouteTable"] if route["Name"] == "quote")
+    service = next(service for service in document["ServiceTable"] if service["Name"] == "quote-app")
+    stream = {
+        "Name": "talk",
+        "PathPrefix": "/talk/",
+        "RouteClass": "streaming",
+        "TimeoutMs": 60_000,
+        "Service": "talk-app",
+    }
+    document["RouteTable"].append({**quote, **stream})
+    document["ServiceTable"].append({**service, "Name": "talk-app"})
+    return document
+
+
 def replicas_of(system: System) -> list[Replica]:
     """Returns the replicas of the services that crowds use, not started."""
     replicas: list[Replica] = [LargeAnswerReplica(system, "quote-app", number, slots=16) for number in (1, 2)]
     replicas.append(Replica(system, "score-app", 3, slots=8))
     replicas.append(Replica(system, BLUE, 4, model="m", events=2))
     replicas.append(Replica(system, "order-app", 5, slots=16))
+    replicas.append(EndlessStreamReplica(system, "talk-app", 6, slots=200))
     return replicas
 
 
@@ -139,7 +178,7 @@
     replicas = replicas_of(system)
     watch = Watch(system)
     try:
-        await system.start(configuration(1, BLUE))
+        await system.start(crowd_configuration())
         for replica in replicas:
             await replica.start()
         await asyncio.sleep(SETTLE_S)
--- a/tests/crowds/test_crowds.py
+++ b/tests/crowds/test_crowds.py
@@ -41,6 +41,7 @@
     "slow ends": (150, lambda: slow_body(TARGET, 1_000_000, missing=40)),
     "requests sent ahead": (40, lambda: requests_ahead(TARGET, 100, 200_000)),
     "answers unread": (30, lambda: unread_answer(f"/quote{LARGE_ANSWER_MARK}1")),
+    "streams unread": (100, lambda: unread_answer("/talk/1")),
     "resets within bodies": (
         40,
         lambda: bodies_and_resets(TARGET, 300_000, itertools.cycle([200_000, 300_000]), 400),
