--- a/archhatch/store/handlers.py
+++ b/archhatch/store/handlers.py
@@ -10,6 +10,7 @@
 from ..jobs.record import pack_many, unpack_many
 from ..rpc import CallRefusedError, Handlers
 from ..wal import LogError
+from .heartbeat import read_card
 from .job_reservations import JobReservations
 from .memory_budget import MemoryBudget
 from .messages import (
@@ -115,7 +116,7 @@
     # -- between stores
 
     async def _ping(self, document: dict, _body: bytes) -> dict:
-        self.store.membership.cards.record_contact(document["card"], self.store.clock.now())
+        self.store.membership.cards.record_contact(read_card(document.get("card")), self.store.clock.now())
         return self.store.membership.status().to_document()
 
     async def _prepare(self, document: dict, _body: bytes) -> dict:
--- a/archhatch/store/heartbeat.py
+++ b/archhatch/store/heartbeat.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any, cast
 
 from ..membership import NodeCard
-from ..runtime.message import Message, wire
+from ..runtime.message import InvalidFieldError, Message, wire
+from ..runtime.schema import boolean, integer, list_of, mapping_of, nullable, number, text
+
+MAX_SECONDS = 1e9
+MAX_TERM = 1 << 62
+MAX_SLOTS = 1e9
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,10 +36,28 @@
     return {run: [status.term, round(status.idle_s, 3), list(status.spared)] for run, status in led_runs.items()}
 
 
-def _decode_led_runs(rows: dict | None) -> dict[str, LedRunStatus] | None:
-    if rows is None:
-        return None
-    return {run: LedRunStatus(term, idle_s, tuple(spared)) for run, (term, idle_s, spared) in rows.items()}
+def _read_led_run(row: object) -> LedRunStatus:
+    if not isinstance(row, list) or len(row) != len(_LED_RUN_READERS):
+        raise InvalidFieldError(f"must be a list of {len(_LED_RUN_READERS)}")
+    term, idle_s, spared = (reader(value) for reader, value in zip(_LED_RUN_READERS, row, strict=True))
+    return LedRunStatus(term, idle_s, spared)
+
+
+def read_card(value: object) -> NodeCard:
+    """Reads how a node introduces itself: texts, an id among them.
+
+    Raises:
+        InvalidFieldError: It is no such object.
+    """
+    card = mapping_of(text())(value)
+    if not card.get("id"):
+        raise InvalidFieldError("is missing", "id")
+    return cast(NodeCard, card)
+
+
+_SECONDS = number(0, MAX_SECONDS)
+_TERM = integer(0, MAX_TERM)
+_LED_RUN_READERS: tuple[Callable[[Any], Any], ...] = (_TERM, _SECONDS, list_of(text(min_length=1)))
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,14 +81,14 @@
     True
     """
 
-    identity: NodeCard = wire("card")
-    promised_terms: dict[str, int] | None = wire("promised")
-    timer_lag_s: float = wire("lag")
-    accepts_records: bool = wire("takes", default=True)
-    has_room: bool = wire("roomy", default=True)
-    is_departing: bool = wire("departing", default=False)
-    oldest_write_s: float = wire("oldest_write_s", default=0.0)
+    identity: NodeCard = wire("card", decode=read_card)
+    promised_terms: dict[str, int] | None = wire("promised", decode=nullable(mapping_of(_TERM), None))
+    timer_lag_s: float = wire("lag", decode=_SECONDS)
+    accepts_records: bool = wire("takes", default=True, decode=boolean)
+    has_room: bool = wire("roomy", default=True, decode=boolean)
+    is_departing: bool = wire("departing", default=False, decode=boolean)
+    oldest_write_s: float = wire("oldest_write_s", default=0.0, decode=_SECONDS)
     led_runs: dict[str, LedRunStatus] | None = wire(
-        "leads", default=None, encode=_encode_led_runs, decode=_decode_led_runs
+        "leads", default=None, encode=_encode_led_runs, decode=nullable(mapping_of(_read_led_run), None)
     )
-    slots_demanded: dict[str, float] = wire("demand", default_factory=dict)
+    slots_demanded: dict[str, float] = wire("demand", default_factory=dict, decode=mapping_of(number(0, MAX_SLOTS)))
--- a/archhatch/store/membership.py
+++ b/archhatch/store/membership.py
@@ -10,11 +10,15 @@
 from ..jobs import active_members
 from ..membership import NodeCard, PeerSet
 from ..rpc import CallError
+from ..runtime.message import InvalidFieldError
+from ..runtime.schema import any_object, read_message
 from .heartbeat import HeartbeatStatus
 from .memory_budget import MemoryBudget, open_job_bytes
 from .result_codes import DONE, OTHER_INCARNATION
 
 if TYPE_CHECKING:
+    from loguru import Logger
+
     from ..autoscaler.controller import CapacityController
     from ..jobs import Quorum, RecordStore
     from ..rollout_controller import LeadershipTerm
@@ -37,6 +41,7 @@
     task_group: TaskGroup
     state_board: StateBoard
     connections: ConnectionPool
+    log: Logger
     heartbeat_interval_s: float
     quiet_s: float
     incarnation: str
@@ -259,14 +264,13 @@
             slots_demanded=store.leader.demand() if store.capacity.enabled else {},
         )
 
-    def record_status(self, document: dict, asked_at: float) -> None:
+    def record_status(self, status: HeartbeatStatus, asked_at: float) -> None:
         """Takes up a store's report.
 
         Args:
-            document: A HeartbeatStatus.
+            status: The report.
             asked_at: When the call that it answers was sent.
         """
-        status = HeartbeatStatus.from_document(document)
         store_id = status.identity["id"]
         self.cards.record_contact(status.identity, self.store.clock.now())
         before = self.statuses.get(store_id)
@@ -328,7 +332,21 @@
             code, document, _ = await store.connections.to(address).call("store.ping", request, timeout_s=store.quiet_s)
         except CallError:
             return
-        if code == OTHER_INCARNATION or (code == DONE and document["card"]["id"] != store_id):
+        if code == OTHER_INCARNATION:
             store.counters.add("ping.other_incarnation")
         elif code == DONE:
-            self.record_status(document, asked_at)
+            self._take_answer(store_id, document, asked_at)
+
+    def _take_answer(self, store_id: str, document: object, asked_at: float) -> None:
+        """Takes up a store's answer to a ping; one that cannot be read is as good as none."""
+        store = self.store
+        try:
+            status = read_message(HeartbeatStatus, any_object(document))
+        except InvalidFieldError as error:
+            store.counters.add("ping.malformed")
+            store.log.warning("answer of store {} to a ping cannot be read: {}", store_id, error)
+            return
+        if status.identity["id"] != store_id:
+            store.counters.add("ping.other_incarnation")
+            return
+        self.record_status(status, asked_at)
--- a/tests/store/test_membership.py
+++ b/tests/store/test_membership.py
@@ -1,5 +1,7 @@
 """What a store makes of the others' reports: whether a new job may be taken."""
 
+from types import SimpleNamespace
+
 import pytest
 from tests.support.lease_rig import Leases
 
@@ -37,3 +39,24 @@
         assert lead.counters.counts["job.no_memory"] == 2
 
     run(go())
+
+
+@pytest.mark.parametrize(
+    "key, value", [("promised", {"s": "4"}), ("lag", "slow"), ("card", None), ("demand", {"s": None})]
+)
+def test_a_malformed_answer_to_a_ping_counts_as_none_from_that_store_alone(run, clock, key, value):
+    """Guards against a leader that could not tell whether it led, as one store's terms were no numbers."""
+
+    async def go():
+        site = Leases(clock)
+        lead, _ = await site.until_held()
+        other = next(node for node in site.at.values() if node is not lead)
+        last, document = lead.membership.statuses[other.id], other.membership.status().to_document()
+        other.membership.status = lambda: SimpleNamespace(to_document=lambda: {**document, key: value})
+        await site.look()
+        assert lead.counters.counts["ping.malformed"] > 0
+        assert lead.membership.statuses[other.id] == last
+        assert await site.serves(lead) and lead.leaderships["s"].is_confirmed()
+        assert lead.membership.fit_to_lead() and not lead.membership.is_slow()
+
+    run(go())
