Memory: the shares of a store stand beside those of other processes

The bounds of a store's cache, open and arriving jobs (store/memory_budget.py, MemoryBudget) are memory/store_shares.py, StoreShares now, with one BYTES_PER_MB; who sums the open jobs is the membership, which asks.

--- a/archhatch/memory/__init__.py
+++ b/archhatch/memory/__init__.py
@@ -5,6 +5,7 @@
 from .pool import Charge, MemoryFullError, MemoryPool
 from .recent_texts import RecentTexts
 from .shares import MemoryShares
+from .store_shares import StoreShares
 
 __all__ = [
     "HELD_BODY",
@@ -16,6 +17,7 @@
     "MemoryPool",
     "MemoryShares",
     "RecentTexts",
+    "StoreShares",
     "can_all_grow",
     "choose_to_give_way",
     "choose_waiter",
--- a/archhatch/store/memory_budget.py
+++ b/archhatch/memory/store_shares.py
@@ -1,16 +1,12 @@
-"""How a store divides its memory among what grows with the batch jobs that it holds."""
+"""How a store divides the memory of its machine among what grows with the batch jobs that it holds."""
 
 from __future__ import annotations
 
 import sys
-from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from ..rollout_controller import LeadershipTerm
+from .shares import BYTES_PER_MB
 
-BYTES_PER_MB = 1_000_000
 BODY_CACHE_SHARE = 0.12  # of the process's memory: bodies of jobs beyond it are on the disk
 # Of the process's memory: open jobs that this store leads. A takeover cannot be refused, so there is room for as many
 # once more, beside the cache, the program itself and the reading of one body.
@@ -20,11 +16,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class MemoryBudget:
+class StoreShares:
     """The bounds that follow from a process's memory.
 
-    >>> budget = MemoryBudget(memory_mb=100)
-    >>> budget.admits(0, 10_000_000), budget.admits(10_000_000, 10_000_000)
+    >>> shares = StoreShares(memory_mb=100)
+    >>> shares.admits(0, 10_000_000), shares.admits(10_000_000, 10_000_000)
     (True, False)
 
     Attributes:
@@ -53,8 +49,3 @@
         if not self.memory_mb:
             return True
         return open_job_bytes + body_bytes * PARSED_RATIO <= self.memory_mb * BYTES_PER_MB * OPEN_JOBS_SHARE
-
-
-def open_job_bytes(leaderships: Iterable[LeadershipTerm]) -> int:
-    """Returns about how much memory the open jobs of all terms take."""
-    return sum(leadership.open_job_bytes() for leadership in leaderships)
--- a/archhatch/store/handlers.py
+++ b/archhatch/store/handlers.py
@@ -8,11 +8,11 @@
 
 from ..jobs import LARGE_JOB_BYTES, DeposedError
 from ..jobs.record import pack_many, unpack_many
+from ..memory import StoreShares
 from ..rpc import CallRefusedError, Handlers
 from ..wal import LogError
 from .heartbeat import read_card
 from .job_reservations import JobReservations
-from .memory_budget import MemoryBudget
 from .messages import (
     FetchRecordsRequest,
     JobRequest,
@@ -73,7 +73,7 @@
 
     def __init__(self, store: StoreHandlersHost) -> None:
         self.store = store
-        self._reservations = JobReservations(MemoryBudget(store.settings.memory_mb).arriving_job_bytes)
+        self._reservations = JobReservations(StoreShares(store.settings.memory_mb).arriving_job_bytes)
 
     def register(self, handlers: Handlers) -> None:
         """Puts all verbs into a table of handlers."""
--- a/archhatch/store/membership.py
+++ b/archhatch/store/membership.py
@@ -8,12 +8,12 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from ..jobs import active_members
+from ..memory import StoreShares
 from ..membership import NodeCard, PeerSet
 from ..rpc import CallError
 from ..runtime.message import InvalidFieldError
 from ..runtime.schema import any_object, read_message
 from .heartbeat import HeartbeatStatus
-from .memory_budget import MemoryBudget, open_job_bytes
 from .result_codes import DONE, OTHER_INCARNATION
 
 if TYPE_CHECKING:
@@ -132,8 +132,8 @@
             size: Its bytes.
         """
         store = self.store
-        budget = MemoryBudget(store.settings.memory_mb)
-        if not budget.admits(open_job_bytes(store.leaderships.values()), size):
+        open_job_bytes = sum(leadership.open_job_bytes() for leadership in store.leaderships.values())
+        if not StoreShares(store.settings.memory_mb).admits(open_job_bytes, size):
             store.counters.add("job.no_memory")
             return False
         members = active_members(store.members())
--- a/archhatch/store/node.py
+++ b/archhatch/store/node.py
@@ -12,6 +12,7 @@
 
 from ..autoscaler.controller import CapacityController
 from ..jobs import BodyCache, Quorum, RecordStore, Replicator
+from ..memory import StoreShares
 from ..membership import ConfigWatcher, NodeCard
 from ..platform_client import PlatformClient
 from ..rollout_controller import Engines, LeadershipTerm, WeightOrders
@@ -31,7 +32,6 @@
 from .join import StoreJoin, new_store_id
 from .lease_watch import LeaseWatch
 from .membership import Membership
-from .memory_budget import MemoryBudget
 from .proxy import RequestProxy
 from .repair import Repair
 from .result_codes import DONE
@@ -144,7 +144,7 @@
             counters=self.counters,
             limit_bytes=self.settings.disk_mb * BYTES_PER_MB,
         )
-        cache_bytes = MemoryBudget(self.settings.memory_mb).body_cache_bytes
+        cache_bytes = StoreShares(self.settings.memory_mb).body_cache_bytes
         bodies = BodyCache(self.settings.data_dir or DEFAULT_DATA_DIR, cache_bytes, self.counters)
         self.record_store = RecordStore(self.wal, self.clock, self.counters, bodies)
         self.record_store.load(self.wal.load())
--- a/tests/jobs/test_body_cache.py
+++ b/tests/jobs/test_body_cache.py
@@ -38,6 +38,6 @@
 
 @pytest.mark.parametrize("memory_mb, open_bytes, admitted", [(100, 0, True), (100, 5e6, False), (0, 1e12, True)])
 def test_jobs_are_admitted_while_they_fit_in_memory(memory_mb, open_bytes, admitted):
-    from archhatch.store.memory_budget import MemoryBudget
+    from archhatch.memory import StoreShares
 
-    assert MemoryBudget(memory_mb).admits(open_bytes, 10_000_000) is admitted
+    assert StoreShares(memory_mb).admits(open_bytes, 10_000_000) is admitted
