--- a/archhatch/data_plane/forward.py
+++ b/archhatch/data_plane/forward.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 
 from aiohttp.web_request import BaseRequest
 
@@ -24,6 +23,7 @@
 from ..upstream.attempt_result import FIRST_SERVER_ERROR_STATUS
 from ..upstream.proxied_request import MAX_PROXIED_BYTES, ProxiedRequest
 from ..usage.counter import UsageSender
+from .attempt import Attempt
 from .live_requests import LiveRequestTracker
 from .request_terms import RequestTerms, read_terms
 from .store_proxies import Proxy, StoreProxies
@@ -38,32 +38,6 @@
 RETRY_AFTER_SHARE = 0.5  # of the latency target: when a refused client may come back
 
 
-@dataclass(frozen=True, slots=True)
-class _Attempt:
-    """An attempt in flight: at a replica, or by a store, which judges its replica itself.
-
-    Attributes:
-        started_at: When it was sent.
-        replica: The replica; None for an attempt by a store.
-        proxy: The store; None for an attempt at a replica.
-        intended_id: The replica that was chosen before a store was; the store chooses one itself.
-    """
-
-    started_at: float
-    replica: ReplicaEndpoint | None = None
-    proxy: Proxy | None = None
-    intended_id: str = ""
-
-    def is_refused_by_store(self, result: AttemptResult) -> bool:
-        """Whether a store did not pass the request on to any replica."""
-        return self.proxy is not None and result.execution is Execution.NOT_EXECUTED and not result.status
-
-    def release(self) -> None:
-        """Counts it as in flight no more."""
-        if self.replica is not None:
-            self.replica.in_flight -= 1
-
-
 class RequestForwarder:
     """Forwards requests of idempotent and non-idempotent routes.
 
@@ -154,7 +128,7 @@
         self._route, self._terms, self._tenant = route, terms, tenant
         self._deadline = forwarder.clock.now() + terms.timeout_s
         self._is_repeatable = route.kind == RouteClass.IDEMPOTENT
-        self._attempts: dict[asyncio.Task[AttemptResult], _Attempt] = {}
+        self._attempts: dict[asyncio.Task[AttemptResult], Attempt] = {}
         self._tried: set[str] = set()
         self._may_use_proxy = True  # at the first attempt alone
         self._next_attempt_at = 0.0
@@ -246,11 +220,11 @@
         proxy = self._choose_proxy(replica, now) if is_first else None
         if proxy is not None:
             by_store = asyncio.ensure_future(self._send_by_store(proxy, now))
-            self._attempts[by_store] = _Attempt(now, proxy=proxy, intended_id=replica.instance_id)
+            self._attempts[by_store] = Attempt(now, proxy=proxy, intended_id=replica.instance_id)
             return
         replica.in_flight += 1
         task = asyncio.ensure_future(self._send(replica, now))
-        self._attempts[task] = _Attempt(now, replica)
+        self._attempts[task] = Attempt(now, replica)
 
     def _suspend_slow_proxies(self, now: float) -> None:
         """Leaves a store alone for a while that has not answered by now, as its process may stand still."""
@@ -323,7 +297,7 @@
             self._last_result = result
         return None
 
-    def _record(self, attempt: _Attempt, result: AttemptResult, now: float) -> None:
+    def _record(self, attempt: Attempt, result: AttemptResult, now: float) -> None:
         """Records what an attempt showed of its replica, and counts the request for its tenant's usage."""
         self._count_usage(attempt, result)
         if attempt.replica is not None:
@@ -334,7 +308,7 @@
     def _typical_latency_s(self) -> float:
         return self._route.latency_target_s * TYPICAL_LATENCY_SHARE
 
-    def _count_usage(self, attempt: _Attempt, result: AttemptResult) -> None:
+    def _count_usage(self, attempt: Attempt, result: AttemptResult) -> None:
         """Counts a request's first run. Nobody can say whether an attempt without an answer ran."""
         usage = self._forwarder.usage
         if usage is None or self._tenant is None or self._is_usage_counted:
@@ -372,7 +346,7 @@
             outlived.add_done_callback(self._forwarder.outlived.discard)
         self._attempts = {}
 
-    async def _outlive(self, task: asyncio.Task[AttemptResult], attempt: _Attempt, held_body: HeldBody | None) -> None:
+    async def _outlive(self, task: asyncio.Task[AttemptResult], attempt: Attempt, held_body: HeldBody | None) -> None:
         try:
             result = await task
         finally:
