Soak of upgrades: a request during which the player itself stood still proves nothing

Cause: clients and replicas of the play run in one process. When that stands still, replicas answer nobody, and the edges tell their clients so: with 504 after TimeoutMs, as they must. Such requests were counted as LOST.

Change: the play knows when its loop was late by 0.3 s or more, and judges no request that overlaps; a play that stood still for over a tenth of its time does not pass (VOID), where it passed or failed by chance before.

--- a/tests/soak/upgrades.py
+++ b/tests/soak/upgrades.py
@@ -27,7 +27,8 @@
 START_S = 4.0  # until a process that was started is in touch
 STEP_S = 2.5  # between the steps of a rolling upgrade
 PAUSE_S = 0.05  # between a client's requests
-NOTICED_DELAY_S = 0.3
+NOTICED_DELAY_S = 0.3  # by which a timer of this process is late: it stood still
+MAX_STILL_SHARE = 0.1  # of a play, in which requests prove nothing
 EDGES = 2
 UNCLEAR_STATUSES = frozenset({0, 503})
 CORES = ("core-1", "core-2", "core-3")
@@ -146,14 +147,58 @@
     return status_of(await call_once(system.front(edge), "POST", path, headers, b"{}"))
 
 
+class LoopWatch:
+    """Tells when this process, in which clients and replicas run, stood still: what is late then is late by itself.
+
+    Attributes:
+        stalls: The beginning and the end of each time that a request would notice, on the record's clock.
+    """
+
+    def __init__(self, system: VersionedSystem) -> None:
+        self.system = system
+        self.stalls: list[tuple[float, float]] = []
+
+    async def run(self) -> None:
+        """Records each delay of the event loop that a request would notice, for good."""
+        while True:
+            before = self.system.record.now()
+            await asyncio.sleep(PAUSE_S)
+            now = self.system.record.now()
+            if now - before - PAUSE_S > NOTICED_DELAY_S:
+                self.stalls.append((before, now))
+                self.system.record.say(f"this process stood still for {now - before - PAUSE_S:.2f} s")
+
+    def judge(self) -> list[str]:
+        """Returns a rule broken if this process stood still for so long that the play proves too little."""
+        still_s = sum(end - begin for begin, end in self.stalls)
+        if still_s <= MAX_STILL_SHARE * self.system.record.now():
+            return []
+        return [f"VOID this process stood still for {still_s:.1f} s of the play"]
+
+    def stood_still_between(self, begin: float, end: float) -> bool:
+        """Returns whether this process stood still at any moment between two."""
+        return any(stall_begin < end and stall_end > begin for stall_begin, stall_end in self.stalls)
+
+
 class Client:
-    """Asks an edge again and again; counts what was not answered while the edge was up."""
+    """Asks an edge again and again; counts what was not answered while the edge was up.
+
+    A request during which this process stood still proves nothing, whatever became of it: its replica did too.
+    """
 
     def __init__(self, system: VersionedSystem, edge: int) -> None:
         self.system, self.edge = system, edge
         self.is_expected = True
         self.count = 0
-        self.broken: list[str] = []
+        self._unanswered: list[tuple[float, float, int]] = []  # begin, end and status of requests
+
+    def lost(self, loop_watch: LoopWatch) -> list[str]:
+        """Returns the requests that were not answered, but for those that prove nothing."""
+        return [
+            f"LOST {begin:.2f}: edge-{self.edge} answered {status}"
+            for begin, end, status in self._unanswered
+            if not loop_watch.stood_still_between(begin, end)
+        ]
 
     async def run(self, is_over: asyncio.Event) -> None:
         """Goes on until the event is set."""
@@ -162,24 +207,8 @@
             status = await ask(self.system, self.edge, "/quote/1")
             self.count += 1
             if status != 200 and was_expected and self.is_expected:
-                self.broken.append(f"LOST {at:.2f}: edge-{self.edge} answered {status}")
-            await asyncio.sleep(PAUSE_S)
-
-
-class LoopWatch:
-    """Tells how long this process, in which the replicas run too, stood still: what is late then is late by itself."""
-
-    def __init__(self, system: VersionedSystem) -> None:
-        self.system = system
-
-    async def run(self) -> None:
-        """Records each delay of the event loop that a request would notice, for good."""
-        while True:
-            before = self.system.record.now()
+                self._unanswered.append((at, self.system.record.now(), status))
             await asyncio.sleep(PAUSE_S)
-            delay_s = self.system.record.now() - before - PAUSE_S
-            if delay_s > NOTICED_DELAY_S:
-                self.system.record.say(f"this process stood still for {delay_s:.2f} s")
 
 
 async def judge_in_force(system: VersionedSystem, operator: Operator, edges: list[int]) -> list[str]:
@@ -233,6 +262,8 @@
     kinds = [list(CORES), list(STORES), ["edge-1", "edge-2"]]
     rng.shuffle(kinds)
     is_over = asyncio.Event()
+    loop_watch = LoopWatch(system)
+    watching = asyncio.ensure_future(loop_watch.run())
     clients = {f"edge-{edge}": Client(system, edge) for edge in range(1, EDGES + 1)}
     running = [asyncio.ensure_future(client.run(is_over)) for client in clients.values()]
     broken: list[str] = []
@@ -258,9 +289,10 @@
     broken += await _add_edge(system, operator)
     is_over.set()
     await asyncio.gather(*running)
+    watching.cancel()
     system.record.say(f"{sum(client.count for client in clients.values())} requests")
-    lost = [line for client in clients.values() for line in client.broken]
-    return broken + lost + judge_logs(system, list(system.nodes))
+    lost = [line for client in clients.values() for line in client.lost(loop_watch)]
+    return broken + lost + loop_watch.judge() + judge_logs(system, list(system.nodes))
 
 
 PLAYS: list[Callable] = [upgrade_at_once, upgrade_one_by_one, upgrade_one_by_one, upgrade_one_by_one]
@@ -273,7 +305,6 @@
     system.use(before)
     replicas = [Replica(system, "quote-app", number, slots=6) for number in (1, 2)]
     operator = Operator(system, after)
-    watch = asyncio.ensure_future(LoopWatch(system).run())
     try:
         await system.start(configuration(1))
         for replica in replicas:
@@ -282,7 +313,6 @@
         broken = await PLAYS[seed % len(PLAYS)](system, operator, rng)
         return broken + operator.broken
     finally:
-        watch.cancel()
         for replica in replicas:
             await replica.stop()
         system.end()
