Stores: a submission that asks for room again has the same room

Cause: since each copy of a job needs room of its own, an edge whose question for room was answered after its 0.4 s asked again and was counted twice: the first room was kept for 3 s for a body that nobody sent, and the edge itself was refused. A store answers late just when large jobs come.

Change: a submission names itself (claim); the room that it has is kept on when it asks again. Edges of other versions send no claim, and each of their questions counts by itself.

--- a/archhatch/data_plane/job_handlers.py
+++ b/archhatch/data_plane/job_handlers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import secrets
 from collections.abc import Collection
 from typing import Protocol, cast
 from urllib.parse import parse_qs, urlsplit
@@ -50,6 +51,7 @@
 
 UNKNOWN_CALL_CODE = 2009  # of a store of an earlier version
 RESERVE_CALL_S = 0.4
+CLAIM_BYTES = 8
 MAX_HOLD_S = 5.0  # a read is held no longer, whatever its caller allows
 BEYOND_ALL_RESULTS = 1 << 31  # a position: asks whether a job is there, without any result
 MAX_KNOWN_JOBS = 16_384  # whose run is remembered; of others all leaders are asked in turn
@@ -181,12 +183,13 @@
     async def _submit_to_leader(self, message: SubmitJobRequest, body: bytes) -> Result | None:
         """Looks for a run's leader until one takes the job or the time is over, which returns None."""
         deadline = self._clock.now() + max(MIN_SUBMIT_S, self._settings.seconds("ContactMs", SUBMIT_CONTACT_SHARE))
+        claim = secrets.token_hex(CLAIM_BYTES)
         while self._clock.now() < deadline:
             lease = self._leases().get(message.run_id)
             address = self._address_of(lease.holder_id) if lease is not None else None
             if lease is not None and address is not None:
                 addressed = dataclasses.replace(message, store_id=lease.holder_id, term=lease.term)
-                if len(body) <= LARGE_JOB_BYTES or await self._reserve(address, addressed, len(body)):
+                if len(body) <= LARGE_JOB_BYTES or await self._reserve(address, addressed, len(body), claim):
                     timeout_s = max(MIN_SUBMIT_CALL_S, deadline - self._clock.now())
                     result = await self._submit_to(address, addressed, body, timeout_s)
                     if result is not None:
@@ -194,9 +197,9 @@
             await asyncio.sleep(SUBMIT_RETRY_S)
         return None
 
-    async def _reserve(self, address: str, message: SubmitJobRequest, size: int) -> bool:
+    async def _reserve(self, address: str, message: SubmitJobRequest, size: int, claim: str) -> bool:
         """Whether a run's leader has room for the body of a large job now; nothing is sent of it before."""
-        request = ReserveJobRequest(store_id=message.store_id, job_id=message.job_id, size=size)
+        request = ReserveJobRequest(store_id=message.store_id, job_id=message.job_id, size=size, claim=claim)
         try:
             code, _, _ = await self._connections.to(address).call(
                 "lot.reserve", request.to_document(), timeout_s=RESERVE_CALL_S
--- a/archhatch/data_plane/job_messages.py
+++ b/archhatch/data_plane/job_messages.py
@@ -16,11 +16,13 @@
         store_id: The store that is asked.
         job_id: The job.
         size: The length of its body in bytes.
+        claim: Names the one submission that it asks for: asked again, it claims the same room.
     """
 
     store_id: str = wire("to")
     job_id: str = wire("lot")
     size: int = wire("size")
+    claim: str = wire("claim")
 
 
 @dataclass(frozen=True, slots=True)
--- a/archhatch/store/handlers.py
+++ b/archhatch/store/handlers.py
@@ -174,7 +174,7 @@
             request.job_id, request.size
         ):
             raise CallRefusedError(NO_ROOM)
-        if not self._reservations.reserve(request.job_id, request.size, self.store.clock.now()):
+        if not self._reservations.reserve(request.job_id, request.size, self.store.clock.now(), request.claim):
             self.store.counters.add("job.waits_for_memory")
             raise CallRefusedError(NO_MEMORY)
 
--- a/archhatch/store/job_reservations.py
+++ b/archhatch/store/job_reservations.py
@@ -19,11 +19,18 @@
         job_id: The job.
         size: The room in bytes.
         expires_at: Until when it is kept, on the steady clock; for ever once the body has come.
+        claim: Names the submission that it is for; empty if it has no name.
     """
 
     job_id: str
     size: int
     expires_at: float
+    claim: str = ""
+
+    @property
+    def is_awaited(self) -> bool:
+        """Whether the body has not come yet."""
+        return self.expires_at < math.inf
 
 
 class JobReservations:
@@ -43,22 +50,27 @@
         """How much room is kept."""
         return sum(reservation.size for reservation in self._reservations)
 
-    def reserve(self, job_id: str, size: int, now: float) -> bool:
+    def reserve(self, job_id: str, size: int, now: float, claim: str = "") -> bool:
         """Returns whether there is room for a job's body, and keeps it; one that needs all of it has it for itself.
 
         Args:
             job_id: The job.
             size: The length of its body.
             now: The steady clock.
+            claim: Names the submission that asks. One that asks again, as it got no answer, has the same room.
         """
-        return self._reserve(job_id, size, now) is not None
+        for reservation in self._reservations:
+            if claim and reservation.claim == claim and reservation.is_awaited:
+                reservation.expires_at = now + RESERVED_S
+                return True
+        return self._reserve(job_id, size, now, claim) is not None
 
-    def _reserve(self, job_id: str, size: int, now: float) -> JobReservation | None:
+    def _reserve(self, job_id: str, size: int, now: float, claim: str = "") -> JobReservation | None:
         self._reservations = [reservation for reservation in self._reservations if reservation.expires_at > now]
         needed = min(size, self._capacity_bytes)
         if self.reserved_bytes + needed > self._capacity_bytes:
             return None
-        reservation = JobReservation(job_id, needed, now + RESERVED_S)
+        reservation = JobReservation(job_id, needed, now + RESERVED_S, claim)
         self._reservations.append(reservation)
         return reservation
 
@@ -67,7 +79,7 @@
 
         A body for which no room is kept, or no more, needs it now: None if there is none.
         """
-        waiting = (held for held in self._reservations if held.job_id == job_id and held.expires_at < math.inf)
+        waiting = (held for held in self._reservations if held.job_id == job_id and held.is_awaited)
         reservation = next(waiting, None) or self._reserve(job_id, size, now)
         if reservation is not None:
             reservation.expires_at = math.inf
--- a/archhatch/store/messages.py
+++ b/archhatch/store/messages.py
@@ -103,10 +103,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ReserveJobRequest(Message):
-    """Asks for room for the body of a large job, before it is sent."""
+    """Asks for room for the body of a large job, before it is sent.
+
+    Attributes:
+        job_id: The job.
+        size: The length of its body in bytes.
+        claim: Names the one submission that asks; whoever repeats it asks for the same room.
+    """
 
     job_id: str = wire("lot")
     size: int = wire("size")
+    claim: str = wire("claim", default="")
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/data_plane/test_job_handlers.py
+++ b/tests/data_plane/test_job_handlers.py
@@ -93,6 +93,17 @@
     run(go())
 
 
+def test_a_submission_that_asks_for_room_again_makes_the_same_claim(run):
+    async def go():
+        edge = Edge((3013, None))
+        for _ in range(2):
+            await edge.hand_in(more={"Comment": "x" * (LARGE_JOB_BYTES + 1)})
+        claims = [document["claim"] for _, document in edge.calls]
+        assert len(claims) >= 4 and len(set(claims)) == 2
+
+    run(go())
+
+
 @pytest.mark.parametrize("answers, status", HAND_INS)
 def test_a_refusal_is_said_only_if_nothing_can_have_been_taken(run, answers, status):
     edge = Edge(*answers)
--- a/tests/store/test_job_reservations.py
+++ b/tests/store/test_job_reservations.py
@@ -53,6 +53,18 @@
     assert reservations.begin("a", 60, 0.0) is not None and reservations.begin("a", 60, 0.0) is None
 
 
+def test_one_that_asks_again_has_the_same_room():
+    """Guards against room that nobody uses: kept for an edge whose first question was answered too late."""
+    reservations = JobReservations(100)
+    assert reservations.reserve("a", 60, 0.0, claim="x") and reservations.reserve("a", 60, 2.0, claim="x")
+    assert reservations.reserved_bytes == 60
+    assert not reservations.reserve("b", 60, RESERVED_S, claim="y")  # the room is kept from the last question on
+    body = reservations.begin("a", 60, RESERVED_S)
+    assert body is not None and not reservations.reserve("a", 60, RESERVED_S, claim="x")  # a second body
+    reservations.release(body)
+    assert reservations.reserved_bytes == 0
+
+
 def small_store(clock, admits=True, kept=()):
     """Returns what handlers use of a store with room for 100,000 bytes of arriving jobs."""
     return types.SimpleNamespace(
