--- a/review/7/case.py
+++ b/review/7/case.py
@@ -23,7 +23,7 @@
         rig.route("q", "/q/", "idempotent", "app"),
     ]
     services = [
-        rig.service("one", ["m", "n"]),
+        rig.service("one", ["n"] if moved else ["m", "n"]),
         rig.service("two", ["k", "m"] if moved else ["k"]),
         rig.service("app"),
     ]
