Share groups: an offset is given out once, and what is handed on names its item

Cause: two allocators gave out offsets of a share partition. A term counted from the jobs that it holds; the window moved entries behind all others when their own offset lay before its start, which ran over entries not added yet. The next term gave the moved entries' offsets to a new job, whose items took up texts and delivery counts that are handed on by offset. Forgotten jobs gave their offsets free as well. Change: the term alone gives out offsets, each begins with the term; the window moves nothing; records of windows name the items that their offsets stand for, texts their item, and a reader takes up what is its own item's or nothing. Why this works: a term is granted once, so no two items share an offset; and were there such a pair in older data, identity decides, not the number. Windows in tests and in the capacity probe have jobs and items now, as an entry without an owner does not exist any more; store2.* are the logs in the present form, store.* are read as before.

--- a/archhatch/capacity/probes/shares.py
+++ b/archhatch/capacity/probes/shares.py
@@ -186,7 +186,8 @@
 
     def function():
         win = made("m", 1, 30.0, 200)
-        rows = [win.append(None, None, 0) for _ in range(n)]
+        job = types.SimpleNamespace(job_id="a")
+        rows = [win.append(job, types.SimpleNamespace(item_id=f"i{at}", at=at), 0) for at in range(n)]
         for e in rows:
             win.acquire(e, "w", 0.0)
         for e in rows:
--- a/archhatch/rollout_controller/leadership_term.py
+++ b/archhatch/rollout_controller/leadership_term.py
@@ -23,6 +23,7 @@
 from .takeover import ORDER_VALIDITY, Takeover
 
 CONFIRMED_TO_READ = 0.5  # of SettleMs: how old the stores' confirmations may be for an answer to a reader
+TERM_OFFSET_BITS = 32  # an offset is its term, and a number of so many bits that the term counts
 CONFIRMED_TO_ORDER = 1 / 3  # of LeaseMs: how old they may be for an order of weights
 
 
@@ -51,7 +52,7 @@
         pending_jobs: Ended jobs that are still to be taken up: job id -> store id -> what that store holds.
         offered_jobs: Jobs that were handed in under this term and may have been taken.
         may_order_from: The time from which a replica may have orders of this holder; at once if it is not listed.
-        next_offsets: The offset of the next entry by partition of the step log; a partition is named by its model.
+        next_offsets: The next offset that this term gives out, by partition; a partition is named by its model.
         window_records: What the stores hold of the partitions' windows, as [head, body].
         began_at: When it began.
         ended_at: When it ended; infinite before.
@@ -222,7 +223,7 @@
         batch_job = None
         if not self.is_copying(record):
             batch_job = read_job(record.head, body, self.host.clock.now())
-            batch_job.base_offset = self._allot_offsets(batch_job.model, batch_job.total)
+            batch_job.base_offset = self.allot_offsets(batch_job.model, batch_job.total)
             record.head["base"] = batch_job.base_offset
             batch_job.records.append(record)
             self._accepting[job_id] = batch_job
@@ -237,9 +238,13 @@
         open_jobs = [batch_job for batch_job in self.batch_jobs.values() if not batch_job.is_ended]
         return sum(batch_job.memory_bytes() for batch_job in [*open_jobs, *self._accepting.values()])
 
-    def _allot_offsets(self, partition: str, count: int) -> int:
-        """Sets offsets of a partition aside for a job's items; returns the first."""
-        first = self.next_offsets.get(partition, 0)
+    def allot_offsets(self, partition: str, count: int) -> int:
+        """Sets offsets of a partition aside, which no other item ever has; returns the first.
+
+        Like the leader epoch in Kafka's log, the term is part of each offset. A term is granted once, so that nothing
+        has to be kept of the offsets of jobs that were forgotten.
+        """
+        first = self.next_offsets.get(partition, self.term << TERM_OFFSET_BITS)
         self.next_offsets[partition] = first + count
         return first
 
--- a/archhatch/rollout_controller/takeover.py
+++ b/archhatch/rollout_controller/takeover.py
@@ -234,8 +234,6 @@
             await self.host.replicator.replicate(leadership.run, leadership.term, rewritten)
         batch_job.listed_count = len(batch_job.results)
         leadership.batch_jobs[job_id] = batch_job
-        next_offset = leadership.next_offsets.get(batch_job.model, 0)
-        leadership.next_offsets[batch_job.model] = max(next_offset, batch_job.base_offset + batch_job.total)
         return True
 
     async def _collect(self, job_id: str, held: dict[str, HeldJob], chosen: list[tuple[int, str]]) -> Copies | None:
--- a/archhatch/share_group/hosts.py
+++ b/archhatch/share_group/hosts.py
@@ -43,6 +43,9 @@
     async def append_result(self, batch_job: BatchJob, iid: str, doc: dict, /) -> None:
         """Lists an item's result; returns once enough copies are synced. Raises DeposedError under a newer term."""
 
+    def allot_offsets(self, partition: str, count: int, /) -> int:
+        """Sets offsets of a partition aside, which no other item ever has; returns the first."""
+
     async def replicate(self, record: Record, /) -> None:
         """Writes a window record; returns once enough copies are synced. Raises DeposedError under a newer term."""
 
--- a/archhatch/share_group/led_partitions.py
+++ b/archhatch/share_group/led_partitions.py
@@ -135,15 +135,18 @@
         for partition, records in found.items():
             window = self._window(partition)
             self.journals[partition].restore(window, records, counters)
-        for batch_job in sorted(self.leadership.batch_jobs.values(), key=lambda job: (job.base_offset, job.job_id)):
-            window = self._window(batch_job.model)
-            window.next_offset = max(window.next_offset, batch_job.base_offset + batch_job.total)
 
     def _window(self, partition: str) -> SharePartition:
         """Returns a share partition; makes it if it is new."""
         window = self.windows.get(partition)
         if window is None:
-            window = SharePartition(partition, self.leadership.term, self.lock_s, self.max_locks)
+            window = SharePartition(
+                partition,
+                self.leadership.term,
+                self.lock_s,
+                self.max_locks,
+                lambda: self.leadership.allot_offsets(partition, 1),
+            )
             self.windows[partition] = window
             self.journals[partition] = WindowJournal(self.leadership.run, partition)
         return window
--- a/archhatch/share_group/window.py
+++ b/archhatch/share_group/window.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import enum
+import heapq
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from transitions import Machine
 
@@ -74,6 +76,8 @@
         last_event_id: The last of these events.
         versions: The model versions that made them.
         failures: Answers of 500 so far.
+        job_id: The batch job of the entry; empty in records of earlier versions, which nobody takes up.
+        item_id: The item of the entry.
     """
 
     offset: int = wire("at", decode=int)
@@ -81,6 +85,34 @@
     last_event_id: str = wire("last")
     versions: list[int] = wire("versions")
     failures: int = wire("failures", default=0)
+    job_id: str = wire("lot", default="")
+    item_id: str = wire("item", default="")
+
+
+class EntryOwner(NamedTuple):
+    """The item that an offset stands for.
+
+    Attributes:
+        job_id: The batch job.
+        at: The item's place in it, from 0.
+    """
+
+    job_id: str
+    at: int
+
+
+class EntryChange(NamedTuple):
+    """What a record says of one entry.
+
+    Attributes:
+        state: The number of its EntryState.
+        delivery_count: How often it was acquired.
+        owner: The item that it is of.
+    """
+
+    state: int
+    delivery_count: int
+    owner: EntryOwner
 
 
 @dataclass(slots=True, eq=False)
@@ -131,7 +163,23 @@
 
     def progress(self) -> EntryProgress:
         """Returns what released runs made of the item."""
-        return EntryProgress(self.offset, self.texts, self.last_event_id, sorted(self.versions), self.failures)
+        return EntryProgress(
+            self.offset,
+            self.texts,
+            self.last_event_id,
+            sorted(self.versions),
+            self.failures,
+            self.batch_job.job_id,
+            self.item.item_id,
+        )
+
+    def owner(self) -> EntryOwner:
+        """Returns the item that the entry is of."""
+        return EntryOwner(self.batch_job.job_id, self.item.at)
+
+    def is_of(self, progress: EntryProgress) -> bool:
+        """Returns whether a record's progress was made of this entry's item."""
+        return (progress.job_id, progress.item_id) == (self.batch_job.job_id, self.item.item_id)
 
     def adopt(self, progress: EntryProgress) -> None:
         """Takes over what runs under an earlier leader made of the item."""
@@ -172,9 +220,12 @@
     """The entries of one share partition by offset.
 
     Before start_offset all entries are final; from end_offset on none was ever acquired; between them they are in
-    flight.
+    flight. An offset is given out once, and what is read back of an earlier leader's records is taken up by the item
+    that they name, or by none.
 
-    >>> w = SharePartition("m", 3, lock_s=30.0, max_locks=200); e = w.append(None, None, 0)
+    >>> from types import SimpleNamespace
+    >>> w = SharePartition("m", 3, lock_s=30.0, max_locks=200)
+    >>> e = w.append(SimpleNamespace(job_id="j"), SimpleNamespace(item_id="i", at=0), 0)
     >>> w.acquire(e, "w1", 0.0); w.acknowledge(e.offset, "w1", 1, "accept").state.name, w.start_offset
     ('ACKNOWLEDGED', 1)
 
@@ -189,11 +240,28 @@
         entries: Entries that are not final.
         locked: The acquired ones of them.
         restored_counts: Delivery counts read from disk, until their entries are appended.
+        restored_owners: The items that these offsets stood for.
         restored_progress: Texts read from disk by offset, until their entries are appended.
-        unsaved: State and delivery count of the offsets that changed since the last record on disk.
+        unsaved: The entries that changed since the last record on disk, by offset.
     """
 
-    def __init__(self, partition: str, epoch: int, lock_s: float, max_locks: int) -> None:
+    def __init__(
+        self,
+        partition: str,
+        epoch: int,
+        lock_s: float,
+        max_locks: int,
+        allot_offset: Callable[[], int] | None = None,
+    ) -> None:
+        """Makes an empty window.
+
+        Args:
+            partition: Name of the partition.
+            epoch: The leader epoch.
+            lock_s: Duration of an acquisition lock.
+            max_locks: How many entries may be acquired at a time.
+            allot_offset: Gives out an offset for an entry without one; the window's own count if it is left out.
+        """
         self.partition = partition
         self.epoch = epoch
         self.lock_s = lock_s
@@ -204,8 +272,11 @@
         self.entries: dict[int, ShareEntry] = {}
         self.locked: dict[int, ShareEntry] = {}
         self.restored_counts: dict[int, int] = {}
+        self.restored_owners: dict[int, EntryOwner] = {}
         self.restored_progress: dict[int, EntryProgress] = {}
-        self.unsaved: dict[int, tuple[int, int]] = {}
+        self.unsaved: dict[int, EntryChange] = {}
+        self._allot_offset = allot_offset or (lambda: self.next_offset)
+        self._open_offsets: list[int] = []  # a heap: those of all entries, and of some that are final by now
 
     def _move(self, entry: ShareEntry, trigger: str) -> None:
         state = TRANSITIONS.get((entry.state, trigger))
@@ -218,32 +289,45 @@
             self.locked.pop(entry.offset, None)
             entry.is_acknowledging = False
             # acquisitions are not written down, as in KIP-932: a new leader presents them again
-            self.unsaved[entry.offset] = (int(state), entry.delivery_count)
+            self.unsaved[entry.offset] = EntryChange(int(state), entry.delivery_count, entry.owner())
         if state in FINAL_STATES:
             self.entries.pop(entry.offset, None)
             self._advance_start()
 
     def _advance_start(self) -> None:
-        while self.start_offset < self.next_offset and self.start_offset not in self.entries:
-            self.start_offset += 1
+        while self._open_offsets and self._open_offsets[0] not in self.entries:
+            heapq.heappop(self._open_offsets)
+        self.start_offset = self._open_offsets[0] if self._open_offsets else self.next_offset
         self.end_offset = max(self.end_offset, self.start_offset)
 
     def append(self, batch_job: BatchJob, item: Item, rank: int, offset: int | None = None) -> ShareEntry:
-        """Adds an entry, at the next offset or at the one that it had under an earlier leader."""
-        if offset is None or offset in self.entries or offset < self.start_offset:
-            offset = self.next_offset
+        """Adds an entry, at the offset that its batch job gives it or, if that is taken, at a new one.
+
+        Only batch jobs that an earlier version accepted may give one offset to two items.
+        """
+        if offset is None or offset in self.entries:
+            offset = self._allot_offset()
         entry = self.entries[offset] = ShareEntry(offset, batch_job, item, rank)
-        entry.delivery_count = self.restored_counts.pop(offset, 0)
-        progress = self.restored_progress.pop(offset, None)
-        if progress is not None:
-            entry.adopt(progress)
+        heapq.heappush(self._open_offsets, offset)
+        self.start_offset = min(self.start_offset, offset)
         self.next_offset = max(self.next_offset, offset + 1)
+        self._take_up_restored(entry)
         return entry
 
+    def _take_up_restored(self, entry: ShareEntry) -> None:
+        """Gives an entry what was read back of its own item; of an offset that was another item's, nothing."""
+        delivery_count = self.restored_counts.pop(entry.offset, 0)
+        if delivery_count and self.restored_owners.pop(entry.offset, None) == entry.owner():
+            entry.delivery_count = delivery_count
+        progress = self.restored_progress.pop(entry.offset, None)
+        if progress is not None and entry.is_of(progress):
+            entry.adopt(progress)
+
     def skip_final(self, offset: int) -> None:
         """Passes over an offset whose entry became final under an earlier leader."""
         self.next_offset = max(self.next_offset, offset + 1)
         self.restored_counts.pop(offset, None)
+        self.restored_owners.pop(offset, None)
         self.restored_progress.pop(offset, None)
         self._advance_start()
 
--- a/archhatch/share_group/window_journal.py
+++ b/archhatch/share_group/window_journal.py
@@ -11,7 +11,7 @@
 from ..jobs import Record
 from ..runtime import encode_kept
 from ..runtime.message import Message, wire
-from .window import EntryProgress, EntryState, SharePartition
+from .window import EntryChange, EntryOwner, EntryProgress, EntryState, SharePartition
 
 if TYPE_CHECKING:
     from ..runtime import Counters
@@ -30,6 +30,8 @@
         start_offset: The window's start offset.
         next_offset: The offset of the next entry.
         batches: KIP-932's state batches: first offset, last offset, state, delivery count.
+        owners: Beside KIP-932, whose offsets are those of a log: first offset, last offset, the batch job whose items
+            these offsets stand for, and the place of the first of them in it. Records of earlier versions have none.
         progress: What was made of entries that are to be run again, in the snapshot that a leader hands on; beside
             KIP-932, whose records have no such part.
     """
@@ -37,6 +39,7 @@
     start_offset: int = wire("start", decode=int)
     next_offset: int = wire("next", decode=int)
     batches: list[list[int]] = wire("batches")
+    owners: list[list] = wire("owners", default_factory=list, optional=True)
     progress: list[EntryProgress] = wire(
         "progress",
         default_factory=list,
@@ -91,6 +94,42 @@
     return batches
 
 
+def owner_ranges(changes: dict[int, EntryChange]) -> list[list]:
+    """Groups offsets that follow the items of one batch job; what lies between them would be the job's as well.
+
+    Args:
+        changes: What is written of each offset.
+
+    Returns:
+        First offset, last offset, batch job and place of the first item of each range.
+
+    >>> a, b = EntryOwner("a", 2), EntryOwner("a", 4)
+    >>> owner_ranges({7: EntryChange(0, 1, a), 9: EntryChange(0, 1, b), 10: EntryChange(0, 1, EntryOwner("b", 0))})
+    [[7, 9, 'a', 2], [10, 10, 'b', 0]]
+    """
+    ranges: list[list] = []
+    for offset in sorted(changes):
+        owner = changes[offset].owner
+        if ranges:
+            first, _, job_id, first_at = ranges[-1]
+            if job_id == owner.job_id and offset - first == owner.at - first_at:
+                ranges[-1][1] = offset
+                continue
+        ranges.append([offset, offset, owner.job_id, owner.at])
+    return ranges
+
+
+def _owners_of(ranges: Iterable[list], offsets: Iterable[int]) -> dict[int, EntryOwner]:
+    """Returns the owners of these offsets, as far as the ranges name them."""
+    wanted = set(offsets)
+    owners: dict[int, EntryOwner] = {}
+    for first, last, job_id, first_at in ranges:
+        for offset in range(int(first), int(last) + 1):
+            if offset in wanted:
+                owners[offset] = EntryOwner(str(job_id), int(first_at) + offset - int(first))
+    return owners
+
+
 def _latest_state(found: Iterable[tuple[dict, bytes]]) -> tuple[int, list[bytes], bool] | None:
     """Chooses the newest snapshot and the updates that follow it without a gap.
 
@@ -144,7 +183,7 @@
         self,
         kind: str,
         window: SharePartition,
-        states: dict[int, tuple[int, int]],
+        changes: dict[int, EntryChange],
         progress: Iterable[EntryProgress] = (),
     ) -> Record:
         head = WindowRecordHead(
@@ -156,7 +195,8 @@
             snapshot_epoch=self.snapshot_epoch,
             update_number=self.update_number,
         )
-        state = WindowState(window.start_offset, window.next_offset, state_batches(states), list(progress))
+        batches = state_batches({offset: (row.state, row.delivery_count) for offset, row in changes.items()})
+        state = WindowState(window.start_offset, window.next_offset, batches, owner_ranges(changes), list(progress))
         return Record(head.to_document(), encode_kept(state.to_document()))
 
     def next_record(self, window: SharePartition) -> Record | None:
@@ -166,9 +206,9 @@
         if not self.snapshot_epoch or self.update_number >= UPDATES_PER_SNAPSHOT:
             return self._snapshot(window)
         self.update_number += 1
-        states = window.unsaved
+        changes = window.unsaved
         window.unsaved = {}
-        return self._record(UPDATE_KIND, window, states)
+        return self._record(UPDATE_KIND, window, changes)
 
     def handover_record(self, window: SharePartition) -> Record | None:
         """Returns a snapshot with what was made of the entries that nobody runs; None if nothing was made of any.
@@ -190,12 +230,12 @@
         self.snapshot_epoch += 1
         self.update_number = 0
         window.unsaved = {}
-        states = {
-            offset: (int(EntryState.AVAILABLE), entry.delivery_count)
+        changes = {
+            offset: EntryChange(int(EntryState.AVAILABLE), entry.delivery_count, entry.owner())
             for offset, entry in window.entries.items()
             if entry.delivery_count
         }
-        return self._record(SNAPSHOT_KIND, window, states, progress)
+        return self._record(SNAPSHOT_KIND, window, changes, progress)
 
     def restore(self, window: SharePartition, found: Iterable[tuple[dict, bytes]], counters: Counters) -> None:
         """Loads the newest snapshot and its updates up to the first gap or damaged record.
@@ -215,6 +255,8 @@
             try:
                 state = WindowState.from_document(orjson.loads(body))
                 batches = [(int(a), int(b), int(s), int(c)) for a, b, s, c in state.batches]
+                changed = [offset for first, last, _, _ in batches for offset in range(first, last + 1)]
+                owners = _owners_of(state.owners, changed)
             except (KeyError, TypeError, ValueError):  # ValueError: of the JSON, the message or a number
                 counters.add("share.update_damaged" if number else "share.snapshot_damaged")
                 break
@@ -223,6 +265,7 @@
             for first, last, _, delivery_count in batches:
                 for offset in range(first, last + 1):
                     window.restored_counts[offset] = delivery_count
+            window.restored_owners.update(owners)
             window.restored_progress.update({made.offset: made for made in state.progress})
         window.end_offset = window.start_offset
         window.restored_counts = {
--- a/tests/compatibility/test_stored_data.py
+++ b/tests/compatibility/test_stored_data.py
@@ -18,6 +18,7 @@
 import orjson
 import pytest
 from tests.support.fakes import HandClock, MemBook
+from tests.share_group.windows import append
 from tests.support.leadership_rig import FakeCopier, FakeStore
 
 from archhatch.jobs import Record, RecordStore, unpack
@@ -37,10 +38,10 @@
 from archhatch.wal import WriteAheadLog, read_records
 
 DATA = pathlib.Path(__file__).parent.parent / "data"
-KINDS = ["frames", "core", "core2", "store", "ledger"]
+KINDS = ["frames", "core", "core2", "store", "store2", "ledger"]
 # Kinds of earlier forms are read as ever, and the same content is written as the kind of the present form.
-PRESENT_KINDS = ["frames", "core2", "store", "ledger"]
-LOG_NAMES = {"core2": "core"}  # where a log's name is not its kind
+PRESENT_KINDS = ["frames", "core2", "store2", "ledger"]
+LOG_NAMES = {"core2": "core", "store2": "store"}  # where a log's name is not its kind
 
 
 def kept(name):
@@ -488,7 +489,7 @@
 def _work(window, journal):
     """Moves of a window's entries, with the records of them: a snapshot, deltas, and a new snapshot behind those."""
     yield journal.next_record(window)
-    entries = [window.append(None, None, 0) for _ in range(40)]
+    entries = [append(window, at) for at in range(40)]
     for n, kind in enumerate(("accept", "reject", "release", "release", "accept")):
         window.acquire(entries[n], "w1", 0.0)
         window.acknowledge(n, "w1", 1, kind)
@@ -545,19 +546,19 @@
     await second.append_result(second.batch_jobs["lot-1"], "i3", {**RESULT, "InstanceId": "i3"})
     restored, journal = SharePartition("llm-a", 2, lock_s=30.0, max_locks=200), WindowJournal("llm", "llm-a")
     journal.restore(restored, second.window_records, Counters())
-    restored.archive(restored.append(None, None, 0))
+    restored.archive(append(restored, 40))
     await second.replicate(journal.next_record(restored))
     # a delta of another partition, whose snapshot this store never got
     other, behind = SharePartition("llm-b", 2, lock_s=30.0, max_locks=200), WindowJournal("llm", "llm-b")
     behind.next_record(other)
-    other.archive(other.append(None, None, 0))
+    other.archive(append(other, 0))
     await second.replicate(behind.next_record(other))
     assert (await record_store.prepare("fast", 4))["ok"]
-    out = {"store.appended": only_file(folder, "store")}
+    out = {"store2.appended": only_file(folder, "store")}
     await wal.rewrite()
     await second.end_job("lot-1")
     await wal.close()
-    out["store.rewritten"] = only_file(folder, "store")
+    out["store2.rewritten"] = only_file(folder, "store")
     return out
 
 
@@ -568,13 +569,13 @@
     return leadership
 
 
-def _read_store(folder):
+def _read_store(folder, kind="store"):
     out = {}
     for stage, name in (("appended", "store"), ("rewritten", "store.1")):
         place = folder / stage
         place.mkdir()
-        shutil.copyfile(DATA / f"store.{stage}", place / name)
-        records = [unpack(raw) for raw in read_records(kept(f"store.{stage}"))[0]]
+        shutil.copyfile(DATA / f"{kind}.{stage}", place / name)
+        records = [unpack(raw) for raw in read_records(kept(f"{kind}.{stage}"))[0]]
         out[stage] = {"records": [[r.head, r.body.decode()] for r in records], **_store_state(place)}
     return out
 
@@ -741,12 +742,13 @@
 
 # -- the comparisons
 
-BUILD = {"frames": _build_frames, "core2": _build_core, "store": _build_store, "ledger": _build_ledger}
+BUILD = {"frames": _build_frames, "core2": _build_core, "store2": _build_store, "ledger": _build_ledger}
 READ = {
     "frames": _read_frames,
     "core": _read_core,
     "core2": partial(_read_core, kind="core2"),
     "store": _read_store,
+    "store2": partial(_read_store, kind="store2"),
     "ledger": _read_ledger,
 }
 
@@ -809,7 +811,8 @@
     await host.close()
 
 
-REWRITE = {"core": _rewrite_core, "core2": _rewrite_core, "store": _rewrite_store, "ledger": _rewrite_ledger}
+REWRITE = {"core": _rewrite_core, "core2": _rewrite_core, "ledger": _rewrite_ledger}
+REWRITE |= {"store": _rewrite_store, "store2": _rewrite_store}
 
 
 @pytest.mark.parametrize("kind", REWRITE)
@@ -833,7 +836,8 @@
 
 def test_every_kind_of_record_is_kept():
     content = {kind: json.loads(kept(f"{kind}.json"))["appended"]["records"] for kind in REWRITE}
-    assert {head["k"] for head, _ in content["store"]} == set("IPLRESUO")
+    for kind in ("store", "store2"):
+        assert {head["k"] for head, _ in content[kind]} == set("IPLRESUO")
     for kind, shards in (("core", SHARD_NAMES), ("core2", SHARD_NAMES), ("ledger", {"accounting", "capacity"})):
         shapes = {tuple(record) for record in content[kind]}
         assert shapes == {("p", "b"), ("p", "b", "ab", "s")} | ({("id", "founders")} if kind != "ledger" else set())
--- a/tests/share_group/test_fetch.py
+++ b/tests/share_group/test_fetch.py
@@ -27,7 +27,7 @@
         self.batch_job = SimpleNamespace(job_id="lot1", model="m", is_ended=False)
         self.run = LedPartitions(SimpleNamespace(run="llm", term=3, batch_jobs={}), 0.0, lock_s=30.0, max_locks=200)
         self.window = self.run.windows["m"] = SharePartition("m", 3, lock_s=30.0, max_locks=200)
-        self.entry = self.window.append(self.batch_job, SimpleNamespace(item_id="0-0", group="0"), 0)
+        self.entry = self.window.append(self.batch_job, SimpleNamespace(item_id="0-0", group="0", at=0), 0)
         self.run.entries["lot1"] = {"0-0": self.entry}
         self.host = SimpleNamespace(
             clock=HandClock(), state_board=StateBoard(), counters=Counters(), quiet_s=0.75, alive=lambda node_id: True
--- a/tests/share_group/test_job_queue.py
+++ b/tests/share_group/test_job_queue.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from tests.share_group.windows import Item, restored, window
+from tests.share_group.windows import Item, append, restored, window
 
 from archhatch.share_group import EntryState, InvalidTransitionError, JobQueue, SharePartition, WindowJournal
 
@@ -12,7 +12,7 @@
     w, q = SharePartition("m", 1, 30.0, 200), JobQueue(want)
     for rank, size in enumerate(groups):
         for _ in range(size):
-            q.put(w.append(None, Item(f"g{rank}"), rank))
+            q.put(append(w, len(w.entries), rank, f"g{rank}"))
     return q
 
 
@@ -57,7 +57,7 @@
     w, es = window(30)
     q, j, records, done, held = JobQueue(4), WindowJournal("run", "m"), [], set(), []
     for n, e in enumerate(es):
-        e.item, e.rank = Item(f"g{n // 4}"), n // 4
+        e.item, e.rank = Item(f"g{n // 4}", n), n // 4
         q.put(e)
     now = 0.0
     for _ in range(600):
--- a/tests/share_group/test_recalls.py
+++ b/tests/share_group/test_recalls.py
@@ -22,7 +22,7 @@
     window = run.windows["m"] = SharePartition("m", 1, lock_s=30.0, max_locks=200)
     run.queues["lot1"] = JobQueue(0)
     run.workers["w1"] = WorkerState("w1", "incarnation")
-    entry = window.append(batch_job, SimpleNamespace(item_id="0-0", group="0"), 0)
+    entry = window.append(batch_job, SimpleNamespace(item_id="0-0", group="0", at=0), 0)
     window.acquire(entry, "w1", 0.0)
     entry.engine = SimpleNamespace(instance_id="i-1", zone="z1")
     host = SimpleNamespace(
--- a/tests/share_group/test_window_journal.py
+++ b/tests/share_group/test_window_journal.py
@@ -1,7 +1,7 @@
 """A window's state on disk: its records, what is read back from them, and which of them a store keeps."""
 
 import pytest
-from tests.share_group.windows import restored, window
+from tests.share_group.windows import append, restored, window
 
 from archhatch.jobs import Record, RecordStore
 from archhatch.runtime import Counters
@@ -56,7 +56,7 @@
     record = j.handover_record(w)
     es[0].drop_text()
     again, _ = restored([record])
-    entries = [again.append(None, None, 0, offset) for offset in range(4)]
+    entries = [append(again, offset, offset=offset) for offset in range(4)]
     assert [entry.texts for entry in entries] == [["a", "b"], [], [], []]
     assert (entries[0].last_event_id, entries[0].versions, entries[0].failures) == ("2", {3}, 1)
     assert not again.restored_progress
