Batch jobs: a job belongs to one run, and no second run can accept it

Cause: only edges remembered which run a job went to, and only those that had sent it. Stores kept jobs by id and said of one run's copy that they had the other's too. Change: a store takes a job of the run that came first and names it to others (2020); a job is accepted once its copies and claims stand on stores that any enough copies must meet; a run that cannot have it withdraws; a takeover proves a job before it is served; an edge asks the run that has it, and tells an end to all leaders.

--- a/archhatch/data_plane/job_handlers.py
+++ b/archhatch/data_plane/job_handlers.py
@@ -43,6 +43,7 @@
 NOT_FOUND_CODE = 2007
 WRONG_PROCESS_CODE = 2008  # the store at that address is not the one that was meant
 METHOD_NOT_ALLOWED_CODE = 2010
+OTHER_RUN_CODE = 2020  # the job belongs to the run that the answer names
 NOT_SURE_CODE = 3004
 NO_LEADER_CODE = 3005
 SUBMISSION_UNCLEAR_CODE = 4003
@@ -64,6 +65,7 @@
 QUERY_CONTACT_SHARE = 0.25  # of ContactMs: how long a question may take beyond its hold
 MIN_QUERY_CALL_S = 0.3
 ABSENCE_CALL_S = 0.4
+OTHER_END_S = 0.4  # how long leaders that should not have an ended job are waited for
 RETRY_SUBMISSION_AFTER_S = 0.3
 RETRY_QUERY_AFTER_S = 0.2
 
@@ -235,6 +237,9 @@
             self.counters.add("job.wrong_process")
         if code not in NOT_TAKEN_CODES:
             self._note_unclear(job_id)
+        if code == OTHER_RUN_CODE:
+            self.run_by_job.put(job_id, str(document))
+            return await self._find_accepted(job_id)
         return None
 
     def _note_unclear(self, job_id: str) -> None:
@@ -253,11 +258,28 @@
         if kind == "items":
             return await self._read_item(request, job_id, query)
         if request.method == "DELETE":
-            return await self._ask(EndJobRequest(store_id="", job_id=job_id), 0.0)
+            return await self._end(job_id)
         if request.method != "GET":
             return error_result(METHOD_NOT_ALLOWED_CODE)
         return await self._read_job(request, job_id, query)
 
+    async def _end(self, job_id: str) -> Result:
+        """Ends a job where it is led, and at the other leaders as well: earlier versions let two runs accept one."""
+        query = EndJobRequest(store_id="", job_id=job_id)
+        result = await self._ask(query, 0.0)
+        lease = self._leases().get(self.run_by_job.get(job_id) or "")
+        if result.status != HTTP_OK or lease is None:
+            return result
+        others = {lease.holder_id for lease in self._leases().values()} - {lease.holder_id}
+        calls = [
+            asyncio.ensure_future(self._ask_store(address, dataclasses.replace(query, store_id=store_id), OTHER_END_S))
+            for store_id in others
+            if (address := self._address_of(store_id)) is not None
+        ]
+        if calls:
+            await asyncio.wait(calls)
+        return result
+
     async def _read_item(self, request: BaseRequest, job_id: str, query: dict[str, list[str]]) -> Result:
         if request.method != "GET":
             return error_result(METHOD_NOT_ALLOWED_CODE)
--- a/archhatch/jobs/__init__.py
+++ b/archhatch/jobs/__init__.py
@@ -2,7 +2,7 @@
 
 from .batch_job import LARGE_JOB_BYTES, BatchJob, Item, check_job, read_job
 from .body_cache import BodyCache
-from .errors import DeposedError, InvalidJobError
+from .errors import DeposedError, InvalidJobError, JobOwnedElsewhereError
 from .quorum import Quorum, active_members
 from .record import Record, pack, unpack
 from .record_store import RecordStore
@@ -15,6 +15,7 @@
     "DeposedError",
     "InvalidJobError",
     "Item",
+    "JobOwnedElsewhereError",
     "Quorum",
     "Record",
     "RecordStore",
--- a/archhatch/jobs/record.py
+++ b/archhatch/jobs/record.py
@@ -20,6 +20,7 @@
     IDENTITY = "I"  # the id of the store
     PROMISE = "P"  # to take nothing from a run's holders under lower terms
     JOB = "L"
+    CLAIM = "C"  # that a job belongs to a run, on a store that has no copy of it
     RESULT = "R"  # at a position of a job
     END = "E"  # of a job
     ORDER = "O"  # the intent to send a replica an order
@@ -27,6 +28,8 @@
     UPDATE = "U"  # a delta behind a snapshot
 
 
+SETTLED_KEY = "settled"  # in the head of a job or a claim: the run accepted the job
+WITHDRAWN_KEY = "withdrawn"  # in the head of a claim: the run gave the job up
 _RESULT = Kind.RESULT.value  # written once for each item: a plain string is encoded faster than an enum's member
 
 
@@ -59,7 +62,7 @@
         """
         head = self.head
         kind = head["k"]
-        if kind in (Kind.JOB, Kind.END):
+        if kind in (Kind.JOB, Kind.END, Kind.CLAIM):
             return kind, head["lot"]
         if kind == Kind.RESULT:
             return kind, head["lot"], head["pos"]
@@ -98,6 +101,23 @@
     return {"k": Kind.JOB, "lot": job_id, "run": run, "host": host, "path": path}
 
 
+def claim_head(job_id: str, run: str, *, is_settled: bool = False, is_withdrawn: bool = False) -> dict:
+    """Returns the head of a claim.
+
+    Args:
+        job_id: The job.
+        run: The run that it belongs to.
+        is_settled: Whether the job was accepted by the run: what another run left of it goes.
+        is_withdrawn: Whether the run gives up the job, which it did not accept.
+    """
+    head: dict = {"k": Kind.CLAIM, "lot": job_id, "run": run}
+    if is_settled:
+        head[SETTLED_KEY] = True
+    if is_withdrawn:
+        head[WITHDRAWN_KEY] = True
+    return head
+
+
 def end_head(job_id: str, run: str) -> dict:
     """Returns the head of a job's end."""
     return {"k": Kind.END, "lot": job_id, "run": run}
--- a/archhatch/jobs/record_state.py
+++ b/archhatch/jobs/record_state.py
@@ -6,7 +6,18 @@
 from dataclasses import dataclass, field
 
 from ..runtime import Clock
-from .record import Kind, Record, identity_head, order_head, pack_pieces, promise_head, unpack
+from .record import (
+    SETTLED_KEY,
+    WITHDRAWN_KEY,
+    Kind,
+    Record,
+    claim_head,
+    identity_head,
+    order_head,
+    pack_pieces,
+    promise_head,
+    unpack,
+)
 from .run_report import HeldJob, RunReport
 
 RECORD_OVERHEAD = 200  # bytes reckoned for a record besides its body
@@ -57,6 +68,7 @@
         id: The id of this store; empty before it has one.
         promised_terms: The highest term promised to a run's holder, by run.
         batch_jobs: What is here of each job, by id.
+        claims: The run to which a job belongs that nothing else is here of, by id.
         windows: The newest snapshot of each window and the deltas behind it, by (run, partition).
         early_updates: Deltas whose snapshot is not here, by (run, partition).
         newest_times: The newest (term, seconds of that term) that a record bears, by run.
@@ -74,6 +86,7 @@
         self.id = ""
         self.promised_terms: dict[str, int] = {}
         self.batch_jobs: dict[str, StoredJob] = {}
+        self.claims: dict[str, str] = {}
         self.windows: dict[tuple, list[Record]] = {}
         self.early_updates: dict[tuple, list[Record]] = {}
         self.newest_times: dict[str, tuple] = {}
@@ -91,7 +104,7 @@
                 self._promise(record.head["run"], record.head["term"])
             if record.kind != Kind.PROMISE:
                 self._note_time(record.head)
-                if not self.supersedes(record):
+                if not self.supersedes(record) and self.other_owner(record) is None:
                     self.apply(record)
 
     def _promise(self, run: str, term: int) -> None:
@@ -102,6 +115,25 @@
             known = self.newest_times.get(head["run"], (0, 0.0))
             self.newest_times[head["run"]] = max(known, (head["term"], head["t"]))
 
+    # -- which run a job belongs to
+
+    def owner_of(self, job_id: str) -> str | None:
+        """Returns the run to which a job belongs as far as this store knows, None if it knows of none."""
+        stored = self.batch_jobs.get(job_id)
+        return stored.run if stored is not None else self.claims.get(job_id)
+
+    def other_owner(self, record: Record) -> str | None:
+        """Returns the run that keeps a record of a job from being taken, None if it may be taken.
+
+        A store takes a job, or a claim on it, of the run that came first. Only a run that accepted the job takes the
+        place of another: two cannot have, as each must have been first at stores that meet the other's.
+        """
+        head = record.head
+        if "lot" not in head or head["k"] in (Kind.ORDER, Kind.SNAPSHOT, Kind.UPDATE):
+            return None
+        owner = self.owner_of(head["lot"])
+        return None if owner in (None, head["run"]) or SETTLED_KEY in head else owner
+
     # -- records
 
     def supersedes(self, record: Record) -> bool:
@@ -113,8 +145,10 @@
             return window[0].epoch() >= record.epoch() if window else False
         if kind == Kind.UPDATE:
             return self._supersedes_update(record)
+        if kind == Kind.CLAIM:
+            return WITHDRAWN_KEY not in head and self.owner_of(head["lot"]) == head["run"]
         stored = self.batch_jobs.get(head["lot"])
-        if stored is None or kind == Kind.ORDER:
+        if stored is None or kind == Kind.ORDER or stored.run != head["run"]:
             return False
         if kind == Kind.RESULT:
             result = stored.results.get(head["pos"])
@@ -142,11 +176,24 @@
             self._apply_snapshot(record)
         elif kind == Kind.UPDATE:
             self._apply_update(record)
+        elif kind == Kind.CLAIM:
+            self._apply_claim(head)
         else:
             stored = self.batch_jobs.get(head["lot"])
-            if stored is None:
+            if stored is None or stored.run != head["run"]:
                 stored = self.batch_jobs[head["lot"]] = StoredJob(head["run"], self.clock.now())
             stored.put(record)
+            self.claims.pop(head["lot"], None)
+
+    def _apply_claim(self, head: dict) -> None:
+        job_id, run = head["lot"], head["run"]
+        if WITHDRAWN_KEY in head:
+            if self.owner_of(job_id) == run:
+                self.batch_jobs.pop(job_id, None)
+                self.claims.pop(job_id, None)
+            return
+        self.batch_jobs.pop(job_id, None)
+        self.claims[job_id] = run
 
     def _apply_snapshot(self, record: Record) -> None:
         """A newer snapshot deletes what lay before it; deltas that came ahead of it take their place behind it."""
@@ -173,13 +220,20 @@
         intents = self.order_intents.get(run, {})
         times = self.order_times.get(run, {})
         return RunReport(
-            jobs={job_id: _held(stored) for job_id, stored in self.batch_jobs.items() if stored.run == run},
+            jobs=self._held_jobs(run),
             windows=[[record.head, bytes(record.body).decode()] for record in self._window_records(run)],
             order_ages_s={instance_id: now - synced_at for instance_id, synced_at in intents.items()},
             order_times={instance_id: time for instance_id, time in times.items() if instance_id in intents},
             newest_time=self.newest_times.get(run),
         ).to_document()
 
+    def _held_jobs(self, run: str) -> dict[str, HeldJob]:
+        held = {job_id: _held(stored) for job_id, stored in self.batch_jobs.items() if stored.run == run}
+        for job_id, owner in self.claims.items():
+            if owner == run:
+                held[job_id] = HeldJob(has_job=False, has_end=False, results=[], has_claim=True)
+        return held
+
     def _window_records(self, run: str | None = None) -> list[Record]:
         return [
             record
@@ -211,6 +265,7 @@
             self.order_times[run] = {instance_id: time for instance_id, time in times.items() if instance_id in kept}
         for job_id in job_ids:
             self.batch_jobs.pop(job_id, None)
+            self.claims.pop(job_id, None)
 
     def snapshot(self) -> Iterator[tuple[bytes, bytes]]:
         """Returns all that is kept, for a rewritten log.
@@ -222,6 +277,7 @@
         for run, intents in self.order_intents.items():
             times = self.order_times.get(run, {})
             heads += [order_head(run, instance_id, times.get(instance_id)) for instance_id in intents]
+        heads += [claim_head(job_id, run) for job_id, run in self.claims.items()]
         records = [Record(head) for head in heads] + self._window_records()
         for stored in self.batch_jobs.values():
             records += stored.records()
--- a/archhatch/jobs/record_store.py
+++ b/archhatch/jobs/record_store.py
@@ -19,7 +19,7 @@
 from ..runtime import Clock, Counters
 from ..wal import LogError, LogRecord, WriteAheadLog
 from .body_cache import BodyCache
-from .record import Kind, Record, identity_head, pack, pack_pieces, promise_head
+from .record import WITHDRAWN_KEY, Kind, Record, identity_head, pack, pack_pieces, promise_head
 from .record_state import RecordState
 
 RESERVE = 1 / 8  # of the disk: kept free of new jobs, for promises, results and ends
@@ -28,6 +28,9 @@
 CRAMPED_RATIO = 5 / 4  # the same while the disk has no room for new jobs
 
 
+Verdict = bool | str | None  # of a store on a record; see RecordStore.append
+
+
 @dataclass(frozen=True, slots=True, eq=False)
 class _Entry:
     """A record, and the term of the holder that brings it."""
@@ -44,6 +47,12 @@
     task: asyncio.Task
 
 
+def _contradict(record: Record, other: Record) -> bool:
+    """Returns whether two records say that one job belongs to two runs."""
+    is_about_jobs = all(one.head["k"] in (Kind.JOB, Kind.CLAIM) for one in (record, other))
+    return is_about_jobs and record.head["lot"] == other.head["lot"] and record.head["run"] != other.head["run"]
+
+
 class RecordStore(RecordState):
     """All records on this store, and their way to its disk.
 
@@ -110,12 +119,12 @@
 
     # -- records
 
-    async def append(self, records: list[Record]) -> list[bool | None]:
+    async def append(self, records: list[Record]) -> list[Verdict]:
         """Takes records, each under its run's term (`by` in its head).
 
         Returns:
             For each: True if it, or one as good, is synced here; False if its run was promised to a higher term; None
-            if it is a new job and the disk lacks the room.
+            if it is a new job and the disk lacks the room; the name of another run that the job belongs to.
 
         Raises:
             LogError: A write failed; nothing of it counts.
@@ -127,7 +136,7 @@
             )
             for record in records
         ]
-        verdicts: dict[_Entry, bool | None] = {}
+        verdicts: dict[_Entry, Verdict] = {}
         while len(verdicts) < len(entries):
             fresh: list[_Entry] = []
             writes: dict[asyncio.Task, bool] = {}  # in their order, each once
@@ -145,7 +154,7 @@
         """Says at once what becomes of a record, has it written, or waits for the write that carries it already."""
         promised = self.promised_terms.get(entry.record.head["run"], 0)
         is_here = self.supersedes(entry.record)
-        coming = None if is_here else self._write_of(entry.record)
+        coming = None if is_here else self._write_of(entry.record) or self._write_of_other_owner(entry.record)
         if entry.term < promised:
             self.counters.add("record_store.stale_term")
             verdicts[entry] = False
@@ -153,15 +162,32 @@
             verdicts[entry] = True
         elif coming:
             writes[coming.task] = True
+        elif (owner := self.other_owner(entry.record)) is not None:
+            self.counters.add("record_store.other_owner")
+            verdicts[entry] = owner
         elif entry.record.head["k"] == Kind.JOB and not is_here and not self.has_room(len(entry.record.body)):
             self.counters.add("record_store.no_room")
             verdicts[entry] = None
-        else:
-            fresh.append(entry)
+        elif not any(_contradict(entry.record, other.record) for other in fresh):
+            fresh.append(entry)  # else it is looked at again once these are written
 
     def _write_of(self, record: Record) -> _Write | None:
         coming = self._in_flight.get(record.place())
-        return coming if coming and coming.record.rank() >= record.rank() else None
+        if coming is None or coming.record.head["run"] != record.head["run"]:
+            return None
+        if WITHDRAWN_KEY in coming.record.head or WITHDRAWN_KEY in record.head:
+            return None
+        return coming if coming.record.rank() >= record.rank() else None
+
+    def _write_of_other_owner(self, record: Record) -> _Write | None:
+        """The write of a job, or of a claim on it, by another run; only when it is done it is known who came first."""
+        if record.head["k"] not in (Kind.JOB, Kind.CLAIM):
+            return None
+        for kind in (Kind.JOB, Kind.CLAIM):
+            coming = self._in_flight.get((kind, record.head["lot"]))
+            if coming is not None and coming.record.head["run"] != record.head["run"]:
+                return coming
+        return None
 
     # -- the way to the disk
 
@@ -178,7 +204,7 @@
         if not write.cancelled() and write.exception() is not None:
             self.counters.add("record_store.write_failed")
 
-    async def _carry(self, entries: list[_Entry]) -> list[bool]:
+    async def _carry(self, entries: list[_Entry]) -> list[Verdict]:
         raws: list[LogRecord] = []
         terms: dict[str, int] = {}
         for entry in entries:
@@ -201,13 +227,16 @@
             if coming is not None and coming.task is write:
                 del self._in_flight[entry.record.place()]
 
-    def _count(self, entry: _Entry) -> bool:
+    def _count(self, entry: _Entry) -> Verdict:
         """A record is on the disk: from now on it counts, unless its run went to a higher term meanwhile."""
         run = entry.record.head["run"]
         if entry.term < self.promised_terms.get(run, 0):
             self.counters.add("record_store.overtaken")
             return False
         self._promise(run, entry.term)
+        owner = self.other_owner(entry.record)
+        if owner is not None:
+            return owner
         if entry.record.head["k"] != Kind.PROMISE and not self.supersedes(entry.record):
             self.apply(entry.record)
         return True
--- a/archhatch/jobs/replicator.py
+++ b/archhatch/jobs/replicator.py
@@ -11,9 +11,10 @@
 from ..runtime import Counters, TaskGroup
 from ..wal import LogError
 from .errors import DeposedError
+from .ownership_contest import OwnershipContest
 from .quorum import Quorum, active_members
-from .record import Record, pack_many
-from .record_store import RecordStore
+from .record import SETTLED_KEY, Kind, Record, claim_head, pack_many
+from .record_store import RecordStore, Verdict
 
 LATE_PENALTY = 6  # times the timeout that a store which was late with an answer is asked only if no other will do
 SLOW_ANSWER_DIVISOR = 3  # of the timeout: a store that takes longer is slow, and another is asked as well
@@ -21,6 +22,7 @@
 LONGEST_PAUSE_S = 0.4  # ... up to this
 BATCH_BYTES = 1 << 20  # of records after which a batch is closed
 DONE_CODE = 1000  # the result code of a call that was carried out
+UNKNOWN_CALL_CODE = 2009  # the result code of a call that a store of an earlier version does not know
 
 
 class _Send(NamedTuple):
@@ -28,7 +30,19 @@
 
     term: int
     records: list[Record]
-    outcome: asyncio.Future  # True when they are synced there, False if a higher term is known, None if not taken
+    outcome: asyncio.Future  # the Verdict that counts for all of them
+
+
+class ClaimAnswer(NamedTuple):
+    """What a store says to a claim on a job.
+
+    Attributes:
+        verdict: See RecordStore.append; None as well if the store does not answer, or cannot keep the claim.
+        is_free: Whether the store, which cannot keep the claim, has nothing of the job for another run.
+    """
+
+    verdict: Verdict
+    is_free: bool = False
 
 
 class Replicator:
@@ -145,12 +159,26 @@
 
     # -- until enough have them
 
-    async def replicate(self, run: str, term: int, records: list[Record]) -> None:
+    def contest(self, run: str) -> OwnershipContest:
+        """Returns what follows how a run fares with a job that other runs may have."""
+        return OwnershipContest(run, self.quorum, self.members, self.alive)
+
+    async def replicate(
+        self, run: str, term: int, records: list[Record], contest: OwnershipContest | None = None
+    ) -> None:
         """Has enough stores sync the records. One that is slow to answer is not waited for: another is asked as well.
 
+        Args:
+            run: The run.
+            term: The term of its leader.
+            records: The records, all of one job.
+            contest: Follows whether the run can have the job; one of its own if it is left out.
+
         Raises:
             DeposedError: A store knows a higher term.
+            JobOwnedElsewhereError: The job belongs to another run at so many stores that this one cannot have it.
         """
+        contest = contest or self.contest(run)
         job_id = records[0].head["lot"]
         preferred = self.prefers(run)
         waiting: dict[asyncio.Future, tuple[str, list[Record]]] = {}
@@ -165,7 +193,8 @@
             batches: dict[str, list[Record]] = {}
             for record in lacking:
                 coming = self._coming_to(record, waiting, slow)
-                for sid in self.targets(job_id, record.held | coming, avoid=slow, preferred=preferred):
+                avoided = slow | contest.owners.keys()
+                for sid in self.targets(job_id, record.held | coming, avoid=avoided, preferred=preferred):
                     batches.setdefault(sid, []).append(record)
             for sid, batch in batches.items():
                 waiting[self.send(sid, run, term, batch)] = (sid, batch)
@@ -173,8 +202,23 @@
                 await asyncio.sleep(pause_s)
                 pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
                 slow.clear()
+                contest.owners.clear()
                 continue
-            await self._wait_for_any(run, waiting, slow)
+            await self._wait_for_any(run, waiting, slow, contest.owners)
+            await self._settle_owners(run, term, records[0], contest)
+
+    async def _settle_owners(self, run: str, term: int, record: Record, contest: OwnershipContest) -> None:
+        """Deals with stores at which the job of a record belongs to another run.
+
+        If this run has accepted the job, what the other left there goes. Else it may turn out that it cannot have it.
+        """
+        if record.kind == Kind.JOB and SETTLED_KEY not in record.head:
+            await contest.settle()
+            return
+        for sid in list(contest.owners):
+            answer = await self.claim(sid, run, term, record.head["lot"], is_settled=True)
+            if answer.verdict is True:
+                del contest.owners[sid]
 
     def _coming_to(self, record: Record, waiting: dict, slow: set[str]) -> set[str]:
         """The stores that a record is on its way to, as far as they are counted on."""
@@ -184,7 +228,7 @@
             if sid not in slow and self.takes(sid) and any(record is other for other in batch)
         }
 
-    async def _wait_for_any(self, run: str, waiting: dict, slow: set[str]) -> None:
+    async def _wait_for_any(self, run: str, waiting: dict, slow: set[str], owners: dict[str, str]) -> None:
         """Waits for an answer, not longer than a store may take before it counts as slow."""
         done, _ = await asyncio.wait(
             waiting, timeout=self.timeout_s / SLOW_ANSWER_DIVISOR, return_when=asyncio.FIRST_COMPLETED
@@ -198,7 +242,9 @@
             outcome = future.result()
             if outcome is False:
                 raise DeposedError(run)
-            if outcome is None:
+            if isinstance(outcome, str):
+                owners[sid] = outcome
+            elif outcome is None:
                 if sid not in slow:
                     self._avoid({sid})
                 slow.add(sid)
@@ -209,7 +255,8 @@
         """Puts records into a store's inbox.
 
         Returns:
-            A future: True when they are synced there, False if deposed, None if the store does not take them.
+            A future: the verdict that counts for all of them, see RecordStore.append; None as well if the store does
+            not answer.
         """
         if sid == self.store_id:
             return asyncio.ensure_future(self._append_here(term, records))
@@ -222,7 +269,55 @@
         self._wakes[sid].set()
         return outcome
 
-    async def _append_here(self, term: int, records: list[Record]) -> bool | None:
+    async def claim(  # noqa: PLR0913 - the fields of the call
+        self,
+        sid: str,
+        run: str,
+        term: int,
+        job_id: str,
+        *,
+        is_settled: bool = False,
+        is_withdrawn: bool = False,
+    ) -> ClaimAnswer:
+        """Has a store note that a job belongs to a run, or does not any more.
+
+        Args:
+            sid: The store.
+            run: The run.
+            term: The term of its leader.
+            job_id: The job.
+            is_settled: Whether the run accepted the job, so that what another run left of it goes.
+            is_withdrawn: Whether the run gives the job up.
+        """
+        head = claim_head(job_id, run, is_settled=is_settled, is_withdrawn=is_withdrawn)
+        if sid == self.store_id:
+            verdict = await self._append_here(term, [Record(head)])
+            return ClaimAnswer(verdict, verdict is None and self.record_store.owner_of(job_id) in (None, run))
+        member = self.members().get(sid)
+        if member is None:
+            return ClaimAnswer(None)
+        request = {"to": sid, **head, "term": term}
+        try:
+            code, answer, _ = await self.connections.to(member["addr"]).call(
+                "shelf.claim", request, timeout_s=self.timeout_s
+            )
+            if code == UNKNOWN_CALL_CODE:
+                return ClaimAnswer(None, await self._lacks(sid, member["addr"], job_id))
+        except CallError:
+            self.counters.add("claim.unanswered")
+            return ClaimAnswer(None)
+        if code != DONE_CODE or not isinstance(answer, dict):
+            return ClaimAnswer(None)
+        return ClaimAnswer(answer.get("verdict"), answer.get("free") is True)
+
+    async def _lacks(self, sid: str, address: str, job_id: str) -> bool:
+        """Returns whether a store of an earlier version, which keeps no claims, has nothing of a job."""
+        _, answer, _ = await self.connections.to(address).call(
+            "shelf.lacks", {"to": sid, "lot": job_id}, timeout_s=self.timeout_s
+        )
+        return isinstance(answer, dict) and answer.get("lacks") is True
+
+    async def _append_here(self, term: int, records: list[Record]) -> Verdict:
         copies = [Record({**record.head, "by": term}, record.body) for record in records]
         try:
             verdicts = await self.watch(self.record_store.append(copies))
@@ -231,12 +326,12 @@
             return None  # this store's copy is one like any other: others make up for it
         return self._settle(self.store_id, verdicts, records)
 
-    def _settle(self, sid: str, verdicts: list, records: list[Record]) -> bool | None:
+    def _settle(self, sid: str, verdicts: list, records: list[Record]) -> Verdict:
         """What a store's verdicts on records that were sent together come to.
 
         Returns:
-            False if any met a higher term, None if the disk lacks the room for any; only if all are synced do they
-            count as held there.
+            False if any met a higher term, None if the disk lacks the room for any, the other run that a job belongs
+            to; only if all are synced do they count as held there.
         """
         if False in verdicts:
             self.counters.add("copy.stale_term")
@@ -244,6 +339,10 @@
         if None in verdicts:
             self.counters.add("copy.no_room")
             return None
+        owner = next((verdict for verdict in verdicts if isinstance(verdict, str)), None)
+        if owner is not None:
+            self.counters.add("copy.other_owner")
+            return owner
         for record in records:
             record.held.add(sid)
         return True
@@ -266,7 +365,7 @@
         verdicts = await self._call(sid, batch)
         start = 0
         for send in batch:
-            outcome = None
+            outcome: Verdict = None
             if verdicts is not None:
                 end = start + len(send.records)
                 outcome = self._settle(sid, verdicts[start:end], send.records)
@@ -282,7 +381,7 @@
         copies = [Record({**record.head, "by": send.term}, record.body) for send in batch for record in send.records]
         try:
             code, verdicts, _ = await self.connections.to(member["addr"]).call(
-                "shelf.append", {"to": sid}, pack_many(copies), timeout_s=self.timeout_s
+                "shelf.append", {"to": sid, "owners": True}, pack_many(copies), timeout_s=self.timeout_s
             )
         except CallError:
             self.counters.add("copy.unanswered")
--- a/archhatch/jobs/run_report.py
+++ b/archhatch/jobs/run_report.py
@@ -15,11 +15,13 @@
         has_job: Whether the record of the job itself is there.
         has_end: Whether the record of its end is there.
         results: Rows [position, term, item]; they stay lists, because a store tells of very many.
+        has_claim: Whether nothing of the job is there but that it belongs to the run.
     """
 
     has_job: bool = wire("lot")
     has_end: bool = wire("end")
     results: list = wire("results")
+    has_claim: bool = wire("claim", default=False, optional=True)
 
 
 def _read_jobs(document: dict) -> dict[str, HeldJob]:
--- a/archhatch/rollout_controller/leadership_term.py
+++ b/archhatch/rollout_controller/leadership_term.py
@@ -14,7 +14,7 @@
 from transitions import Machine
 
 from ..jobs import BatchJob, DeposedError, Record, read_job
-from ..jobs.record import Kind, end_head, job_head, order_head, result_head
+from ..jobs.record import SETTLED_KEY, Kind, end_head, job_head, order_head, result_head
 from ..runtime import encode_kept
 from ..store.heartbeat import LedRunStatus
 from .host import LeadershipHost
@@ -49,7 +49,8 @@
     Attributes:
         state: The word of a TermState.
         batch_jobs: The jobs that it serves, by id.
-        pending_jobs: Ended jobs that are still to be taken up: job id -> store id -> what that store holds.
+        pending_jobs: Jobs that are still to be taken up, as they ended, or as it is not certain that they are this
+            run's: job id -> store id -> what that store holds.
         offered_jobs: Jobs that were handed in under this term and may have been taken.
         may_order_from: The time from which a replica may have orders of this holder; at once if it is not listed.
         next_offsets: The next offset that this term gives out, by partition; a partition is named by its model.
@@ -118,7 +119,7 @@
             host.state_board.notify(("lot", batch_job.job_id))
         host.state_board.notify("work")
         host.state_board.notify("members")  # what lacks copies is repaired at once
-        await self.takeover.adopt_ended_jobs()
+        await self.takeover.adopt_pending_jobs()
 
     def step_down(self) -> None:
         """Ends the term: nothing of it is answered any more."""
@@ -175,6 +176,7 @@
         """Counts records that came to enough stores: from now on they are acknowledged and listed."""
         assert batch_job is not None  # None only for a job that another call is copying already
         if records[0].kind == Kind.JOB:
+            records[0].head[SETTLED_KEY] = True
             self.batch_jobs.setdefault(batch_job.job_id, batch_job)
             self.host.counters.add("job.accepted")
             self.host.state_board.notify("work")
@@ -211,6 +213,7 @@
 
         Raises:
             DeposedError: The term ended before enough stores had it.
+            JobOwnedElsewhereError: Another run has it, or may have it.
         """
         job_id = request["lot"]
         self.offered_jobs.add(job_id)
--- a/archhatch/rollout_controller/record_copier.py
+++ b/archhatch/rollout_controller/record_copier.py
@@ -9,8 +9,10 @@
 import asyncio
 from collections.abc import Callable
 
-from ..jobs import BatchJob, DeposedError, Record
+from ..jobs import BatchJob, DeposedError, JobOwnedElsewhereError, Record
+from ..jobs.record import Kind
 from .host import LeadershipHost
+from .job_claims import JobClaims
 
 
 class RecordCopier:
@@ -43,6 +45,7 @@
         self.run = run
         self.term = term
         self.in_flight: dict[tuple | None, asyncio.Task] = {}
+        self._claims = JobClaims(host, run, term)
         self._on_copied = on_copied
         self._step_down = step_down
 
@@ -51,6 +54,7 @@
 
         Raises:
             DeposedError: The term ended before enough stores had them.
+            JobOwnedElsewhereError: They are of a job that another run has, or may have.
         """
         key = records[0].place()
         task = self.in_flight.get(key)
@@ -58,15 +62,24 @@
             task = self.host.task_group.spawn("records", self._copy, key, records, batch_job)
             self.in_flight[key] = task
         await asyncio.wait({task})  # unlike an await of the task, this leaves it running if the waiter is cancelled
+        if not task.cancelled() and isinstance(task.result(), JobOwnedElsewhereError):
+            raise JobOwnedElsewhereError(task.result().owner)
         if task.cancelled() or task.result() is not True:
             raise DeposedError(self.run)
 
-    async def _copy(self, key: tuple | None, records: list[Record], batch_job: BatchJob | None) -> bool:
+    async def _copy(
+        self, key: tuple | None, records: list[Record], batch_job: BatchJob | None
+    ) -> bool | JobOwnedElsewhereError:
         try:
-            await self.host.replicator.replicate(self.run, self.term, records)
+            if records[0].kind == Kind.JOB:
+                await self._claims.accept(records[0])
+            else:
+                await self.host.replicator.replicate(self.run, self.term, records)
         except DeposedError:
             self._step_down()
             return False
+        except JobOwnedElsewhereError as error:
+            return error
         except Exception:
             self._step_down()  # a record without its copies must not stand in a term that goes on
             raise
--- a/archhatch/rollout_controller/takeover.py
+++ b/archhatch/rollout_controller/takeover.py
@@ -12,11 +12,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ..jobs import BatchJob, DeposedError, Record, read_job
-from ..jobs.record import Kind
+from ..jobs import BatchJob, DeposedError, JobOwnedElsewhereError, Record, read_job
+from ..jobs.record import SETTLED_KEY, Kind
+from ..jobs.record_state import StoredJob
 from ..jobs.run_report import HeldJob, RunReport
 from ..runtime.message import MALFORMED_ERRORS, InvalidMessageError
 from .host import LeadershipHost
+from .job_claims import JobClaims
 
 if TYPE_CHECKING:
     from .leadership_term import LeadershipTerm
@@ -24,6 +26,7 @@
 CONCURRENT_BODY_FETCHES = 3  # bodies of jobs that are fetched side by side: bounds the memory that a takeover needs
 CONCURRENT_ADOPTIONS = 8  # jobs taken up side by side: copies share calls and syncs, but fetches must not time out
 ORDER_VALIDITY = 1 / 6  # of LeaseMs: how long after its intent was recorded an order may be sent
+CLAIM_HEARTBEATS = 8  # in heartbeat intervals: how long a job is claimed before the stores are read again
 DONE_CODE = 1000  # the result code of a command that was carried out
 DEPOSED_CODE = 2018  # the result code of a command under a term that is not the newest
 
@@ -53,12 +56,13 @@
 
     >>> # takeover = Takeover(leadership)
     >>> # while not await takeover.gather(): await asyncio.sleep(pause_s)
-    >>> # await takeover.adopt_ended_jobs()
+    >>> # await takeover.adopt_pending_jobs()
     """
 
     def __init__(self, leadership: LeadershipTerm) -> None:
         self.leadership = leadership
         self.host: LeadershipHost = leadership.host
+        self._claims = JobClaims(self.host, leadership.run, leadership.term)
         self._addresses: dict[str, str] = {}  # the stores that were asked
         self._body_fetches = asyncio.Semaphore(CONCURRENT_BODY_FETCHES)
         self._answered: set[str] = set()  # the stores that have answered in any round
@@ -66,7 +70,7 @@
     # -- reading
 
     async def gather(self) -> bool:
-        """Asks all stores for the run, and takes up its open jobs.
+        """Asks all stores for the run, and takes up the open jobs that are certainly its own.
 
         Returns:
             False if it is to be tried again.
@@ -82,11 +86,18 @@
         leadership.window_records = [row for report in reports.values() for row in report.windows]
         held_by = _held_by_job(reports)
         leadership.pending_jobs = {
-            job_id: held for job_id, held in held_by.items() if any(job.has_end for job in held.values())
+            job_id: held
+            for job_id, held in held_by.items()
+            if any(job.has_end for job in held.values()) or not self._was_accepted(held)
         }
         open_jobs = {job_id: held for job_id, held in held_by.items() if job_id not in leadership.pending_jobs}
         return await self._adopt_all(open_jobs)
 
+    def _was_accepted(self, held: dict[str, HeldJob]) -> bool:
+        """Returns whether it is certain that a job is this run's: it has results, or so many stores say so."""
+        holders = {sid for sid, job in held.items() if job.has_job}
+        return any(job.results for job in held.values()) or self._claims.is_owner(holders, set(held))
+
     async def _read_reports(self) -> dict[str, RunReport] | None:
         """Asks the stores that are members now; returns their reports, None if it is to be tried again.
 
@@ -181,8 +192,8 @@
 
     # -- taking up jobs
 
-    async def adopt_ended_jobs(self) -> None:
-        """Takes up ended jobs, once the open ones are served.
+    async def adopt_pending_jobs(self) -> None:
+        """Takes up the jobs that ended, and those that may be another run's, once the others are served.
 
         What is not to be had at the stores that were heard first is looked for at those that are there by now.
 
@@ -209,6 +220,7 @@
                 if is_adopted:
                     self.leadership.pending_jobs.pop(job_id, None)
                     self.leadership.record_progress()
+                    self.host.state_board.notify("work")
                 return is_adopted
 
         tasks = [asyncio.ensure_future(adopt(job_id)) for job_id in sorted(held_by)]
@@ -228,6 +240,12 @@
         if copies is None:
             return False
         batch_job = self._rebuild(job_id, held, chosen, copies)
+        try:
+            if not await self._claim(batch_job, held):
+                return False
+        except JobOwnedElsewhereError as error:
+            self.host.log.info("run {}: job {} is left to run {}", leadership.run, job_id, error.owner)
+            return True
         rewritten = [record for record in batch_job.records if not self.host.replicator.has_enough_copies(record)]
         if rewritten:
             self.host.counters.add("takeover.rewritten", len(rewritten))
@@ -236,12 +254,29 @@
         leadership.batch_jobs[job_id] = batch_job
         return True
 
+    async def _claim(self, batch_job: BatchJob, held: dict[str, HeldJob]) -> bool:
+        """Makes sure that a job is this run's; returns whether it is certain.
+
+        Raises:
+            JobOwnedElsewhereError: It is not.
+        """
+        record = batch_job.records[0]
+        if not batch_job.is_ended and not self._was_accepted(held):
+            claimed = {sid for sid, job in held.items() if job.has_claim}
+            try:
+                async with asyncio.timeout(self.host.heartbeat_interval_s * CLAIM_HEARTBEATS):
+                    await self._claims.accept(record, claimed)
+            except TimeoutError:
+                return False
+        record.head[SETTLED_KEY] = True
+        return True
+
     async def _collect(self, job_id: str, held: dict[str, HeldJob], chosen: list[tuple[int, str]]) -> Copies | None:
         """The records of a job, fetched from other stores where they are not here; None if some are not to be had.
 
         A store that does not answer is passed over: another may have the same records.
         """
-        stored = self.host.record_store.batch_jobs.get(job_id)
+        stored = self._stored(job_id)
         copies = Copies(None, None)
         if stored is not None:
             copies = Copies(stored.job, stored.end)
@@ -255,6 +290,11 @@
         has_end = any(job.has_end for job in held.values())
         return copies if copies.is_whole(len(chosen), has_end) else None
 
+    def _stored(self, job_id: str) -> StoredJob | None:
+        """What this store has of a job, if it has it as this run's."""
+        stored = self.host.record_store.batch_jobs.get(job_id)
+        return stored if stored is not None and stored.run == self.leadership.run else None
+
     async def _fetch(self, sid: str, job_id: str, held: HeldJob, chosen: list[tuple[int, str]], copies: Copies) -> None:
         """Fetches a store's copies of what is still lacking, as far as it answers."""
         there = {(position, term) for position, term, _ in held.results}
@@ -276,7 +316,8 @@
             return
         self.leadership.record_progress()
         for record in records:
-            _take_copy(record, chosen, copies)
+            if record.head["run"] == self.leadership.run:
+                _take_copy(record, chosen, copies)
 
     def _hold_bodies(self, job_id: str, records: list[Record]) -> None:
         for record in records:
@@ -288,7 +329,7 @@
     ) -> BatchJob:
         """The job as this term lists it; records that too few stores hold bear this term."""
         host = self.host
-        stored = host.record_store.batch_jobs.get(job_id)
+        stored = self._stored(job_id)
         accepted_at = host.clock.now() if stored is None else stored.stored_at
         assert copies.job is not None  # _collect returns none without the job
         batch_job = read_job(copies.job.head, copies.job.body, accepted_at)
--- a/archhatch/runtime/result_codes.py
+++ b/archhatch/runtime/result_codes.py
@@ -33,6 +33,7 @@
     2017: (431, "the head is too large"),
     2018: (409, "another term or membership holds by now"),
     2019: (401, "the key is missing or unknown"),
+    2020: (409, "another run has the lot"),
     2016: (408, "the request came too slowly"),
     2101: (400, "the policy is invalid"),
     2102: (404, "no such region"),
--- a/archhatch/store/handlers.py
+++ b/archhatch/store/handlers.py
@@ -6,14 +6,17 @@
 from collections.abc import Awaitable, Callable, Iterator
 from typing import TYPE_CHECKING, Any, Protocol
 
-from ..jobs import LARGE_JOB_BYTES, DeposedError
-from ..jobs.record import pack_many, unpack_many
+from ..jobs import LARGE_JOB_BYTES, DeposedError, JobOwnedElsewhereError, Record
+from ..jobs.record import claim_head, pack_many, unpack_many
 from ..memory import StoreShares
 from ..rpc import CallRefusedError, Handlers
 from ..wal import LogError
 from .heartbeat import read_card
 from .job_reservations import JobReservations
 from .messages import (
+    AppendRequest,
+    ClaimJobAnswer,
+    ClaimJobRequest,
     FetchRecordsRequest,
     JobRequest,
     LeaderSignature,
@@ -24,7 +27,16 @@
     ReserveJobRequest,
     SubmitJobRequest,
 )
-from .result_codes import DISK_FAILED, NO_MEMORY, NO_ROOM, NOT_CERTAIN, NOT_TAKEN, OTHER_INCARNATION, UNKNOWN_JOB
+from .result_codes import (
+    DISK_FAILED,
+    NO_MEMORY,
+    NO_ROOM,
+    NOT_CERTAIN,
+    NOT_TAKEN,
+    OTHER_INCARNATION,
+    OTHER_RUN,
+    UNKNOWN_JOB,
+)
 
 if TYPE_CHECKING:
     from ..jobs import RecordStore
@@ -83,6 +95,7 @@
             "shelf.append": self._append,
             "shelf.fetch": self._fetch_records,
             "shelf.lacks": self._check_missing,
+            "shelf.claim": self._claim_job,
             "share.fetch": self._acquire_entries,
             "share.commit": self._acknowledge_entries,
             "lot.reserve": self._reserve_job,
@@ -128,12 +141,15 @@
             leadership.step_down()
         return answer
 
-    async def _append(self, _document: dict, body: bytes) -> list:
+    async def _append(self, document: dict, body: bytes) -> list:
         if not self.store.ready:
             raise CallRefusedError(NOT_CERTAIN)
         records = unpack_many(body)
         del body  # the records have their own bytes
-        return await self.store.disk.watch(self.store.record_store.append(records))
+        verdicts = await self.store.disk.watch(self.store.record_store.append(records))
+        if not AppendRequest.from_document(document).reads_owners:
+            return [None if isinstance(verdict, str) else verdict for verdict in verdicts]
+        return verdicts
 
     async def _fetch_records(self, document: dict, _body: bytes) -> tuple[None, bytes]:
         request = FetchRecordsRequest.from_document(document)
@@ -143,6 +159,20 @@
     async def _check_missing(self, document: dict, _body: bytes) -> dict:
         return check_missing(self.store, JobRequest.from_document(document).job_id).to_document()
 
+    async def _claim_job(self, document: dict, _body: bytes) -> dict:
+        store = self.store
+        if not store.ready:
+            raise CallRefusedError(NOT_CERTAIN)
+        request = ClaimJobRequest.from_document(document)
+        head = claim_head(request.job_id, request.run, is_settled=request.is_settled, is_withdrawn=request.is_withdrawn)
+        claim = Record({**head, "by": request.term})
+        try:
+            (verdict,) = await store.disk.watch(store.record_store.append([claim]))
+        except LogError:
+            is_free = store.record_store.owner_of(request.job_id) in (None, request.run)
+            return ClaimJobAnswer(None, is_free).to_document()
+        return ClaimJobAnswer(verdict).to_document()
+
     # -- share groups
 
     async def _acquire_entries(self, document: dict, _body: bytes) -> object:
@@ -155,12 +185,17 @@
 
     def _leadership_of(self, job_id: str) -> LeadershipTerm:
         """Finds the leadership that serves a job; refuses if there is none, or if that is not certain yet."""
+        return self._leaderships_of(job_id)[0]
+
+    def _leaderships_of(self, job_id: str) -> list[LeadershipTerm]:
+        """Finds all leaderships that serve a job; only earlier versions accepted a job for more than one run."""
         leaderships = self.store.leaderships.values()
-        if any(job_id in leadership.pending_jobs for leadership in leaderships if leadership.state == "holding"):
+        holding = [leadership for leadership in leaderships if leadership.state == "holding"]
+        serving = [leadership for leadership in holding if job_id in leadership.batch_jobs]
+        if serving:
+            return serving
+        if any(job_id in leadership.pending_jobs for leadership in holding):
             raise CallRefusedError(NOT_CERTAIN)
-        for leadership in leaderships:
-            if job_id in leadership.batch_jobs and leadership.state == "holding":
-                return leadership
         if any(leadership.state == "reading" for leadership in leaderships):
             raise CallRefusedError(NOT_CERTAIN)
         raise CallRefusedError(UNKNOWN_JOB)
@@ -203,6 +238,8 @@
     async def _accept_job(self, leadership: LeadershipTerm, document: dict, body: bytes) -> None:
         try:
             await leadership.accept_job(document, body)
+        except JobOwnedElsewhereError as error:
+            raise CallRefusedError(OTHER_RUN, error.owner) from None
         except DeposedError:
             leadership.step_down()
             raise CallRefusedError(NOT_CERTAIN) from None
@@ -245,13 +282,14 @@
 
     async def _end_job(self, document: dict, _body: bytes) -> dict:
         job_id = JobRequest.from_document(document).job_id
-        leadership = self._leadership_of(job_id)
-        try:
-            await leadership.end_job(job_id)
-        except DeposedError:
-            leadership.step_down()
-            raise CallRefusedError(NOT_CERTAIN) from None
-        return self._sign(leadership)
+        leaderships = self._leaderships_of(job_id)
+        for leadership in leaderships:
+            try:
+                await leadership.end_job(job_id)
+            except DeposedError:
+                leadership.step_down()
+                raise CallRefusedError(NOT_CERTAIN) from None
+        return self._sign(leaderships[0])
 
 
 def check_missing(store: JobHolder, job_id: str) -> MissingJobAnswer:
@@ -276,6 +314,6 @@
 
 def is_known(store: JobHolder, job_id: str) -> bool:
     """Returns whether a job is kept here, or was handed in to a term that this store leads or led."""
-    if job_id in store.record_store.batch_jobs:
+    if job_id in store.record_store.batch_jobs or job_id in store.record_store.claims:
         return True
     return any(job_id in term.offered_jobs or job_id in term.batch_jobs for term in store.leaderships.values())
--- a/archhatch/store/messages.py
+++ b/archhatch/store/messages.py
@@ -79,6 +79,50 @@
     wants_job: bool = wire("want_lot")
 
 
+@dataclass(frozen=True, slots=True)
+class AppendRequest(Message):
+    """Says what the sender of records understands; the records themselves travel beside it.
+
+    Attributes:
+        reads_owners: Whether it understands the name of a run as an answer; earlier versions do not.
+    """
+
+    reads_owners: bool = wire("owners", default=False)
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimJobRequest(Message):
+    """Asks that a job be noted as a run's, without a copy of it.
+
+    Attributes:
+        job_id: The job.
+        run: The run.
+        term: The term of the run's leader.
+        is_settled: Whether the run accepted the job, so that what another run left of it goes.
+        is_withdrawn: Whether the run, which did not accept the job, gives it up.
+    """
+
+    job_id: str = wire("lot")
+    run: str = wire("run")
+    term: int = wire("term")
+    is_settled: bool = wire("settled", default=False)
+    is_withdrawn: bool = wire("withdrawn", default=False)
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimJobAnswer(Message):
+    """What a store makes of a claim on a job.
+
+    Attributes:
+        verdict: True if it stands on the disk, False if the run was promised to a higher term, the other run to which
+            the job belongs; None if the disk takes nothing.
+        is_free: Whether nothing of the job is there for another run, where the disk takes nothing.
+    """
+
+    verdict: bool | str | None = wire("verdict")
+    is_free: bool = wire("free", default=False, optional=True)
+
+
 @dataclass(frozen=True, slots=True)
 class JobRequest(Message):
     """Names a job: asks whether it is missing here, or that it be ended."""
--- a/archhatch/store/result_codes.py
+++ b/archhatch/store/result_codes.py
@@ -6,6 +6,7 @@
 NO_ROUTE = 2006  # the caller's configuration is not this store's
 UNKNOWN_JOB = 2007
 OTHER_INCARNATION = 2008  # the call is meant for another store than the one at this address
+OTHER_RUN = 2020  # the job belongs to another run, which the answer names
 NO_REPLICA_FREE = 3002
 NOT_CERTAIN = 3004  # the store cannot tell yet; the caller asks again
 NOT_TAKEN = 3005  # nothing was taken: another store may be asked without risk
--- a/tests/compatibility/test_stored_data.py
+++ b/tests/compatibility/test_stored_data.py
@@ -22,6 +22,7 @@
 from tests.support.leadership_rig import FakeCopier, FakeStore
 
 from archhatch.jobs import Record, RecordStore, unpack
+from archhatch.jobs.record import claim_head
 from archhatch.consensus import Acceptor
 from archhatch.control.node import ControlNode
 from archhatch.control.registers import SHARDS
@@ -480,7 +481,7 @@
 class _LogCopier(FakeCopier):
     """Has records on this store's disk, and tells that another has them as well."""
 
-    async def replicate(self, run, term, records):
+    async def replicate(self, run, term, records, contest=None):
         assert all(await self.store.record_store.append([Record({**r.head, "by": term}, r.body) for r in records]))
         for record in records:
             record.held |= {"me", "b"}
@@ -554,6 +555,10 @@
     other.archive(append(other, 0))
     await second.replicate(behind.next_record(other))
     assert (await record_store.prepare("fast", 4))["ok"]
+    claims = [(claim_head("lot-3", "llm"), 2), (claim_head("lot-4", "fast"), 4)]
+    claims.append((claim_head("lot-4", "fast", is_withdrawn=True), 4))
+    for head, term in claims:
+        assert await record_store.append([Record({**head, "by": term})]) == [True]
     out = {"store2.appended": only_file(folder, "store")}
     await wal.rewrite()
     await second.end_job("lot-1")
@@ -836,8 +841,8 @@
 
 def test_every_kind_of_record_is_kept():
     content = {kind: json.loads(kept(f"{kind}.json"))["appended"]["records"] for kind in REWRITE}
-    for kind in ("store", "store2"):
-        assert {head["k"] for head, _ in content[kind]} == set("IPLRESUO")
+    assert {head["k"] for head, _ in content["store"]} == set("IPLRESUO")
+    assert {head["k"] for head, _ in content["store2"]} == set("IPLRESUOC")
     for kind, shards in (("core", SHARD_NAMES), ("core2", SHARD_NAMES), ("ledger", {"accounting", "capacity"})):
         shapes = {tuple(record) for record in content[kind]}
         assert shapes == {("p", "b"), ("p", "b", "ab", "s")} | ({("id", "founders")} if kind != "ledger" else set())
--- a/tests/data_plane/test_job_handlers.py
+++ b/tests/data_plane/test_job_handlers.py
@@ -104,6 +104,40 @@
     run(go())
 
 
+# A job that was sent once more after its route's move was accepted a second time, by the route's new run (review/7).
+@pytest.mark.parametrize(
+    "answers, status, verbs",
+    [
+        ([(2020, "t"), (1000, {**MINE, "run": "t"})], 202, ["lot.put", "lot.read"]),  # accepted there before
+        ([(2020, "t"), LOST], 504, ["lot.put", "lot.read"]),  # nobody can say whether it was
+        ([(2020, "t"), (3004, None)], 504, ["lot.put", "lot.read"]),
+    ],
+)
+def test_a_job_of_another_run_is_answered_by_what_that_run_says(run, answers, status, verbs):
+    async def go():
+        edge = Edge(*answers)
+        edge.leases["t"] = LEASE
+        edge.desk._may_be_in_other_run = lambda *_: False  # this edge remembers nothing
+        assert await edge.hand_in() == status
+        assert [verb for verb, _ in edge.calls][:2] == verbs and ("l" in edge.desk.unclear) is True
+
+    run(go())
+
+
+def test_an_end_reaches_all_leaders(run):
+    """Guards against a second copy of a job, as earlier versions accepted it, that runs on after the job's end."""
+
+    async def go():
+        edge = Edge((1000, MINE))
+        edge.leases["t"] = {"holder": "s1", "life": "l", "term": 2}
+        edge.desk._config_source.shards["plan"]["stores"] = {**STORES, "s1": {**STORES["s0"], "ip": "p1"}}
+        result = await edge.desk._end("l")
+        assert result.status == 200 and {doc["to"] for _, doc in edge.calls} == {"s0", "s1"}
+        assert {verb for verb, _ in edge.calls} == {"lot.end"}
+
+    run(go())
+
+
 @pytest.mark.parametrize("answers, status", HAND_INS)
 def test_a_refusal_is_said_only_if_nothing_can_have_been_taken(run, answers, status):
     edge = Edge(*answers)
--- a/tests/jobs/test_quorum.py
+++ b/tests/jobs/test_quorum.py
@@ -12,7 +12,7 @@
 from archhatch.membership import rank
 from archhatch.control.registers import commands
 from archhatch.store.disk import DiskState
-from archhatch.store.handlers import check_missing
+from archhatch.store.handlers import StoreHandlers, check_missing
 from archhatch.store.membership import Membership, TermProof
 from archhatch.store.node import StoreNode
 from archhatch.runtime import StateBoard, Counters, TaskGroup, open_logs
@@ -82,6 +82,8 @@
             return 2008, None, b""
         if verb == "shelf.append":
             return 1000, await node.record_store.append(unpack_many(body)), b""
+        if verb == "shelf.claim":
+            return 1000, (await StoreHandlers(node)._claim_job(doc, b"")), b""
         if verb == "shelf.prepare":
             return 1000, orjson.loads(orjson.dumps(await node.record_store.prepare(doc["run"], doc["term"]))), b""
         assert verb == "shelf.fetch"
@@ -258,13 +260,11 @@
         old = orjson.loads(orjson.dumps(site.value))
         for p in ("p3", "p4"):
             site.start(p, MemBook())
-        site.dark = {"p0", "p1", "p2"}
-        site.at["p4"].replicator.alive = site.at["p4"].alive
+        site.at["p4"].replicator.prefers = lambda run: {site.at["p3"].id, site.at["p4"].id}
         leadership = LeadershipTerm(site.at["p4"], "s", 1)
         leadership.gathered()  # the lot comes to stores that the edge has not heard of
         await leadership.accept_job({"lot": "l", "run": "s", "host": "h", "path": "/p/"}, orjson.dumps(LOT))
         assert site.holders("l") == ["p3", "p4"]
-        site.dark = set()
         site.to = lambda address, to=site.to: to(address.rsplit(":", 1)[0])
         config_source = SimpleNamespace(shards={"plan": old})
         desk = JobHandlers(site.settings, config_source, site, Counters(), clock)
--- a/tests/share_group/test_offsets.py
+++ b/tests/share_group/test_offsets.py
@@ -63,7 +63,7 @@
         super().__init__(store)
         self.copies = 0
 
-    async def replicate(self, run, term, records):
+    async def replicate(self, run, term, records, contest=None):
         self.copies += 1
         other = "bc"[self.copies % 2]
         for name in ("me", other):
--- a/tests/store/test_job_reservations.py
+++ b/tests/store/test_job_reservations.py
@@ -74,7 +74,7 @@
         leaderships={},
         leaving=True,
         ready=True,
-        record_store=types.SimpleNamespace(batch_jobs=dict.fromkeys(kept)),
+        record_store=types.SimpleNamespace(batch_jobs=dict.fromkeys(kept), claims={}),
         membership=types.SimpleNamespace(can_admit=lambda _job_id, _size: admits),
         members=dict,
         id="s",
--- a/tests/support/leadership_rig.py
+++ b/tests/support/leadership_rig.py
@@ -5,6 +5,8 @@
 import orjson
 from tests.support.fakes import MemBook
 
+from archhatch.jobs.ownership_contest import OwnershipContest
+from archhatch.jobs.replicator import ClaimAnswer
 from archhatch.jobs import DeposedError, Quorum, Record, RecordStore
 from archhatch.runtime import Counters, StateBoard, TaskGroup, open_logs
 from archhatch.runtime.settings import check_settings
@@ -21,7 +23,19 @@
     def has_enough_copies(self, record):
         return self.store.quorum.has_enough_copies(record.held, self.store.members())
 
-    async def replicate(self, run, term, records):
+    def prefers(self, run):
+        return frozenset()
+
+    def targets(self, job_id, held, preferred=()):
+        return [sid for sid in ("me", "b") if sid not in held]
+
+    async def claim(self, sid, run, term, job_id, is_settled=False, is_withdrawn=False):
+        return ClaimAnswer(None if sid in self.store.silent else True)
+
+    def contest(self, run):
+        return OwnershipContest(run, self.store.quorum, self.store.members, self.store.alive)
+
+    async def replicate(self, run, term, records, contest=None):
         self.puts.append((term, records))
         await self.gate.wait()
         if self.deposed:
