Batch jobs: the end of a job is kept until no store can bring the job back

Cause: an end goes to enough stores, after a change of leader to other ones than the job did. Each store dropped a job with its end by its own clock, a store without the end kept the job, and the next leader found it alone. Change: a store keeps the end when it drops the rest; the leader brings the ends of jobs that it serves no more to all members and has them dropped once all have them; a leaving store is not let go before the ends have enough copies elsewhere. Why this works: whoever may hold the job knows its end before anybody forgets it, however long it was away.

--- a/archhatch/jobs/record_state.py
+++ b/archhatch/jobs/record_state.py
@@ -30,6 +30,7 @@
     Attributes:
         run: The run that it belongs to.
         stored_at: When its first record came, by this store's clock.
+        ended_at: When its end came, by this store's clock; None before.
         job: The record of the job itself.
         end: The record of its end.
         results: The records of its results by position.
@@ -38,11 +39,22 @@
 
     run: str
     stored_at: float
+    ended_at: float | None = None
     job: Record | None = None
     end: Record | None = None
     results: dict[int, Record] = field(default_factory=dict)
     size_bytes: int = 0
 
+    def is_tombstone(self) -> bool:
+        """Returns whether all that is left of it here is that it ended."""
+        return self.job is None and not self.results and self.end is not None
+
+    def strip(self) -> None:
+        """Drops all but its end."""
+        self.job = None
+        self.results = {}
+        self.size_bytes = RECORD_OVERHEAD
+
     def records(self) -> list[Record]:
         """Returns all its records: the job, its end, its results."""
         return [record for record in (self.job, self.end, *self.results.values()) if record is not None]
@@ -122,6 +134,11 @@
         stored = self.batch_jobs.get(job_id)
         return stored.run if stored is not None else self.claims.get(job_id)
 
+    def lacks(self, job_id: str) -> bool:
+        """Returns whether nothing of a job is here, or only that it ended."""
+        stored = self.batch_jobs.get(job_id)
+        return stored is None or stored.is_tombstone()
+
     def other_owner(self, record: Record) -> str | None:
         """Returns the run that keeps a record of a job from being taken, None if it may be taken.
 
@@ -183,6 +200,8 @@
             if stored is None or stored.run != head["run"]:
                 stored = self.batch_jobs[head["lot"]] = StoredJob(head["run"], self.clock.now())
             stored.put(record)
+            if kind == Kind.END:
+                stored.ended_at = self.clock.now()
             self.claims.pop(head["lot"], None)
 
     def _apply_claim(self, head: dict) -> None:
@@ -255,17 +274,37 @@
 
     # -- what is kept
 
-    def forget(self, job_ids: Iterable[str], order_s: float) -> None:
-        """Drops jobs that nobody may ask for any more, and intents to order that are older than order_s."""
+    def strip(self, ended_before: float) -> None:
+        """Drops all but the ends of jobs that ended before a time of this store's clock.
+
+        The end stays: another store may hold the job without it, and come back at any time.
+        """
+        for stored in self.batch_jobs.values():
+            if stored.ended_at is not None and stored.ended_at < ended_before and not stored.is_tombstone():
+                stored.strip()
+
+    def drop(self, run: str, term: int, job_ids: Iterable[str]) -> bool:
+        """Drops jobs of a run that all stores know to have ended; one that is not known here to have ended stays.
+
+        Returns:
+            False if the run was promised to a higher term; then nothing is dropped.
+        """
+        if term < self.promised_terms.get(run, 0):
+            return False
+        for job_id in job_ids:
+            stored = self.batch_jobs.get(job_id)
+            if stored is not None and stored.run == run and stored.end is not None:
+                del self.batch_jobs[job_id]
+        return True
+
+    def forget_orders(self, order_s: float) -> None:
+        """Drops intents to order that are older than order_s."""
         now = self.clock.now()
         for run, intents in self.order_intents.items():
             kept = {instance_id: synced_at for instance_id, synced_at in intents.items() if now - synced_at <= order_s}
             times = self.order_times.get(run, {})
             self.order_intents[run] = kept
             self.order_times[run] = {instance_id: time for instance_id, time in times.items() if instance_id in kept}
-        for job_id in job_ids:
-            self.batch_jobs.pop(job_id, None)
-            self.claims.pop(job_id, None)
 
     def snapshot(self) -> Iterator[tuple[bytes, bytes]]:
         """Returns all that is kept, for a rewritten log.
--- a/archhatch/jobs/replicator.py
+++ b/archhatch/jobs/replicator.py
@@ -317,6 +317,34 @@
         )
         return isinstance(answer, dict) and answer.get("lacks") is True
 
+    async def drop(self, sid: str, run: str, term: int, job_ids: list[str]) -> bool | None:
+        """Has a store drop jobs of a run that all stores know to have ended.
+
+        Args:
+            sid: The store.
+            run: The run.
+            term: The term of its leader.
+            job_ids: The jobs.
+
+        Returns:
+            True if that is done, False if the store knows a higher term, None if it does not answer.
+        """
+        if sid == self.store_id:
+            return self.record_store.drop(run, term, job_ids)
+        member = self.members().get(sid)
+        if member is None:
+            return None
+        request = {"to": sid, "run": run, "term": term, "lots": job_ids}
+        try:
+            code, answer, _ = await self.connections.to(member["addr"]).call(
+                "shelf.drop", request, timeout_s=self.timeout_s
+            )
+        except CallError:
+            return None
+        if code == UNKNOWN_CALL_CODE:
+            return True  # a store of an earlier version drops what ended by its own clock
+        return answer if code == DONE_CODE and isinstance(answer, bool) else None
+
     async def _append_here(self, term: int, records: list[Record]) -> Verdict:
         copies = [Record({**record.head, "by": term}, record.body) for record in records]
         try:
--- a/archhatch/rollout_controller/job_claims.py
+++ b/archhatch/rollout_controller/job_claims.py
@@ -65,7 +65,7 @@
             await self._claim_rest(record, claims, contest)
         except JobOwnedElsewhereError:
             claiming.cancel()
-            await self._withdraw(record.head["lot"])
+            await self.withdraw(record.head["lot"])
             raise
         finally:
             copying.cancel()
@@ -141,7 +141,7 @@
                 task.cancel()
         return owners
 
-    async def _withdraw(self, job_id: str) -> None:
+    async def withdraw(self, job_id: str) -> None:
         """Gives a job up at all stores; what one keeps that does not answer, this run claims or gives up later."""
         replicator = self.host.replicator
         self.host.counters.add("claim.withdrawn")
--- a/archhatch/rollout_controller/leadership_term.py
+++ b/archhatch/rollout_controller/leadership_term.py
@@ -21,6 +21,7 @@
 from .record_copier import RecordCopier
 from .repair import RecordRepair
 from .takeover import ORDER_VALIDITY, Takeover
+from .tombstones import Tombstones
 
 CONFIRMED_TO_READ = 0.5  # of SettleMs: how old the stores' confirmations may be for an answer to a reader
 TERM_OFFSET_BITS = 32  # an offset is its term, and a number of so many bits that the term counts
@@ -49,6 +50,7 @@
     Attributes:
         state: The word of a TermState.
         batch_jobs: The jobs that it serves, by id.
+        tombstones: The ends of jobs that it serves no more.
         pending_jobs: Jobs that are still to be taken up, as they ended, or as it is not certain that they are this
             run's: job id -> store id -> what that store holds.
         offered_jobs: Jobs that were handed in under this term and may have been taken.
@@ -87,6 +89,7 @@
             auto_transitions=False,
         )
         self.copier = RecordCopier(host, run, term, self._list_copied, self.step_down)
+        self.tombstones = Tombstones(host, run, term)
         self.takeover = Takeover(self)
         self.record_repair = RecordRepair(self)
 
@@ -217,7 +220,7 @@
         """
         job_id = request["lot"]
         self.offered_jobs.add(job_id)
-        if job_id in self.batch_jobs:
+        if job_id in self.batch_jobs or job_id in self.tombstones:
             return
         held_body = self.host.record_store.bodies.hold(job_id, body)
         record = Record(job_head(job_id, self.run, request["host"], request["path"]), held_body)
@@ -316,7 +319,7 @@
         return None if item is None else base64.b64decode(item.payload)
 
     def forget_old_jobs(self) -> list[str]:
-        """Forgets jobs that are ended and older than StatusS; returns their ids.
+        """Forgets jobs that are ended and older than StatusS, but for their ends; returns their ids.
 
         Of those that were handed in it keeps what is served, being copied, or still recorded here.
         """
@@ -328,7 +331,10 @@
             if batch_job.is_ended and now - batch_job.accepted_at > keep_s and now - batch_job.ended_at > keep_s
         ]
         for job_id in old:
-            del self.batch_jobs[job_id]
+            batch_job = self.batch_jobs.pop(job_id)
+            for record in batch_job.records:
+                if record.kind == Kind.END:
+                    self.tombstones.add(job_id, record)
         self.offered_jobs = {job_id for job_id in self.offered_jobs if self._may_have(job_id)}
         return old
 
@@ -374,6 +380,8 @@
     async def repair(self) -> None:
         """Brings records to enough stores that stay in touch, and says which stores are not needed any more."""
         await self.record_repair.round()
+        if self.state == TermState.HOLDING and not await self.tombstones.round():
+            self.step_down()
 
     def needs_repair(self) -> bool:
         """Returns whether the last round of repair left something to do."""
--- a/archhatch/rollout_controller/repair.py
+++ b/archhatch/rollout_controller/repair.py
@@ -91,7 +91,8 @@
     def _update_dispensable_stores(self, staying: dict, in_touch: dict) -> None:
         departing = tuple(sid for sid in staying if sid not in in_touch and self.host.membership.departing(sid))
         self._earlier_copies &= self.leadership.copies_under_way()
-        needs_all = self.under_replicated or self._earlier_copies or self.leadership.pending_jobs
+        has_ends = self.leadership.tombstones.are_safe_on(in_touch)
+        needs_all = self.under_replicated or self._earlier_copies or self.leadership.pending_jobs or not has_ends
         self.dispensable_stores = () if needs_all else departing
 
     async def _replicate(self, batch: list[JobRecord], in_touch: dict) -> None:
@@ -127,6 +128,7 @@
         return (
             not self.leadership.pending_jobs
             and self.leadership.is_confirmed()
+            and self.leadership.tombstones.are_safe_on(staying)
             and all(
                 self.leadership.is_copying(record) or self.host.quorum.has_enough_copies(record.held, staying)
                 for _, record in self.under_replicated
--- a/archhatch/rollout_controller/takeover.py
+++ b/archhatch/rollout_controller/takeover.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING
 
 from ..jobs import BatchJob, DeposedError, JobOwnedElsewhereError, Record, read_job
-from ..jobs.record import SETTLED_KEY, Kind
+from ..jobs.record import SETTLED_KEY, Kind, end_head
 from ..jobs.record_state import StoredJob
 from ..jobs.run_report import HeldJob, RunReport
 from ..runtime.message import MALFORMED_ERRORS, InvalidMessageError
@@ -234,7 +234,8 @@
         """Takes up one job from what the stores hold; positions without enough copies are written anew."""
         leadership = self.leadership
         if not any(job.has_job for job in held.values()):
-            return True  # only an end or results without the job: it was never accepted
+            await self._settle_remains(job_id, held)
+            return True
         chosen = choose_results(held)
         copies = await self._collect(job_id, held, chosen)
         if copies is None:
@@ -254,6 +255,15 @@
         leadership.batch_jobs[job_id] = batch_job
         return True
 
+    async def _settle_remains(self, job_id: str, held: dict[str, HeldJob]) -> None:
+        """Keeps the end of a job that is dropped elsewhere; gives up claims on one that was never accepted."""
+        leadership = self.leadership
+        knowing = {sid for sid, job in held.items() if job.has_end}
+        if knowing:
+            leadership.tombstones.add(job_id, Record(end_head(job_id, leadership.run), held=knowing))
+        elif any(job.has_claim for job in held.values()):
+            await self._claims.withdraw(job_id)
+
     async def _claim(self, batch_job: BatchJob, held: dict[str, HeldJob]) -> bool:
         """Makes sure that a job is this run's; returns whether it is certain.
 
--- a/archhatch/store/handlers.py
+++ b/archhatch/store/handlers.py
@@ -17,6 +17,7 @@
     AppendRequest,
     ClaimJobAnswer,
     ClaimJobRequest,
+    DropJobsRequest,
     FetchRecordsRequest,
     JobRequest,
     LeaderSignature,
@@ -96,6 +97,7 @@
             "shelf.fetch": self._fetch_records,
             "shelf.lacks": self._check_missing,
             "shelf.claim": self._claim_job,
+            "shelf.drop": self._drop_jobs,
             "share.fetch": self._acquire_entries,
             "share.commit": self._acknowledge_entries,
             "lot.reserve": self._reserve_job,
@@ -173,6 +175,12 @@
             return ClaimJobAnswer(None, is_free).to_document()
         return ClaimJobAnswer(verdict).to_document()
 
+    async def _drop_jobs(self, document: dict, _body: bytes) -> bool:
+        if not self.store.ready:
+            raise CallRefusedError(NOT_CERTAIN)
+        request = DropJobsRequest.from_document(document)
+        return self.store.record_store.drop(request.run, request.term, request.job_ids)
+
     # -- share groups
 
     async def _acquire_entries(self, document: dict, _body: bytes) -> object:
@@ -296,7 +304,7 @@
     """Returns whether a job is not here, and who else may have it as far as this store knows."""
     return MissingJobAnswer(
         store_id=store.id,
-        is_missing=store.ready and job_id not in store.record_store.batch_jobs,
+        is_missing=store.ready and store.record_store.lacks(job_id),
         stores={store_id: {"zone": member["zone"]} for store_id, member in store.members().items()},
     )
 
--- a/archhatch/store/messages.py
+++ b/archhatch/store/messages.py
@@ -123,6 +123,21 @@
     is_free: bool = wire("free", default=False, optional=True)
 
 
+@dataclass(frozen=True, slots=True)
+class DropJobsRequest(Message):
+    """Asks that jobs be dropped that all stores know to have ended.
+
+    Attributes:
+        run: The run.
+        term: The term of the run's leader.
+        job_ids: The jobs.
+    """
+
+    run: str = wire("run")
+    term: int = wire("term")
+    job_ids: list[str] = wire("lots")
+
+
 @dataclass(frozen=True, slots=True)
 class JobRequest(Message):
     """Names a job: asks whether it is missing here, or that it be ended."""
--- a/archhatch/store/repair.py
+++ b/archhatch/store/repair.py
@@ -17,8 +17,8 @@
 
 IDLE_ROUND_HEARTBEATS = 3  # between rounds while the stores do not change and no copy is lacking
 PROBE_BYTES = 4096  # what a disk must take before it counts as taking records again
-KEEP_STATUS_PERIODS = 2  # StatusS: for how long an ended job is kept after its end
-FORGET_LEASE_PERIODS = 2  # LeaseMs: for how long the note that a job was forgotten is kept
+KEEP_STATUS_PERIODS = 2  # StatusS: for how long an ended job's body and results are kept after its end
+FORGET_LEASE_PERIODS = 2  # LeaseMs: for how long the intent of an order is kept
 
 
 class RepairHost(Protocol):
@@ -58,18 +58,10 @@
         await asyncio.gather(*(leadership.repair() for leadership in holding))
         for leadership in holding:
             leadership.forget_old_jobs()
-        store.record_store.forget(self._expired_jobs(), store.settings.seconds("LeaseMs", FORGET_LEASE_PERIODS))
-        await store.record_store.rewrite_if_due()
-
-    def _expired_jobs(self) -> list[str]:
-        store = self.store
         keep_s = store.settings.seconds("StatusS", KEEP_STATUS_PERIODS)
-        now = store.clock.now()
-        return [
-            job_id
-            for job_id, stored in store.record_store.batch_jobs.items()
-            if stored.end is not None and now - stored.stored_at > keep_s
-        ]
+        store.record_store.strip(store.clock.now() - keep_s)
+        store.record_store.forget_orders(store.settings.seconds("LeaseMs", FORGET_LEASE_PERIODS))
+        await store.record_store.rewrite_if_due()
 
     async def probe_disk(self) -> None:
         """Tries a disk that took nothing until it takes a small record again."""
--- a/tests/jobs/test_batch_job.py
+++ b/tests/jobs/test_batch_job.py
@@ -174,7 +174,7 @@
         assert (await again.prepare("m", 4))["orders"] == {"e1": 0.0}
         assert await again.append([Record({"k": "O", "lot": "", "run": "m", "iid": "e2", "by": 2})]) == [False]
         clock.at += 7
-        again.forget([], 6.0)
+        again.forget_orders(6.0)
         assert again.order_intents == {"m": {}}
 
     run(go())
--- a/tests/jobs/test_quorum.py
+++ b/tests/jobs/test_quorum.py
@@ -82,6 +82,8 @@
             return 2008, None, b""
         if verb == "shelf.append":
             return 1000, await node.record_store.append(unpack_many(body)), b""
+        if verb == "shelf.drop":
+            return 1000, (await StoreHandlers(node)._drop_jobs(doc, b"")), b""
         if verb == "shelf.claim":
             return 1000, (await StoreHandlers(node)._claim_job(doc, b"")), b""
         if verb == "shelf.prepare":
--- a/tests/share_group/test_offsets.py
+++ b/tests/share_group/test_offsets.py
@@ -174,7 +174,7 @@
         ended = [job_id for job_id, job in self.leadership.batch_jobs.items() if job.is_ended]
         self.leadership.forget_old_jobs()
         for record_store in self.store.record_stores.values():
-            record_store.forget(ended, 0.0)
+            record_store.drop("s", self.term, ended)
         self.check()
 
     async def write(self, _number):
--- a/tests/support/job_cluster.py
+++ b/tests/support/job_cluster.py
@@ -14,12 +14,15 @@
 
 from archhatch.jobs import DeposedError, JobOwnedElsewhereError
 from archhatch.rpc import CallError
-from archhatch.simulation.loop import CURRENT_INCARNATION, Incarnation, VirtualClock, VirtualLoop
+from archhatch.rollout_controller import LeadershipTerm
+from archhatch.simulation.loop import Incarnation, VirtualClock, VirtualLoop
 from archhatch.store.repair import Repair
 
 LONGEST_DELAY_S = 0.02  # of a call, each way
 WRITE_S = 0.004  # a disk takes so long at most
 STATUS_S = 120.0
+CANCEL_S = 3.0
+ROUND_S = 5.0  # between rounds of upkeep
 
 
 class SlowBook(MemBook):
@@ -130,7 +133,14 @@
     # -- steps
 
     async def wait(self, seconds):
-        await asyncio.sleep(seconds)
+        """Time passes, with a round of upkeep at each store from time to time."""
+        end = self.loop.time() + seconds
+        while (left_s := end - self.loop.time()) > 0:
+            await asyncio.sleep(min(left_s, ROUND_S))
+            if seconds >= ROUND_S:
+                for number in range(len(self.at)):
+                    await self.repair(number)
+                self.check()
 
     async def cut(self, number):
         self.dark.add(f"p{number % len(self.at)}")
@@ -158,8 +168,6 @@
         await asyncio.sleep(0)
 
     async def _begin(self, node, run, term):
-        from archhatch.rollout_controller import LeadershipTerm
-
         leadership = node.leaderships[run] = LeadershipTerm(node, run, term)
         try:
             await leadership.begin()
@@ -233,6 +241,9 @@
             assert len(runs) == 1, f"{job_id} was accepted by {sorted(runs)}"
         for job_id, runs in self.open_jobs().items():
             assert len(runs) == 1, f"{job_id} is served by {sorted(runs)}"
+            ended_at = self.ended_at.get(job_id, self.loop.time())
+            assert self.loop.time() - ended_at <= CANCEL_S, f"{job_id} ended at {ended_at:.1f} and is open again"
 
-
-__all__ = ["CURRENT_INCARNATION", "STATUS_S", "Cluster"]
+    def remains(self, job_id):
+        """The stores on which anything of a job is left."""
+        return [place for place, node in self.at.items() if node.record_store.owner_of(job_id) is not None]
