Stores: an identity whose membership ended never becomes a member again

Cause: only the last 64 ids of dropped stores are remembered, and nothing else told such a store from a new one. Change: a store notes its number in the order of joining on its disk before it takes records, and says it in its card; a control node lets no store join that was a member, and a store that is none while a later one is begins anew under another id. Why this works: numbers only rise, and the register that shows a later number has seen this store's end.

--- a/archhatch/control/store_membership.py
+++ b/archhatch/control/store_membership.py
@@ -54,7 +54,8 @@
         members = stores_of(value)
         recent_s = node.settings.seconds("ContactMs", RECENT_SHARE)
         for store_id, card in list(node.stores.cards.items()):
-            has_ended = store_id in dropped_stores_of(value) or card["name"] in retirements_of(value)
+            was_member = "no" in card  # and is none now: it begins anew under another id
+            has_ended = was_member or store_id in dropped_stores_of(value) or card["name"] in retirements_of(value)
             is_recent = node.stores.silence_s(store_id, now) < recent_s
             if is_recent and store_id not in members and not has_ended:
                 await node.try_command(PLAN, "store.join", cast(dict, card))
--- a/archhatch/jobs/record.py
+++ b/archhatch/jobs/record.py
@@ -86,9 +86,12 @@
 # -- heads: the order of the keys is that of the bytes on disk and on the wire
 
 
-def identity_head(store_id: str) -> dict:
-    """Returns the head of a store's identity."""
-    return {"k": Kind.IDENTITY, "id": store_id}
+def identity_head(store_id: str, member_number: int = 0) -> dict:
+    """Returns the head of a store's identity, with its number in the order of joining once it was a member."""
+    head: dict = {"k": Kind.IDENTITY, "id": store_id}
+    if member_number:
+        head["no"] = member_number
+    return head
 
 
 def promise_head(run: str, term: int) -> dict:
--- a/archhatch/jobs/record_state.py
+++ b/archhatch/jobs/record_state.py
@@ -78,6 +78,7 @@
 
     Attributes:
         id: The id of this store; empty before it has one.
+        member_number: Its number in the order of joining; 0 before it was a member.
         promised_terms: The highest term promised to a run's holder, by run.
         batch_jobs: What is here of each job, by id.
         claims: The run to which a job belongs that nothing else is here of, by id.
@@ -96,6 +97,7 @@
 
     def _clear(self) -> None:
         self.id = ""
+        self.member_number = 0
         self.promised_terms: dict[str, int] = {}
         self.batch_jobs: dict[str, StoredJob] = {}
         self.claims: dict[str, str] = {}
@@ -111,6 +113,7 @@
             record = unpack(raw)
             if record.kind == Kind.IDENTITY:
                 self.id = record.head["id"]
+                self.member_number = record.head.get("no", 0)
                 continue
             if "term" in record.head:
                 self._promise(record.head["run"], record.head["term"])
@@ -311,7 +314,7 @@
 
         It is gathered now, and packed as it is taken, also in another thread.
         """
-        heads = [identity_head(self.id)]
+        heads = [identity_head(self.id, self.member_number)]
         heads += [promise_head(run, term) for run, term in self.promised_terms.items()]
         for run, intents in self.order_intents.items():
             times = self.order_times.get(run, {})
--- a/archhatch/jobs/record_store.py
+++ b/archhatch/jobs/record_store.py
@@ -88,6 +88,12 @@
         await self.wal.append(pack(Record(identity_head(new))))
         self.id = new
 
+    async def note_membership(self, number: int) -> None:
+        """Notes that this store is a member, and its number in the order of joining, once the disk has it."""
+        if number != self.member_number:
+            await self.wal.append(pack(Record(identity_head(self.id, number))))
+            self.member_number = number
+
     async def reset(self, new: str) -> None:
         """Empties the store and gives it another id, once the disk has it.
 
--- a/archhatch/membership/peer_set.py
+++ b/archhatch/membership/peer_set.py
@@ -21,6 +21,7 @@
         addr: Its address for calls between nodes, as IP:PORT.
         zone: Its zone; empty if it has none.
         life: The incarnation of its process.
+        no: Its number in the order of joining, if it is a store that was a member before.
     """
 
     id: str
@@ -30,6 +31,7 @@
     addr: NotRequired[str]
     zone: NotRequired[str]
     life: NotRequired[str]
+    no: NotRequired[str]
 
 
 class PeerSet:
--- a/archhatch/store/join.py
+++ b/archhatch/store/join.py
@@ -76,7 +76,7 @@
         while True:
             register = store.config_watcher.shards.get("plan") or {}
             self._apply_config(register)
-            if store.id in register.get("dropped", {}):
+            if self._was_dropped(register):
                 await self._start_over(register)
             elif not store.ready and store.id in store.members():
                 await self.join()
@@ -95,6 +95,19 @@
             store.plan = table
             store.live_services = table.live_services()
 
+    def _was_dropped(self, register: dict) -> bool:
+        """Whether this store's membership ended. The register names the last such ids alone.
+
+        Of others it is known by their number: a later store is a member, and this one is not.
+        """
+        store = self.store
+        stores = register.get("stores", {})
+        if store.id in stores:
+            return False
+        number = store.record_store.member_number
+        is_passed = bool(number) and any(member["no"] > number for member in stores.values())
+        return is_passed or store.id in register.get("dropped", {})
+
     async def join(self) -> None:
         """Learns all terms that were granted before this store was a member; only then takes records."""
         store = self.store
@@ -109,10 +122,12 @@
         unknown = [(run, term) for run, term in terms.items() if term > store.record_store.promised_terms.get(run, 0)]
         try:
             await asyncio.gather(*(store.disk.watch(store.record_store.prepare(run, term)) for run, term in unknown))
+            await store.disk.watch(store.record_store.note_membership(store.members()[store.id]["no"]))
         except LogError:
             store.counters.add("join.postponed")
             return
         store.ready = True
+        store.config_watcher.card = store.identity()
         store.log.info("store {}: joined, it takes records, new_terms={}", store.id, len(unknown))
 
     async def _start_over(self, register: dict) -> None:
--- a/archhatch/store/node.py
+++ b/archhatch/store/node.py
@@ -220,7 +220,7 @@
 
     def identity(self) -> NodeCard:
         """Returns how this store introduces itself to other nodes."""
-        return {
+        card: NodeCard = {
             "id": self.id,
             "klass": "store",
             "name": self.settings.node_name,
@@ -228,6 +228,9 @@
             "zone": self.settings.zone,
             "life": self.incarnation,
         }
+        if self.record_store.member_number:
+            card["no"] = str(self.record_store.member_number)
+        return card
 
     async def leave(self) -> None:
         """Hands on what this store leads, has its copies made elsewhere, then ends."""
