Memory pool: those that wait are served once a turn, and the next one is known

Cause: each waiter that came and each that left had the pool list all waiters, and sort all charges that grow. Change: waiters stand in a line by address (memory/waiting_line.py); one pass a turn of the event loop, whatever number of changes fell into it. Result names what it holds by a Protocol, so that runtime does not import memory any more.

--- a/archhatch/memory/__init__.py
+++ b/archhatch/memory/__init__.py
@@ -1,6 +1,6 @@
 """The memory that a process holds for others: what it may hold of each kind, who waits for it, and who gives way."""
 
-from .decisions import Growing, Holding, can_all_grow, choose_to_give_way, choose_waiter
+from .decisions import Growing, Holding, can_all_grow, choose_to_give_way
 from .held_body import HELD_BODY, HeldBody, retain_held_body
 from .pool import Charge, MemoryFullError, MemoryPool
 from .recent_texts import RecentTexts
@@ -20,6 +20,5 @@
     "StoreShares",
     "can_all_grow",
     "choose_to_give_way",
-    "choose_waiter",
     "retain_held_body",
 ]
--- a/archhatch/memory/decisions.py
+++ b/archhatch/memory/decisions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 STALL_S = 1.0  # without progress for so long, a holder gives way to those that wait
@@ -26,21 +26,6 @@
     may_give_way: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Waiting:
-    """One that waits for memory.
-
-    Attributes:
-        key: Identifies it; lower ones came earlier.
-        peer: The address of the client.
-        has_part: Whether it holds a part already and needs more of it.
-    """
-
-    key: int
-    peer: str
-    has_part: bool
-
-
 def choose_to_give_way(holdings: Iterable[Holding], needed_bytes: int, now: float) -> list[int]:
     """Returns the keys of those that end so that others can be served: those that hold most for longest in vain.
 
@@ -64,30 +49,6 @@
     return chosen
 
 
-def choose_waiter(
-    waiting: Sequence[Waiting], held_by_peer: Mapping[str, int], granted_by_peer: Mapping[str, int]
-) -> int:
-    """Returns the key of the one that is served next.
-
-    What is held in part is brought to its end first, in the order in which it came. Among the others the address that
-    holds and was granted least is next, so that a crowd from one address does not keep all others waiting.
-
-    >>> choose_waiter([Waiting(1, "a", False), Waiting(2, "b", False)], {"a": 7}, {})
-    2
-
-    Args:
-        waiting: Those that wait.
-        held_by_peer: What is held, by address.
-        granted_by_peer: What was granted since the first of them began to wait, by address.
-    """
-
-    def rank(one: Waiting) -> tuple[bool, int, int]:
-        share = 0 if one.has_part else held_by_peer.get(one.peer, 0) + granted_by_peer.get(one.peer, 0)
-        return not one.has_part, share, one.key
-
-    return min(waiting, key=rank).key
-
-
 @dataclass(frozen=True, slots=True)
 class Growing:
     """What may still grow.
--- a/archhatch/memory/pool.py
+++ b/archhatch/memory/pool.py
@@ -1,4 +1,8 @@
-"""A bounded amount of memory that connections share: charges, waiting in turn, and giving way."""
+"""A bounded amount of memory that connections share: charges, waiting in turn, and giving way.
+
+However many changes fall into a turn of the event loop, those that wait are served once behind it: a crowd of them
+costs the turn one look.
+"""
 
 from __future__ import annotations
 
@@ -11,7 +15,8 @@
 
 from ..exceptions import ArchhatchError
 from ..runtime import Counters
-from .decisions import PROGRESS_SHARE, Growing, Holding, Waiting, can_all_grow, choose_to_give_way, choose_waiter
+from .decisions import PROGRESS_SHARE, Growing, Holding, can_all_grow, choose_to_give_way
+from .waiting_line import WaitingLine
 
 RECLAIM_S = 0.25  # between two looks at those that hold, while others wait
 
@@ -139,6 +144,8 @@
         self._held_by_peer: dict[str, int] = {}
         self._granted_by_peer: dict[str, int] = {}  # since the first of those that wait now began to wait
         self._waiters: dict[int, _Waiter] = {}
+        self._line = WaitingLine()
+        self._is_serving_due = False
         self._reclaim_timer: asyncio.TimerHandle | None = None
         self._collected: deque[Charge] = deque()  # charges that the garbage collector found, still to be taken back
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -215,8 +222,9 @@
         waiter = _Waiter(charge, more_bytes)
         self._loop = asyncio.get_running_loop()
         self._waiters[charge.key] = waiter
+        self._line.add(charge.key, charge.peer, has_part=charge.held_bytes > 0)
         self._counters.add(f"memory.{self.name}.waited")
-        self._serve_waiters()
+        self._serve_soon()
         self._watch_holders()
         try:
             await asyncio.wait_for(waiter.granted, wait_s)
@@ -224,24 +232,27 @@
             self._counters.add(f"memory.{self.name}.refused")
             raise MemoryFullError(f"no {more_bytes} bytes in {wait_s} s") from None
         finally:
-            self._waiters.pop(charge.key, None)
-            self._serve_waiters()
+            self._stop_waiting(charge.key)
+            self._serve_soon()
 
     def settle(self, charge: Charge, held_bytes: int) -> None:
         """Sets what a charge holds for good; what it held beyond is given back."""
         charge.claim_bytes = held_bytes
         self._change(charge, held_bytes - charge.held_bytes)
-        self._serve_waiters()
+        if charge.key in self._line:
+            self._line.remove(charge.key)
+            self._line.add(charge.key, charge.peer, has_part=charge.held_bytes > 0)
+        self._serve_soon()
 
     def take_back(self, charge: Charge) -> None:
         """Takes back what a charge holds, and refuses what is awaited for it."""
-        waiter = self._waiters.pop(charge.key, None)
+        waiter = self._stop_waiting(charge.key)
         if waiter is not None and not waiter.granted.done():
             waiter.granted.set_exception(MemoryFullError("released"))
         charge.claim_bytes = 0
         self._change(charge, -charge.held_bytes)
         self._charges.pop(charge.key, None)
-        self._serve_waiters()
+        self._serve_soon()
 
     def take_back_soon(self, charge: Charge) -> None:
         """Has a charge taken back by the event loop. Safe in any thread, and in the middle of any other method.
@@ -290,24 +301,32 @@
         else:
             self._growing.pop(charge.key, None)
 
+    def _stop_waiting(self, key: int) -> _Waiter | None:
+        self._line.remove(key)
+        return self._waiters.pop(key, None)
+
+    def _serve_soon(self) -> None:
+        """Has those that wait served behind this turn of the event loop."""
+        if not self._waiters:
+            self._granted_by_peer.clear()
+        elif not self._is_serving_due and self._loop is not None:
+            self._is_serving_due = True
+            self._loop.call_soon(self._serve_waiters)
+
     def _serve_waiters(self) -> None:
         """Grants what fits, in turn; the first that does not fit keeps those behind it waiting."""
-        while self._waiters:
-            waiter = self._next_waiter()
+        self._is_serving_due = False
+        self._counters.add(f"memory.{self.name}.served")
+        while (key := self._line.first(self._held_by_peer, self._granted_by_peer)) is not None:
+            waiter = self._waiters[key]
             if not self._fits(waiter.charge, waiter.more_bytes):
                 return
             if not waiter.granted.done():
                 self._grant(waiter.charge, waiter.more_bytes)
                 waiter.granted.set_result(None)
-            del self._waiters[waiter.charge.key]
+            self._stop_waiting(key)
         self._granted_by_peer.clear()
 
-    def _next_waiter(self) -> _Waiter:
-        waiting = [
-            Waiting(key, waiter.charge.peer, waiter.charge.held_bytes > 0) for key, waiter in self._waiters.items()
-        ]
-        return self._waiters[choose_waiter(waiting, self._held_by_peer, self._granted_by_peer)]
-
     # -- giving way
 
     def _watch_holders(self) -> None:
@@ -319,8 +338,9 @@
         self._reclaim_timer = None
         if not self._waiters:
             return
-        waiter = self._next_waiter()
-        needed = max(1, self._held_bytes + waiter.more_bytes - self.capacity_bytes)
+        key = self._line.first(self._held_by_peer, self._granted_by_peer)
+        more_bytes = self._waiters[key].more_bytes if key is not None else 0
+        needed = max(1, self._held_bytes + more_bytes - self.capacity_bytes)
         for key in choose_to_give_way(self._holdings(), needed, self.now()):
             self._counters.add(f"memory.{self.name}.gave_way")
             charge = self._charges.get(key)
--- a/archhatch/runtime/result_codes.py
+++ b/archhatch/runtime/result_codes.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import orjson
 
-if TYPE_CHECKING:
-    from ..memory import Charge
-
 # Code: (HTTP status, text). The texts are part of the public interface (field "Says"); docs/codes.md holds the same
 # table. Codes from 6001 are findings of `archhatch doctor` and have no HTTP status.
 CODES: dict[int, tuple[int, str]] = {
@@ -89,6 +86,13 @@
 JSON_HEADER = ("Content-Type", "application/json")
 
 
+class HeldMemory(Protocol):
+    """Memory that an answer's body takes, counted somewhere."""
+
+    def release(self) -> None:
+        """Gives it back."""
+
+
 @dataclass(slots=True)
 class Result:
     """An HTTP answer before it is written to the connection.
@@ -108,7 +112,7 @@
     body: bytes = b""
     head: list[tuple[str, str]] = field(default_factory=list)
     close: bool = False
-    charge: Charge | None = None
+    charge: HeldMemory | None = None
 
     def release(self) -> None:
         """Gives back the memory that is held for its body."""
