Result codes: what an answer holds names all that its writer calls

Cause: gave Result a Protocol with release() alone; the answer writer also notes bytes and sets what gives way, so mypy failed there. Change: the Protocol has these two calls.

--- a/archhatch/runtime/result_codes.py
+++ b/archhatch/runtime/result_codes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -89,6 +90,12 @@
 class HeldMemory(Protocol):
     """Memory that an answer's body takes, counted somewhere."""
 
+    def give_way_by(self, give_way: Callable[[], None] | None) -> None:
+        """Sets what ends its holder if others wait for memory; None if it must not be ended."""
+
+    def note_bytes(self, count: int) -> None:
+        """Notes that so many bytes of it went out."""
+
     def release(self) -> None:
         """Gives it back."""
 
