Stores: large copies take turns, and freed memory goes back to the system

Cause: a store counted the bodies that edges send, and nobody the copies that other leaders send; glibc kept freed blocks of up to 32 MB; frames stood in memory once more while they were joined and inflated. Change: a large copy asks for room (shelf.reserve) and has an inbox of its own, so that nothing waits behind it; a store has a large job or a large copy, not both, and room for the copy is asked for before the job's body comes; blocks from 256 KiB on are mapped by themselves (runtime/allocator.py); frames are written in pieces and inflated into one buffer. Why this works: of what adds up in one store at once one part is left. Claims, ends and room of a job are calls of their own module now (jobs/job_calls.py). The wire watch follows the renamed call.

--- a/archhatch/cli/programs.py
+++ b/archhatch/cli/programs.py
@@ -13,6 +13,7 @@
 from absl import flags
 
 from ..runtime import Counters, Settings, SettingsError, open_logs, read_settings
+from ..runtime.allocator import return_freed_memory
 from ..runtime.build_info import build_info
 from ..early_signals import ignore_signals, take_reload_signal
 from .common_flags import SETTINGS, load_settings, print_error
@@ -123,6 +124,7 @@
 def _run(settings: Settings, make_program: Callable[[Settings, Logger], Program]) -> int:
     log = open_logs(settings.node_name, LOG_LEVEL.value, settings.log_format)
     log.info("starts: {}", build_info())
+    return_freed_memory()
     try:
         asyncio.run(_run_until_signal(make_program(settings, log), log))
     except OSError as error:
--- a/archhatch/jobs/replicator.py
+++ b/archhatch/jobs/replicator.py
@@ -1,4 +1,8 @@
-"""Copies records to other stores: one task and one inbox for each of them, batches that share a sync."""
+"""Copies records to other stores: one task and one inbox for each of them, batches that share a sync.
+
+A large copy asks the store for room first, and has an inbox of its own, so that nothing waits behind one that waits for
+room.
+"""
 
 from __future__ import annotations
 
@@ -10,10 +14,12 @@
 from ..rpc import CallError, ConnectionPool
 from ..runtime import Counters, TaskGroup
 from ..wal import LogError
+from .batch_job import LARGE_JOB_BYTES
 from .errors import DeposedError
+from .job_calls import DONE_CODE, NO_MEMORY_CODE, ROOM_CODES, JobCalls
 from .ownership_contest import OwnershipContest
 from .quorum import Quorum, active_members
-from .record import SETTLED_KEY, Kind, Record, claim_head, pack_many
+from .record import SETTLED_KEY, Kind, Record, pack_many
 from .record_store import RecordStore, Verdict
 
 LATE_PENALTY = 6  # times the timeout that a store which was late with an answer is asked only if no other will do
@@ -21,8 +27,8 @@
 FIRST_PAUSE_S = 0.05  # before all are asked again, when nobody is left to ask; doubles ...
 LONGEST_PAUSE_S = 0.4  # ... up to this
 BATCH_BYTES = 1 << 20  # of records after which a batch is closed
-DONE_CODE = 1000  # the result code of a call that was carried out
-UNKNOWN_CALL_CODE = 2009  # the result code of a call that a store of an earlier version does not know
+ROOM_PAUSE_S = 0.1  # before a store without room is asked for it again
+ROOM_CALL_S = 0.25  # how long a store may take to say whether it has room for a job that an edge is about to send
 
 
 class _Send(NamedTuple):
@@ -33,16 +39,16 @@
     outcome: asyncio.Future  # the Verdict that counts for all of them
 
 
-class ClaimAnswer(NamedTuple):
-    """What a store says to a claim on a job.
+class _InboxKey(NamedTuple):
+    """Names an inbox.
 
     Attributes:
-        verdict: See RecordStore.append; None as well if the store does not answer, or cannot keep the claim.
-        is_free: Whether the store, which cannot keep the claim, has nothing of the job for another run.
+        store_id: The store that its records go to.
+        is_large: Whether it is for records that the store must have room for.
     """
 
-    verdict: Verdict
-    is_free: bool = False
+    store_id: str
+    is_large: bool
 
 
 class Replicator:
@@ -94,9 +100,12 @@
         self.counters = counters
         self.timeout_s = timeout_s
         self.quorum = quorum
+        self.calls = JobCalls(
+            lambda: self.store_id, record_store, connections, members, counters, timeout_s, self.watch
+        )
         self._late_until: dict[str, float] = {}  # store -> until when it is asked only if no other will do
-        self._inboxes: dict[str, list[_Send]] = {}
-        self._wakes: dict[str, asyncio.Event] = {}
+        self._inboxes: dict[_InboxKey, list[_Send]] = {}
+        self._wakes: dict[_InboxKey, asyncio.Event] = {}
 
     def has_enough_copies(self, record: Record) -> bool:
         """Returns whether a record's copies on stores that stay are enough."""
@@ -216,7 +225,7 @@
             await contest.settle()
             return
         for sid in list(contest.owners):
-            answer = await self.claim(sid, run, term, record.head["lot"], is_settled=True)
+            answer = await self.calls.claim(sid, run, term, record.head["lot"], is_settled=True)
             if answer.verdict is True:
                 del contest.owners[sid]
 
@@ -261,90 +270,15 @@
         if sid == self.store_id:
             return asyncio.ensure_future(self._append_here(term, records))
         outcome = asyncio.get_running_loop().create_future()
-        if sid not in self._inboxes:
-            self._inboxes[sid] = []
-            self._wakes[sid] = asyncio.Event()
-            self.task_group.run_forever("copy", self._empty_inbox, sid)
-        self._inboxes[sid].append(_Send(term, records, outcome))
-        self._wakes[sid].set()
+        key = _InboxKey(sid, _size(records) > LARGE_JOB_BYTES)
+        if key not in self._inboxes:
+            self._inboxes[key] = []
+            self._wakes[key] = asyncio.Event()
+            self.task_group.run_forever("copy", self._empty_inbox, key)
+        self._inboxes[key].append(_Send(term, records, outcome))
+        self._wakes[key].set()
         return outcome
 
-    async def claim(  # noqa: PLR0913 - the fields of the call
-        self,
-        sid: str,
-        run: str,
-        term: int,
-        job_id: str,
-        *,
-        is_settled: bool = False,
-        is_withdrawn: bool = False,
-    ) -> ClaimAnswer:
-        """Has a store note that a job belongs to a run, or does not any more.
-
-        Args:
-            sid: The store.
-            run: The run.
-            term: The term of its leader.
-            job_id: The job.
-            is_settled: Whether the run accepted the job, so that what another run left of it goes.
-            is_withdrawn: Whether the run gives the job up.
-        """
-        head = claim_head(job_id, run, is_settled=is_settled, is_withdrawn=is_withdrawn)
-        if sid == self.store_id:
-            verdict = await self._append_here(term, [Record(head)])
-            return ClaimAnswer(verdict, verdict is None and self.record_store.owner_of(job_id) in (None, run))
-        member = self.members().get(sid)
-        if member is None:
-            return ClaimAnswer(None)
-        request = {"to": sid, **head, "term": term}
-        try:
-            code, answer, _ = await self.connections.to(member["addr"]).call(
-                "shelf.claim", request, timeout_s=self.timeout_s
-            )
-            if code == UNKNOWN_CALL_CODE:
-                return ClaimAnswer(None, await self._lacks(sid, member["addr"], job_id))
-        except CallError:
-            self.counters.add("claim.unanswered")
-            return ClaimAnswer(None)
-        if code != DONE_CODE or not isinstance(answer, dict):
-            return ClaimAnswer(None)
-        return ClaimAnswer(answer.get("verdict"), answer.get("free") is True)
-
-    async def _lacks(self, sid: str, address: str, job_id: str) -> bool:
-        """Returns whether a store of an earlier version, which keeps no claims, has nothing of a job."""
-        _, answer, _ = await self.connections.to(address).call(
-            "shelf.lacks", {"to": sid, "lot": job_id}, timeout_s=self.timeout_s
-        )
-        return isinstance(answer, dict) and answer.get("lacks") is True
-
-    async def drop(self, sid: str, run: str, term: int, job_ids: list[str]) -> bool | None:
-        """Has a store drop jobs of a run that all stores know to have ended.
-
-        Args:
-            sid: The store.
-            run: The run.
-            term: The term of its leader.
-            job_ids: The jobs.
-
-        Returns:
-            True if that is done, False if the store knows a higher term, None if it does not answer.
-        """
-        if sid == self.store_id:
-            return self.record_store.drop(run, term, job_ids)
-        member = self.members().get(sid)
-        if member is None:
-            return None
-        request = {"to": sid, "run": run, "term": term, "lots": job_ids}
-        try:
-            code, answer, _ = await self.connections.to(member["addr"]).call(
-                "shelf.drop", request, timeout_s=self.timeout_s
-            )
-        except CallError:
-            return None
-        if code == UNKNOWN_CALL_CODE:
-            return True  # a store of an earlier version drops what ended by its own clock
-        return answer if code == DONE_CODE and isinstance(answer, bool) else None
-
     async def _append_here(self, term: int, records: list[Record]) -> Verdict:
         copies = [Record({**record.head, "by": term}, record.body) for record in records]
         try:
@@ -375,19 +309,52 @@
             record.held.add(sid)
         return True
 
-    async def _empty_inbox(self, sid: str) -> None:
-        """Sends what comes into a store's inbox, one batch at a time."""
+    async def _empty_inbox(self, key: _InboxKey) -> None:
+        """Sends what comes into an inbox, one batch at a time."""
+        inbox, wake = self._inboxes[key], self._wakes[key]
         while True:
-            await self._wakes[sid].wait()
-            self._wakes[sid].clear()
-            while self._inboxes[sid]:
+            await wake.wait()
+            wake.clear()
+            while inbox:
                 batch: list[_Send] = []
                 size = 0
-                while self._inboxes[sid] and size < BATCH_BYTES:
-                    send = self._inboxes[sid].pop(0)
+                while inbox and size < (1 if key.is_large else BATCH_BYTES):
+                    send = inbox.pop(0)
                     batch.append(send)
-                    size += sum(len(record.body) for record in send.records)
-                await self._send_batch(sid, batch)
+                    size += _size(send.records)
+                if key.is_large and not await self._has_room(key.store_id, batch[0], size):
+                    if not batch[0].outcome.done():
+                        batch[0].outcome.set_result(None)
+                    continue
+                await self._send_batch(key.store_id, batch)
+                del batch  # its bodies are not held while the next ones are awaited
+
+    async def _has_room(self, sid: str, send: _Send, size: int) -> bool:
+        """Asks a store for room for a large copy until it has some, or the time for an answer is over."""
+        deadline = self.record_store.clock.now() + self.timeout_s
+        while True:
+            code = await self.calls.reserve(sid, send.records[0].head["lot"], size, self.timeout_s)
+            if code in ROOM_CODES:
+                return True
+            if code != NO_MEMORY_CODE or self.record_store.clock.now() >= deadline:
+                self.counters.add(f"copy.refused.{code}")
+                return False
+            await asyncio.sleep(ROOM_PAUSE_S)
+
+    async def reserve_copies(self, run: str, job_id: str, size: int) -> bool:
+        """Asks for the room that a large job's copies will take, before its body comes to this store.
+
+        Args:
+            run: The run.
+            job_id: The job.
+            size: The length of its body.
+
+        Returns:
+            Whether each store that is to have a copy has room for it now, or may have.
+        """
+        targets = self.targets(job_id, {self.store_id}, preferred=self.prefers(run))
+        codes = await asyncio.gather(*(self.calls.reserve(sid, job_id, size, ROOM_CALL_S) for sid in targets))
+        return NO_MEMORY_CODE not in codes
 
     async def _send_batch(self, sid: str, batch: list[_Send]) -> None:
         verdicts = await self._call(sid, batch)
@@ -419,3 +386,8 @@
             self.counters.add(f"copy.refused.{code}")
             return None
         return verdicts
+
+
+def _size(records: Iterable[Record]) -> int:
+    """Returns the bytes of the bodies of records."""
+    return sum(len(record.body) for record in records)
--- a/archhatch/memory/store_shares.py
+++ b/archhatch/memory/store_shares.py
@@ -12,6 +12,7 @@
 # once more, beside the cache, the program itself and the reading of one body.
 OPEN_JOBS_SHARE = 0.25
 ARRIVING_JOBS_SHARE = 0.1  # of the process's memory: bodies of large jobs on their way to it
+ARRIVING_COPIES_SHARE = 0.05  # of the process's memory: large copies from other stores on their way to it
 PARSED_RATIO = 2.2  # memory of a job's items to the bytes of its body, before it is read
 
 
@@ -39,6 +40,11 @@
         """How many bytes of large jobs' bodies may be on their way at once."""
         return int(self.memory_mb * BYTES_PER_MB * ARRIVING_JOBS_SHARE) or sys.maxsize
 
+    @property
+    def arriving_copy_bytes(self) -> int:
+        """How many bytes of large copies may be on their way at once."""
+        return int(self.memory_mb * BYTES_PER_MB * ARRIVING_COPIES_SHARE) or sys.maxsize
+
     def admits(self, open_job_bytes: int, body_bytes: int) -> bool:
         """Returns whether a further job may be opened.
 
--- a/archhatch/rollout_controller/job_claims.py
+++ b/archhatch/rollout_controller/job_claims.py
@@ -117,7 +117,7 @@
         replicator = self.host.replicator
         found_free: set[str] = set() if free is None else free
         tasks = {
-            asyncio.ensure_future(replicator.claim(sid, self.run, self.term, job_id)): sid
+            asyncio.ensure_future(replicator.calls.claim(sid, self.run, self.term, job_id)): sid
             for sid in members
             if sid not in expected
         }
@@ -146,5 +146,8 @@
         replicator = self.host.replicator
         self.host.counters.add("claim.withdrawn")
         await asyncio.gather(
-            *(replicator.claim(sid, self.run, self.term, job_id, is_withdrawn=True) for sid in self.host.members())
+            *(
+                replicator.calls.claim(sid, self.run, self.term, job_id, is_withdrawn=True)
+                for sid in self.host.members()
+            )
         )
--- a/archhatch/rollout_controller/tombstones.py
+++ b/archhatch/rollout_controller/tombstones.py
@@ -75,7 +75,7 @@
         if not job_ids:
             return True
         verdicts = await asyncio.gather(
-            *(self.host.replicator.drop(sid, self.run, self.term, job_ids) for sid in members)
+            *(self.host.replicator.calls.drop(sid, self.run, self.term, job_ids) for sid in members)
         )
         if False in verdicts:
             return False
--- a/archhatch/rpc/channel.py
+++ b/archhatch/rpc/channel.py
@@ -44,9 +44,11 @@
         """Removes a call that does not wait any more: an answer to it is dropped."""
         self._pending.take(key)
 
-    def write(self, frame: bytes) -> None:
-        """Sends a frame."""
-        self._writer.write(frame)
+    def write(self, frame: list[bytes]) -> None:
+        """Sends the pieces of a frame; each is let go as it is taken."""
+        frame.reverse()
+        while frame:
+            self._writer.write(frame.pop())
 
     def close(self) -> None:
         """Closes the connection and fails the calls that wait on it; what is still read completes no call."""
--- a/archhatch/rpc/connection.py
+++ b/archhatch/rpc/connection.py
@@ -10,7 +10,7 @@
 from ..exceptions import ArchhatchError
 from ..runtime import Counters
 from .channel import Channel, ChannelClosedError
-from .framing import STREAM_LIMIT_BYTES, FrameError, pack, set_socket_options
+from .framing import STREAM_LIMIT_BYTES, FrameError, pack_pieces, set_socket_options
 from .messages import Envelope
 
 MAX_WITHIN_MS = 0xFFFFFFFF  # of the envelope's field
@@ -118,7 +118,7 @@
         within_ms = min(MAX_WITHIN_MS, max(1, int(timeout_s * 1000)))
         try:
             head = orjson.dumps(document)
-            channel.write(pack(Envelope(call=key, verb=verb, head=head, body=body, to=to, within_ms=within_ms)))
+            channel.write(pack_pieces(Envelope(call=key, verb=verb, head=head, body=body, to=to, within_ms=within_ms)))
             del body  # a long one does not stand here beside its frame while the answer is awaited
             answer = await self._wait(channel, future, verb, timeout_s)
         except FrameError as error:
--- a/archhatch/rpc/framing.py
+++ b/archhatch/rpc/framing.py
@@ -35,6 +35,15 @@
     >>> len(pack(Envelope(call=1)))
     10
 
+    Raises:
+        FrameError: It is longer than the other side would take.
+    """
+    return b"".join(pack_pieces(envelope))
+
+
+def pack_pieces(envelope: Envelope) -> list[bytes]:
+    """Encodes an envelope as the pieces of a frame, one behind the other: a long body is not copied once more.
+
     Raises:
         FrameError: It is longer than the other side would take.
     """
@@ -45,7 +54,8 @@
         checksum = zlib.crc32(piece, checksum)
     if size > MAX_FRAME:
         raise FrameError(f"frame of {size} bytes")
-    return b"".join((_HEADER.pack(size, checksum), *pieces))
+    header = _HEADER.pack(size, checksum)
+    return [header + pieces[0]] if len(pieces) == 1 else [header, *pieces]
 
 
 def _encode(envelope: Envelope) -> list[bytes]:
@@ -104,7 +114,10 @@
         envelope = Envelope().parse(encoded)
         del encoded  # a long one does not stand beside its inflated body
         if envelope.packed:
-            envelope.body = _inflate(envelope.body)
+            deflated, envelope.body = envelope.body, b""
+            inflated = _inflate(deflated)
+            del deflated  # a long one does not stand beside the two that follow
+            envelope.body = bytes(inflated)
             envelope.packed = False
     except FrameError:
         raise
@@ -114,21 +127,18 @@
     return envelope
 
 
-def _inflate(deflated: bytes) -> bytes:
+def _inflate(deflated: bytes) -> bytearray:
     """Returns a deflated body as it was, if that is no longer than a frame may be."""
     decompressor = zlib.decompressobj()
     view = memoryview(deflated)
-    pieces = []
-    size = 0
+    inflated = bytearray()
     for start in range(0, len(view), PIECE_BYTES):
-        piece = decompressor.decompress(view[start : start + PIECE_BYTES], MAX_FRAME - size + 1)
-        size += len(piece)
-        if size > MAX_FRAME:
+        inflated += decompressor.decompress(view[start : start + PIECE_BYTES], MAX_FRAME - len(inflated) + 1)
+        if len(inflated) > MAX_FRAME:
             raise FrameError("deflated body is too long")
-        pieces.append(piece)
     if not decompressor.eof:
         raise FrameError("deflated body is cut")
-    return b"".join(pieces)
+    return inflated
 
 
 def set_socket_options(writer: asyncio.StreamWriter) -> None:
--- a/archhatch/store/handlers.py
+++ b/archhatch/store/handlers.py
@@ -40,7 +40,7 @@
 )
 
 if TYPE_CHECKING:
-    from ..jobs import RecordStore
+    from ..jobs import RecordStore, Replicator
     from ..rollout_controller import LeadershipTerm
     from ..runtime import Clock, Counters, Settings
     from ..share_group import PartitionLeader
@@ -78,6 +78,7 @@
     disk: DiskState
     membership: Membership
     proxy: RequestProxy
+    replicator: Replicator
     usage: UsageReporter
 
 
@@ -86,7 +87,9 @@
 
     def __init__(self, store: StoreHandlersHost) -> None:
         self.store = store
-        self._reservations = JobReservations(StoreShares(store.settings.memory_mb).arriving_job_bytes)
+        shares = StoreShares(store.settings.memory_mb)
+        self._reservations = JobReservations(shares.arriving_job_bytes)
+        self._copy_reservations = JobReservations(shares.arriving_copy_bytes)
 
     def register(self, handlers: Handlers) -> None:
         """Puts all verbs into a table of handlers."""
@@ -94,6 +97,7 @@
             "store.ping": self._ping,
             "shelf.prepare": self._prepare,
             "shelf.append": self._append,
+            "shelf.reserve": self._reserve_copy,
             "shelf.fetch": self._fetch_records,
             "shelf.lacks": self._check_missing,
             "shelf.claim": self._claim_job,
@@ -148,7 +152,12 @@
             raise CallRefusedError(NOT_CERTAIN)
         records = unpack_many(body)
         del body  # the records have their own bytes
-        verdicts = await self.store.disk.watch(self.store.record_store.append(records))
+        large = next((record for record in records if len(record.body) > LARGE_JOB_BYTES), None)
+        with contextlib.ExitStack() as stack:
+            if large is not None:
+                size = sum(len(record.body) for record in records)
+                stack.enter_context(self._room_for_copy(large.head["lot"], size))
+            verdicts = await self.store.disk.watch(self.store.record_store.append(records))
         if not AppendRequest.from_document(document).reads_owners:
             return [None if isinstance(verdict, str) else verdict for verdict in verdicts]
         return verdicts
@@ -161,6 +170,26 @@
     async def _check_missing(self, document: dict, _body: bytes) -> dict:
         return check_missing(self.store, JobRequest.from_document(document).job_id).to_document()
 
+    async def _reserve_copy(self, document: dict, _body: bytes) -> None:
+        request = ReserveJobRequest.from_document(document)
+        now = self.store.clock.now()
+        is_busy = self._reservations.is_used(now)  # with a job that an edge sends here
+        if is_busy or not self._copy_reservations.reserve(request.job_id, request.size, now, request.claim):
+            self.store.counters.add("copy.waits_for_memory")
+            raise CallRefusedError(NO_MEMORY)
+
+    @contextlib.contextmanager
+    def _room_for_copy(self, job_id: str, size: int) -> Iterator[None]:
+        """Keeps room for a large copy while it is written; refuses if there is none for it any more."""
+        reservation = self._copy_reservations.begin(job_id, size, self.store.clock.now())
+        if reservation is None:
+            self.store.counters.add("copy.waits_for_memory")
+            raise CallRefusedError(NO_MEMORY)
+        try:
+            yield
+        finally:
+            self._copy_reservations.release(reservation)
+
     async def _claim_job(self, document: dict, _body: bytes) -> dict:
         store = self.store
         if not store.ready:
@@ -217,10 +246,28 @@
             request.job_id, request.size
         ):
             raise CallRefusedError(NO_ROOM)
-        if not self._reservations.reserve(request.job_id, request.size, self.store.clock.now(), request.claim):
+        now = self.store.clock.now()
+        has_room = not self._copy_reservations.is_used(now) and self._reservations.reserve(
+            request.job_id, request.size, now, request.claim
+        )
+        if has_room and not await self._reserve_copies(request):
+            self._reservations.cancel(request.claim)
+            has_room = False
+        if not has_room:
             self.store.counters.add("job.waits_for_memory")
             raise CallRefusedError(NO_MEMORY)
 
+    async def _reserve_copies(self, request: ReserveJobRequest) -> bool:
+        """Whether the stores that are to copy a large job have room, so that none has its own and another's at once.
+
+        They are asked before the body comes, and all of them at once: stores that hold room of their own while they
+        wait for that of others could wait for each other.
+        """
+        leadership = next((term for term in self.store.leaderships.values() if term.state == "holding"), None)
+        if leadership is None:
+            return True  # the body will be refused
+        return await self.store.replicator.reserve_copies(leadership.run, request.job_id, request.size)
+
     async def _submit_job(self, document: dict, body: bytes) -> dict:
         request = SubmitJobRequest.from_document(document)
         with self._room_for(request, len(body)):
--- a/archhatch/store/job_reservations.py
+++ b/archhatch/store/job_reservations.py
@@ -65,6 +65,14 @@
                 return True
         return self._reserve(job_id, size, now, claim) is not None
 
+    def is_used(self, now: float) -> bool:
+        """Returns whether room is kept for any body."""
+        return any(reservation.expires_at > now for reservation in self._reservations)
+
+    def cancel(self, claim: str) -> None:
+        """Gives back the room of a submission whose body will not be sent."""
+        self._reservations = [held for held in self._reservations if held.claim != claim or not held.is_awaited]
+
     def _reserve(self, job_id: str, size: int, now: float, claim: str = "") -> JobReservation | None:
         self._reservations = [reservation for reservation in self._reservations if reservation.expires_at > now]
         needed = min(size, self._capacity_bytes)
--- a/tests/jobs/test_copied_bytes.py
+++ b/tests/jobs/test_copied_bytes.py
@@ -12,6 +12,7 @@
 import zlib
 
 import pytest
+from tests.support.fakes import HandClock
 
 from archhatch.jobs import Record
 from archhatch.jobs.record import job_head, pack_many, pack_pieces, unpack_many
@@ -24,9 +25,11 @@
     pack,
     read_frame,
 )
+from archhatch.rpc.framing import pack_pieces as frame_pieces
 from archhatch.rpc.messages import Envelope
 from archhatch.runtime import Counters, open_logs
 from archhatch.store.handlers import StoreHandlers
+from archhatch.store.job_reservations import JobReservations
 from archhatch.wal import WriteAheadLog
 
 BODY_BYTES = 8 << 20
@@ -94,11 +97,15 @@
         with Traced() as traced:
             frame = pack(envelope)
             assert traced.peak() < 1.6 * BODY_BYTES + SLACK_BYTES
+        with Traced() as traced:
+            pieces = frame_pieces(envelope)
+            assert traced.peak() < 0.8 * BODY_BYTES + SLACK_BYTES
+        assert b"".join(pieces) == frame
         reader = asyncio.StreamReader(limit=STREAM_LIMIT_BYTES)
         reader.feed_data(frame)
         with Traced() as traced:
             read = await read_frame(reader)
-            assert traced.peak() < 2.8 * BODY_BYTES + SLACK_BYTES
+            assert traced.peak() < 2.4 * BODY_BYTES
         assert read == envelope
 
     run(go())
@@ -177,8 +184,9 @@
 
         store = Store()
         store.ready, store.record_store, store.disk = True, RecordStore(), Disk()
+        store.clock = HandClock()
         handlers = object.__new__(StoreHandlers)
-        handlers.store = store
+        handlers.store, handlers._copy_reservations = store, JobReservations(BODY_BYTES)
         server, connections = await calls(handlers._addressed(handlers._append))
         connection = connections.to(f"127.0.0.1:{server.port()}")
         packed = pack_many([large_record()])
--- a/tests/store/test_job_reservations.py
+++ b/tests/store/test_job_reservations.py
@@ -146,3 +146,52 @@
         assert taken == ["b", "small"]
 
     run(go())
+
+
+def leading_store(clock, answers):
+    """A store that leads a run, whose neighbours answer as told when they are asked for room for a copy."""
+    store = small_store(clock)
+    store.leaderships = {"r": types.SimpleNamespace(run="r", state="holding", offered_jobs=set(), batch_jobs={})}
+    asked = []
+
+    async def reserve_copies(run_name, job_id, size):
+        asked.append((run_name, job_id, size))
+        return answers.pop(0)
+
+    store.replicator = types.SimpleNamespace(reserve_copies=reserve_copies)
+    return StoreHandlers(store), asked
+
+
+async def refusal_of(call):
+    try:
+        await call
+    except CallRefusedError as refusal:
+        return refusal.code
+    return None
+
+
+# A store took a large job of its own run and copies of two others' at once, and went over its memory (review/9).
+def test_a_store_has_a_large_job_or_a_large_copy_but_not_both(run, clock):
+    async def go():
+        handlers, asked = leading_store(clock, [True, True])
+        job, copy = {"to": "s", "lot": "a", "size": 90_000, "claim": "x"}, {"to": "s", "lot": "b", "size": 90_000}
+        assert await refusal_of(handlers._reserve_job(job, b"")) is None
+        assert await refusal_of(handlers._reserve_copy({**copy, "claim": "b"}, b"")) == 3013
+        clock.at += RESERVED_S  # the body did not come
+        assert await refusal_of(handlers._reserve_copy({**copy, "claim": "b"}, b"")) is None
+        assert await refusal_of(handlers._reserve_job(job, b"")) == 3013
+        clock.at += RESERVED_S
+        assert await refusal_of(handlers._reserve_job(job, b"")) is None
+        assert asked == [("r", "a", 90_000)] * 2
+
+    run(go())
+
+
+def test_a_large_job_whose_copies_have_no_room_is_not_asked_for_and_keeps_none(run, clock):
+    async def go():
+        handlers, _ = leading_store(clock, [False, True])
+        first = {"to": "s", "lot": "a", "size": 90_000, "claim": "x"}
+        assert await refusal_of(handlers._reserve_job(first, b"")) == 3013
+        assert await refusal_of(handlers._reserve_job({**first, "lot": "b", "claim": "y"}, b"")) is None
+
+    run(go())
--- a/tests/support/job_cluster.py
+++ b/tests/support/job_cluster.py
@@ -46,7 +46,7 @@
         self.life = Incarnation(f"{place}:{sid}")
         site.lives.append(self.life)
         self.connections = SimpleNamespace(to=lambda address: Connection(site, self, address))
-        self.replicator.connections = self.connections
+        self.replicator.connections = self.replicator.calls.connections = self.connections
         self.repairing = Repair(self)
         self.wal = wal
 
--- a/tests/support/leadership_rig.py
+++ b/tests/support/leadership_rig.py
@@ -6,7 +6,7 @@
 from tests.support.fakes import MemBook
 
 from archhatch.jobs.ownership_contest import OwnershipContest
-from archhatch.jobs.replicator import ClaimAnswer
+from archhatch.jobs.job_calls import ClaimAnswer
 from archhatch.jobs import DeposedError, Quorum, Record, RecordStore
 from archhatch.runtime import Counters, StateBoard, TaskGroup, open_logs
 from archhatch.runtime.settings import check_settings
@@ -17,6 +17,7 @@
 class FakeCopier:
     def __init__(self, store):
         self.store, self.puts, self.deposed = store, [], False
+        self.calls = self
         self.gate = asyncio.Event()  # copies arrive while it is set
         self.gate.set()
 
--- a/tests/support/wire_vocabulary.py
+++ b/tests/support/wire_vocabulary.py
@@ -217,7 +217,7 @@
     from archhatch.rpc import connection, server
 
     seen = Watch(vocabulary)
-    pack_call, pack_answer = connection.pack, server.Server._pack
+    pack_call, pack_answer = connection.pack_pieces, server.Server._pack
 
     @wraps(pack_call)
     def watched_call(envelope):
@@ -229,5 +229,5 @@
         seen.answer(call.verb, call.head, code, doc, body)
         return pack_answer(self, call, code, doc, body)
 
-    connection.pack, server.Server._pack = watched_call, watched_answer
+    connection.pack_pieces, server.Server._pack = watched_call, watched_answer
     return seen
