HTTP server: connections are ranked for each that gives way again; a closed one is still never chosen

Cause: the order of giving way that made once a turn chose by what connections held at the turn's start.

--- a/archhatch/http_server/connection.py
+++ b/archhatch/http_server/connection.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import enum
-from collections import deque
 from typing import Any, cast
 
 from aiohttp import web_protocol
@@ -21,7 +20,7 @@
 from ..memory import Charge
 from ..runtime import Counters
 from .client_memory import CONNECTION_BYTES, ConnectionBounds
-from .connection_choice import ConnectionState, Stage, rank_to_close
+from .connection_choice import ConnectionState, Stage, choose_to_close
 from .limits import HttpLimits
 
 READ_BYTES = 16 << 10  # of one connection, before the others have their turn
@@ -118,7 +117,6 @@
         cast(asyncio.Transport, transport).set_write_buffer_limits(high=UNSENT_BYTES)
         super().connection_made(transport)
         table = self._table
-        table.open_count += 1
         if table.is_closed:
             self.force_close()
         else:
@@ -132,7 +130,6 @@
         self.take_unserved()
         self._take_unsent()
         cast(ConnectionTable, table).giving_way_count -= self.is_giving_way
-        cast(ConnectionTable, table).open_count -= 1
         messages = list(self._messages)
         self._messages.clear()
         super().connection_lost(exc)
@@ -270,7 +267,7 @@
 
         One that has ended already has nothing to give.
         """
-        if self.has_ended or self.is_giving_way:
+        if self.has_ended:
             return
         self.is_giving_way = True
         self._table.giving_way_count += 1
@@ -285,43 +282,6 @@
             self.transport.abort()
 
 
-class Ranking:
-    """The connections of a server in the order in which they give way."""
-
-    def __init__(self, connections: list[ClientConnection], now: float) -> None:
-        states = [connection.state(key) for key, connection in enumerate(connections) if not connection.is_giving_way]
-        order = rank_to_close(states, now)
-        self._resting = deque(connections[state.key] for state in order if state.stage is Stage.RESTING)
-        self._others = deque(connections[state.key] for state in order if state.stage is not Stage.RESTING)
-
-    def add_newcomer(self, connection: ClientConnection) -> None:
-        """Adds a connection that was just made: it rests, for the shortest time."""
-        self._resting.append(connection)
-
-    def take(self) -> ClientConnection | None:
-        """Returns the next one that may still give way; None if there is none."""
-        while self._resting:
-            connection = self._resting.popleft()
-            stage = self._stage(connection)
-            if stage is Stage.RESTING:
-                return connection
-            if stage is not None:
-                self._others.append(connection)  # a request of it has begun since
-        while self._others:
-            connection = self._others.popleft()
-            if self._stage(connection) is not None:
-                return connection
-        return None
-
-    @staticmethod
-    def _stage(connection: ClientConnection) -> Stage | None:
-        """What a connection is at now; None if it may not give way any more."""
-        if connection.has_ended or connection.is_giving_way:
-            return None
-        stage = connection.state(0).stage
-        return None if stage is Stage.SERVED else stage
-
-
 class ConnectionTable(Server):
     """The connections of a server.
 
@@ -329,8 +289,7 @@
         is_closed: Whether connections are not read any more.
         max_header_bytes: Of a request's header section.
         held_bytes: What its connections hold beside their own objects.
-        open_count: How many of them have not ended.
-        giving_way_count: How many of those are about to.
+        giving_way_count: How many of them are about to end.
     """
 
     is_closed = False
@@ -339,9 +298,7 @@
     def __init__(self, bounds: ConnectionBounds, counters: Counters, handler: Any, **options: Any) -> None:  # noqa: ANN401 - those of aiohttp's Server
         super().__init__(handler, **options)
         self.held_bytes = 0
-        self.open_count = 0
         self.giving_way_count = 0
-        self._ranking: Ranking | None = None  # of this turn of the event loop
         self._bounds, self._counters = bounds, counters
 
     def __call__(self) -> ClientConnection:
@@ -361,11 +318,11 @@
 
     def are_bounds_passed(self) -> bool:
         """Whether there are too many connections, or they hold too much."""
-        return self._bounds.are_passed(self.open_count - self.giving_way_count, self.held_bytes)
+        return self._bounds.are_passed(len(self._connections) - self.giving_way_count, self.held_bytes)
 
     def is_full(self) -> bool:
         """Whether one connection more would be too many."""
-        return self._bounds.are_passed(self.open_count - self.giving_way_count + 1, self.held_bytes)
+        return self._bounds.are_passed(len(self._connections) - self.giving_way_count + 1, self.held_bytes)
 
     def total_bytes(self) -> int:
         """Returns about what its connections take."""
@@ -377,28 +334,20 @@
         Args:
             newcomer: A connection that was just made, which goes if all others are being served.
         """
-        if self._ranking is not None and newcomer is not None:
-            self._ranking.add_newcomer(newcomer)
         if not self.are_bounds_passed():
             return
-        chosen = self._next_to_close()
-        giving_way = newcomer if chosen is None else chosen
+        connections = [
+            connection
+            for connection in self.client_connections()
+            if not connection.is_giving_way and not connection.has_ended
+        ]
+        states = [connection.state(key) for key, connection in enumerate(connections)]
+        chosen = choose_to_close(states, self._loop.time())
+        giving_way = newcomer if chosen is None else connections[chosen]
         if giving_way is not None:
             self._counters.add("http.gave_way")
             giving_way.give_way()
 
-    def _next_to_close(self) -> ClientConnection | None:
-        """Returns the connection that gives way next; all are looked at once in a turn of the event loop."""
-        if self._ranking is None:
-            open_ones = [connection for connection in self.client_connections() if not connection.has_ended]
-            self._ranking = Ranking(open_ones, self._loop.time())
-            self._counters.add("http.connections_ranked", len(open_ones))
-            self._loop.call_soon(self._forget_ranking)
-        return self._ranking.take()
-
-    def _forget_ranking(self) -> None:
-        self._ranking = None
-
 
 def set_read_bytes(connection: ClientConnection, content: StreamReader, count: int) -> None:
     """Sets how much is read at once of a body that memory is held for."""
--- a/archhatch/http_server/connection_choice.py
+++ b/archhatch/http_server/connection_choice.py
@@ -33,19 +33,23 @@
     held_bytes: int
 
 
-def rank_to_close(states: Iterable[ConnectionState], now: float) -> list[ConnectionState]:
-    """Returns the connections that may give way, in their order: those resting longest, then who hold most in vain.
+def choose_to_close(states: Iterable[ConnectionState], now: float) -> int | None:
+    """Returns the key of the connection that gives way: the one resting longest, else the one holding most in vain.
 
-    Those that are being served never do.
+    Returns:
+        None if all of them are being served.
 
-    >>> states = [ConnectionState(1, Stage.RESTING, 3.0, 0), ConnectionState(2, Stage.SERVED, 0.0, 9)]
-    >>> [state.key for state in rank_to_close(states, 5.0)]
-    [1]
+    >>> choose_to_close([ConnectionState(1, Stage.RESTING, 3.0, 0), ConnectionState(2, Stage.SERVED, 0.0, 9)], 5.0)
+    1
     """
-
-    def rank(state: ConnectionState) -> tuple[bool, float]:
-        waited_s = now - state.since
+    worst: tuple[bool, float] = (False, -1.0)
+    chosen = None
+    for state in states:
+        if state.stage is Stage.SERVED:
+            continue
         rests = state.stage is Stage.RESTING
-        return not rests, -(waited_s if rests else waited_s * (1 + state.held_bytes))
-
-    return sorted((state for state in states if state.stage is not Stage.SERVED), key=rank)
+        waited_s = now - state.since
+        rank = (rests, waited_s if rests else waited_s * (1 + state.held_bytes))
+        if rank > worst:
+            worst, chosen = rank, state.key
+    return chosen
