--- a/archhatch/store/handlers.py
+++ b/archhatch/store/handlers.py
@@ -173,8 +173,8 @@
     async def _reserve_copy(self, document: dict, _body: bytes) -> None:
         request = ReserveJobRequest.from_document(document)
         now = self.store.clock.now()
-        is_busy = self._reservations.is_used(now)  # with a job that an edge sends here
-        if is_busy or not self._copy_reservations.reserve(request.job_id, request.size, now, request.claim):
+        is_beside = self._reservations.leaves_room_for(request.size, now)
+        if not is_beside or not self._copy_reservations.reserve(request.job_id, request.size, now, request.claim):
             self.store.counters.add("copy.waits_for_memory")
             raise CallRefusedError(NO_MEMORY)
 
@@ -247,9 +247,8 @@
         ):
             raise CallRefusedError(NO_ROOM)
         now = self.store.clock.now()
-        has_room = not self._copy_reservations.is_used(now) and self._reservations.reserve(
-            request.job_id, request.size, now, request.claim
-        )
+        is_beside = self._copy_reservations.leaves_room_for(request.size, now)
+        has_room = is_beside and self._reservations.reserve(request.job_id, request.size, now, request.claim)
         if has_room and not await self._reserve_copies(request):
             self._reservations.cancel(request.claim)
             has_room = False
--- a/archhatch/store/job_reservations.py
+++ b/archhatch/store/job_reservations.py
@@ -65,9 +65,10 @@
                 return True
         return self._reserve(job_id, size, now, claim) is not None
 
-    def is_used(self, now: float) -> bool:
-        """Returns whether room is kept for any body."""
-        return any(reservation.expires_at > now for reservation in self._reservations)
+    def leaves_room_for(self, size: int, now: float) -> bool:
+        """Returns whether a body of another kind may come beside those that room is kept for here."""
+        kept = sum(reservation.size for reservation in self._reservations if reservation.expires_at > now)
+        return not kept or kept + size <= self._capacity_bytes
 
     def cancel(self, claim: str) -> None:
         """Gives back the room of a submission whose body will not be sent."""
--- a/tests/store/test_job_reservations.py
+++ b/tests/store/test_job_reservations.py
@@ -183,6 +183,8 @@
         clock.at += RESERVED_S
         assert await refusal_of(handlers._reserve_job(job, b"")) is None
         assert asked == [("r", "a", 90_000)] * 2
+        small = {"to": "s", "lot": "c", "size": 10_000, "claim": "c"}
+        assert await refusal_of(handlers._reserve_copy(small, b"")) is None  # what fits beside it may come
 
     run(go())
 
